--- /dev/null
+++ b/src/net/frames.cpp
@@ -0,0 +1,352 @@
+#include "iothreads.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <map>
+
+namespace lovage {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+// Every frame is preceded by its length in bytes, 32 bits, big endian.
+using FrameHeader = std::array<uint8_t, 4>;
+
+FrameHeader encodeLength(size_t length)
+{
+    return {static_cast<uint8_t>(length >> 24), static_cast<uint8_t>(length >> 16),
+            static_cast<uint8_t>(length >> 8), static_cast<uint8_t>(length)};
+}
+
+size_t decodeLength(const FrameHeader &header)
+{
+    return (size_t {header[0]} << 24) | (size_t {header[1]} << 16) | (size_t {header[2]} << 8)
+            | size_t {header[3]};
+}
+
+} // namespace
+
+// The connection to one endpoint with the frames that wait for it. Connects on demand.
+class FrameSender : public std::enable_shared_from_this<FrameSender>
+{
+public:
+    FrameSender(asio::io_context &context, Endpoint to, FrameOptions options,
+                std::shared_ptr<std::atomic<uint64_t>> dropped)
+        : stream_(context), to_(std::move(to)), options_(std::move(options)),
+          dropped_(std::move(dropped))
+    { }
+
+    void send(std::string frame)
+    {
+        if (frame.size() > options_.maxFrameBytes
+            || queuedBytes_ + frame.size() > options_.maxQueuedBytes) {
+            dropped_->fetch_add(1, std::memory_order_relaxed);
+            return;
+        }
+        queuedBytes_ += frame.size();
+        queue_.push_back(std::move(frame));
+        if (state_ == State::Closed)
+            connect();
+        else if (state_ == State::Ready)
+            writeQueued();
+    }
+
+    void close()
+    {
+        stream_.close();
+        state_ = State::Closed;
+    }
+
+private:
+    enum class State { Closed, Connecting, Ready, Writing };
+
+    void connect()
+    {
+        const auto to = toTcpEndpoint(to_);
+        if (!to || openOutgoing(stream_.socket(), to.value(), options_.localAddress)) {
+            reset();
+            return;
+        }
+        state_ = State::Connecting;
+        stream_.expires_after(options_.connectTimeout);
+        stream_.async_connect(to.value(), [self = shared_from_this()](error_code error) {
+            if (error) {
+                self->reset();
+                return;
+            }
+            self->stream_.expires_never();
+            self->state_ = State::Ready;
+            self->watchForClose();
+            self->writeQueued();
+        });
+    }
+
+    // The receiver never sends, so a read ends only when the connection breaks. Without it the
+    // next frame would be lost on a connection that the receiver has closed.
+    void watchForClose()
+    {
+        stream_.socket().async_wait(
+                tcp::socket::wait_read,
+                [self = shared_from_this(), generation = generation_](error_code error) {
+                    if (error || generation != self->generation_)
+                        return;
+                    if (self->state_ == State::Ready)
+                        self->reset();
+                });
+    }
+
+    void writeQueued()
+    {
+        if (queue_.empty())
+            return;
+        state_ = State::Writing;
+        writing_.clear();
+        headers_.clear();
+        headers_.reserve(queue_.size());
+        for (std::string &frame : queue_) {
+            headers_.push_back(encodeLength(frame.size()));
+            writing_.push_back(std::move(frame));
+        }
+        queue_.clear();
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(2 * writing_.size());
+        for (size_t i = 0; i < writing_.size(); ++i) {
+            buffers.emplace_back(headers_[i].data(), headers_[i].size());
+            buffers.emplace_back(writing_[i].data(), writing_[i].size());
+        }
+        asio::async_write(stream_, buffers, [self = shared_from_this()](error_code error, size_t) {
+            for (const std::string &frame : self->writing_)
+                self->queuedBytes_ -= frame.size();
+            if (error) {
+                self->dropped_->fetch_add(self->writing_.size(), std::memory_order_relaxed);
+                self->writing_.clear();
+                self->reset();
+                return;
+            }
+            self->writing_.clear();
+            self->state_ = State::Ready;
+            self->writeQueued();
+        });
+    }
+
+    // Drops what is queued: by the time a connection is up again its senders have timed out.
+    void reset()
+    {
+        dropped_->fetch_add(queue_.size(), std::memory_order_relaxed);
+        queue_.clear();
+        queuedBytes_ = 0;
+        ++generation_;
+        stream_.close();
+        state_ = State::Closed;
+    }
+
+    boost::beast::tcp_stream stream_;
+    Endpoint to_;
+    FrameOptions options_;
+    std::shared_ptr<std::atomic<uint64_t>> dropped_;
+    State state_ = State::Closed;
+    uint64_t generation_ = 0;
+    std::deque<std::string> queue_;
+    std::vector<std::string> writing_;
+    std::vector<FrameHeader> headers_;
+    size_t queuedBytes_ = 0;
+};
+
+class FrameClient::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(asio::io_context &context, FrameOptions options)
+        : context_(context), options_(std::move(options)),
+          dropped_(std::make_shared<std::atomic<uint64_t>>(0))
+    { }
+
+    void send(const Endpoint &to, std::string frame)
+    {
+        asio::post(context_, [self = shared_from_this(), to, frame = std::move(frame)]() mutable {
+            auto &sender = self->senders_[to];
+            if (!sender)
+                sender = std::make_shared<FrameSender>(self->context_, to, self->options_,
+                                                       self->dropped_);
+            sender->send(std::move(frame));
+        });
+    }
+
+    void close()
+    {
+        asio::post(context_, [self = shared_from_this()] {
+            for (const auto &[endpoint, sender] : self->senders_)
+                sender->close();
+        });
+    }
+
+    uint64_t dropped() const { return dropped_->load(std::memory_order_relaxed); }
+
+private:
+    asio::io_context &context_;
+    FrameOptions options_;
+    std::shared_ptr<std::atomic<uint64_t>> dropped_;
+    std::map<Endpoint, std::shared_ptr<FrameSender>> senders_;
+};
+
+FrameClient::FrameClient(IoThreads &threads, size_t thread, FrameOptions options)
+    : implementation_(
+            std::make_shared<Implementation>(contextOf(threads, thread), std::move(options)))
+{ }
+
+FrameClient::~FrameClient()
+{
+    implementation_->close();
+}
+
+void FrameClient::send(const Endpoint &to, std::string frame)
+{
+    implementation_->send(to, std::move(frame));
+}
+
+uint64_t FrameClient::droppedFrames() const
+{
+    return implementation_->dropped();
+}
+
+// One accepted connection; reads frames until it breaks or a frame is too long.
+class FrameReceiver : public std::enable_shared_from_this<FrameReceiver>
+{
+public:
+    FrameReceiver(tcp::socket socket, size_t maxFrameBytes, FrameServer::Handler handler)
+        : socket_(std::move(socket)), maxFrameBytes_(maxFrameBytes), handler_(std::move(handler))
+    { }
+
+    void readHeader()
+    {
+        asio::async_read(socket_, asio::buffer(header_),
+                         [self = shared_from_this()](error_code error, size_t) {
+                             if (!error)
+                                 self->readBody(decodeLength(self->header_));
+                         });
+    }
+
+private:
+    void readBody(size_t length)
+    {
+        if (length > maxFrameBytes_)
+            return;
+        frame_.clear();
+        readPart(length);
+    }
+
+    // Grows the frame as bytes arrive, so that a length field alone reserves no memory.
+    void readPart(size_t remaining)
+    {
+        const size_t part = std::min(remaining, maxPartBytes);
+        const size_t offset = frame_.size();
+        frame_.resize(offset + part);
+        asio::async_read(
+                socket_, asio::buffer(frame_.data() + offset, part),
+                [self = shared_from_this(), left = remaining - part](error_code error, size_t) {
+                    if (error)
+                        return;
+                    if (left > 0) {
+                        self->readPart(left);
+                        return;
+                    }
+                    self->handler_(std::move(self->frame_));
+                    self->frame_ = {};
+                    self->readHeader();
+                });
+    }
+
+    static constexpr size_t maxPartBytes = 256U << 10;
+
+    tcp::socket socket_;
+    size_t maxFrameBytes_;
+    FrameServer::Handler handler_;
+    FrameHeader header_ {};
+    std::string frame_;
+};
+
+class FrameServer::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(IoThreads &threads, tcp::acceptor acceptor, FrameOptions options,
+                   Handler handler)
+        : threads_(threads), acceptor_(std::move(acceptor)),
+          port_(acceptor_.local_endpoint().port()), options_(std::move(options)),
+          handler_(std::move(handler))
+    { }
+
+    void accept()
+    {
+        auto &context = contextOf(threads_, nextThread_++);
+        acceptor_.async_accept(
+                context, [self = shared_from_this()](error_code error, tcp::socket socket) {
+                    if (error == asio::error::operation_aborted)
+                        return;
+                    if (!error) {
+                        const auto executor = socket.get_executor();
+                        asio::post(executor, [self, socket = std::move(socket)]() mutable {
+                            std::make_shared<FrameReceiver>(
+                                    std::move(socket), self->options_.maxFrameBytes, self->handler_)
+                                    ->readHeader();
+                        });
+                    }
+                    self->accept();
+                });
+    }
+
+    void close()
+    {
+        asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+            error_code ignored;
+            self->acceptor_.close(ignored);
+        });
+    }
+
+    uint16_t port() const { return port_; }
+
+private:
+    IoThreads &threads_;
+    tcp::acceptor acceptor_;
+    uint16_t port_;
+    FrameOptions options_;
+    Handler handler_;
+    size_t nextThread_ = 0;
+};
+
+FrameServer::FrameServer(std::shared_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation))
+{ }
+
+FrameServer::~FrameServer()
+{
+    implementation_->close();
+}
+
+Result<std::unique_ptr<FrameServer>> FrameServer::listen(IoThreads &threads,
+                                                         const Endpoint &endpoint,
+                                                         FrameOptions options, Handler handler)
+{
+    auto acceptor = openAcceptor(contextOf(threads, 0), endpoint);
+    if (!acceptor)
+        return acceptor.error();
+    auto implementation = std::make_shared<Implementation>(threads, std::move(acceptor.value()),
+                                                           std::move(options), std::move(handler));
+    implementation->accept();
+    return std::unique_ptr<FrameServer>(new FrameServer(std::move(implementation)));
+}
+
+uint16_t FrameServer::port() const
+{
+    return implementation_->port();
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/net/httpclient.cpp
@@ -0,0 +1,377 @@
+#include "iothreads.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fmt/format.h>
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <deque>
+#include <future>
+#include <map>
+
+namespace lovage {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+// One request from send() to its callback.
+struct Exchange
+{
+    HttpRequest request;
+    HttpClient::Callback callback;
+    SteadyClock::time_point deadline;
+};
+
+http::request<http::string_body> toMessage(const Endpoint &endpoint, HttpRequest request)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(11);
+    message.set(http::field::host, toString(endpoint));
+    message.keep_alive(true);
+    for (const HttpHeader &header : request.headers)
+        message.set(header.name, header.value);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+HttpResponse toResponse(http::response<http::string_body> message)
+{
+    HttpResponse response;
+    response.status = static_cast<int>(message.result_int());
+    response.contentType = std::string(message[http::field::content_type]);
+    for (const auto &field : message)
+        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    response.body = std::move(message.body());
+    return response;
+}
+
+} // namespace
+
+// The connections to one endpoint and the requests that wait for one.
+class EndpointPool : public std::enable_shared_from_this<EndpointPool>
+{
+public:
+    EndpointPool(asio::io_context &context, Endpoint endpoint, HttpClientOptions options)
+        : context_(context), endpoint_(std::move(endpoint)), options_(std::move(options))
+    { }
+
+    void add(Exchange exchange);
+    void sweep();
+    void close();
+
+private:
+    struct Connection
+    {
+        explicit Connection(asio::io_context &context) : stream(context) { }
+
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer;
+        http::request<http::string_body> message;
+        std::optional<http::response_parser<http::string_body>> parser;
+        std::optional<Exchange> exchange;
+        SteadyClock::time_point idleSince;
+    };
+    using ConnectionPtr = std::shared_ptr<Connection>;
+
+    void startQueued();
+    ConnectionPtr takeIdle();
+    void connect(const ConnectionPtr &connection);
+    void write(const ConnectionPtr &connection);
+    void read(const ConnectionPtr &connection);
+    void finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse);
+    void failExpired();
+
+    asio::io_context &context_;
+    Endpoint endpoint_;
+    HttpClientOptions options_;
+    std::deque<Exchange> queue_;
+    std::vector<ConnectionPtr> idle_;
+    size_t connectionCount_ = 0;
+};
+
+void EndpointPool::add(Exchange exchange)
+{
+    if (queue_.size() >= options_.maxQueuedPerEndpoint) {
+        exchange.callback(
+                notRun(ErrorCode::Overloaded,
+                       fmt::format("too many requests wait for {}", toString(endpoint_))));
+        return;
+    }
+    queue_.push_back(std::move(exchange));
+    startQueued();
+}
+
+void EndpointPool::startQueued()
+{
+    while (!queue_.empty()) {
+        ConnectionPtr connection = takeIdle();
+        const bool isConnected = connection != nullptr;
+        if (!isConnected) {
+            if (connectionCount_ >= options_.maxConnectionsPerEndpoint)
+                return;
+            connection = std::make_shared<Connection>(context_);
+            ++connectionCount_;
+        }
+        connection->exchange = std::move(queue_.front());
+        queue_.pop_front();
+        if (isConnected)
+            write(connection);
+        else
+            connect(connection);
+    }
+}
+
+// Returns an idle connection, or null. Connections that the server has closed are dropped here:
+// a request written to one would have to be reported as MayHaveRun.
+EndpointPool::ConnectionPtr EndpointPool::takeIdle()
+{
+    while (!idle_.empty()) {
+        ConnectionPtr connection = std::move(idle_.back());
+        idle_.pop_back();
+        char byte = 0;
+        const auto count = recv(connection->stream.socket().native_handle(), &byte, 1,
+                                MSG_PEEK | MSG_DONTWAIT);
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+            return connection;
+        connection->stream.close();
+        --connectionCount_;
+    }
+    return nullptr;
+}
+
+void EndpointPool::connect(const ConnectionPtr &connection)
+{
+    const auto to = toTcpEndpoint(endpoint_);
+    if (!to) {
+        finish(connection, to.error(), false);
+        return;
+    }
+    auto &socket = connection->stream.socket();
+    if (const error_code error = openOutgoing(socket, to.value(), options_.localAddress)) {
+        finish(connection,
+               notRun(ErrorCode::PeerUnreachable,
+                      fmt::format("cannot open a socket: {}", error.message())),
+               false);
+        return;
+    }
+    connection->stream.expires_after(options_.connectTimeout);
+    connection->stream.async_connect(
+            to.value(), [self = shared_from_this(), connection](error_code error) {
+                if (error) {
+                    self->finish(connection,
+                                 notRun(ErrorCode::PeerUnreachable,
+                                        fmt::format("cannot connect to {}: {}",
+                                                    toString(self->endpoint_), error.message())),
+                                 false);
+                    return;
+                }
+                self->write(connection);
+            });
+}
+
+void EndpointPool::write(const ConnectionPtr &connection)
+{
+    if (connection->exchange->deadline <= SteadyClock::now()) {
+        finish(connection,
+               notRun(ErrorCode::Timeout,
+                      fmt::format("no free connection to {} in time", toString(endpoint_))),
+               true);
+        return;
+    }
+    connection->message = toMessage(endpoint_, std::move(connection->exchange->request));
+    connection->stream.expires_at(connection->exchange->deadline);
+    http::async_write(connection->stream, connection->message,
+                      [self = shared_from_this(), connection](error_code error, size_t) {
+                          if (error) {
+                              self->finish(connection,
+                                           mayHaveRun(ErrorCode::PeerUnreachable,
+                                                      fmt::format("cannot write to {}: {}",
+                                                                  toString(self->endpoint_),
+                                                                  error.message())),
+                                           false);
+                              return;
+                          }
+                          self->read(connection);
+                      });
+}
+
+void EndpointPool::read(const ConnectionPtr &connection)
+{
+    connection->parser.emplace();
+    connection->parser->body_limit(options_.maxResponseBytes);
+    http::async_read(
+            connection->stream, connection->buffer, *connection->parser,
+            [self = shared_from_this(), connection](error_code error, size_t) {
+                if (!error) {
+                    auto message = connection->parser->release();
+                    const bool reuse = message.keep_alive();
+                    self->finish(connection, toResponse(std::move(message)), reuse);
+                    return;
+                }
+                ErrorCode code = ErrorCode::PeerUnreachable;
+                if (error == beast::error::timeout)
+                    code = ErrorCode::Timeout;
+                else if (error == http::error::body_limit)
+                    code = ErrorCode::AnswerTooLarge;
+                self->finish(connection,
+                             mayHaveRun(code,
+                                        fmt::format("no response from {}: {}",
+                                                    toString(self->endpoint_), error.message())),
+                             false);
+            });
+}
+
+void EndpointPool::finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse)
+{
+    Exchange exchange = std::move(*connection->exchange);
+    connection->exchange.reset();
+    if (reuse) {
+        connection->stream.expires_never();
+        connection->idleSince = SteadyClock::now();
+        idle_.push_back(connection);
+    } else {
+        connection->stream.close();
+        --connectionCount_;
+    }
+    exchange.callback(std::move(result));
+    startQueued();
+}
+
+void EndpointPool::failExpired()
+{
+    const auto now = SteadyClock::now();
+    std::deque<Exchange> kept;
+    std::vector<Exchange> expired;
+    for (Exchange &exchange : queue_) {
+        if (exchange.deadline <= now)
+            expired.push_back(std::move(exchange));
+        else
+            kept.push_back(std::move(exchange));
+    }
+    queue_ = std::move(kept);
+    for (Exchange &exchange : expired)
+        exchange.callback(
+                notRun(ErrorCode::Timeout,
+                       fmt::format("no free connection to {} in time", toString(endpoint_))));
+}
+
+// Fails queued requests past their deadline and closes connections that were idle for too long.
+void EndpointPool::sweep()
+{
+    failExpired();
+    const auto oldest = SteadyClock::now() - options_.idleTimeout;
+    std::erase_if(idle_, [&](const ConnectionPtr &connection) {
+        if (connection->idleSince >= oldest)
+            return false;
+        connection->stream.close();
+        --connectionCount_;
+        return true;
+    });
+}
+
+void EndpointPool::close()
+{
+    for (const ConnectionPtr &connection : idle_)
+        connection->stream.close();
+    connectionCount_ -= idle_.size();
+    idle_.clear();
+}
+
+class HttpClient::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(asio::io_context &context, HttpClientOptions options)
+        : context_(context), options_(std::move(options)), sweepTimer_(context)
+    { }
+
+    void send(const Endpoint &endpoint, Exchange exchange)
+    {
+        asio::post(context_,
+                   [self = shared_from_this(), endpoint, exchange = std::move(exchange)]() mutable {
+                       auto &pool = self->pools_[endpoint];
+                       if (!pool)
+                           pool = std::make_shared<EndpointPool>(self->context_, endpoint,
+                                                                 self->options_);
+                       pool->add(std::move(exchange));
+                   });
+    }
+
+    void startSweeping()
+    {
+        sweepTimer_.expires_after(sweepInterval);
+        sweepTimer_.async_wait([weak = weak_from_this()](error_code error) {
+            const auto self = weak.lock();
+            if (error || !self)
+                return;
+            for (const auto &[endpoint, pool] : self->pools_)
+                pool->sweep();
+            self->startSweeping();
+        });
+    }
+
+    void close()
+    {
+        asio::post(context_, [self = shared_from_this()] {
+            self->sweepTimer_.cancel();
+            for (const auto &[endpoint, pool] : self->pools_)
+                pool->close();
+        });
+    }
+
+private:
+    // Bounds how late a queued request past its deadline is reported.
+    static constexpr Duration sweepInterval = std::chrono::milliseconds(20);
+
+    asio::io_context &context_;
+    HttpClientOptions options_;
+    asio::steady_timer sweepTimer_;
+    std::map<Endpoint, std::shared_ptr<EndpointPool>> pools_;
+};
+
+HttpClient::HttpClient(IoThreads &threads, size_t thread, HttpClientOptions options)
+    : implementation_(
+            std::make_shared<Implementation>(contextOf(threads, thread), std::move(options)))
+{
+    implementation_->startSweeping();
+}
+
+HttpClient::~HttpClient()
+{
+    implementation_->close();
+}
+
+void HttpClient::send(const Endpoint &endpoint, HttpRequest request, Duration timeout,
+                      Callback callback)
+{
+    implementation_->send(
+            endpoint,
+            Exchange {std::move(request), std::move(callback), SteadyClock::now() + timeout});
+}
+
+Result<HttpResponse> sendHttp(const Endpoint &endpoint, HttpRequest request, Duration timeout)
+{
+    IoThreads threads(1);
+    HttpClient client(threads, 0, {});
+    std::promise<Result<HttpResponse>> promise;
+    auto future = promise.get_future();
+    client.send(endpoint, std::move(request), timeout,
+                [&promise](Result<HttpResponse> result) { promise.set_value(std::move(result)); });
+    Result<HttpResponse> result = future.get();
+    threads.stop();
+    return result;
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/net/httpserver.cpp
@@ -0,0 +1,296 @@
+#include "iothreads.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <fmt/format.h>
+
+namespace lovage {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(IoThreads &threads, asio::ip::tcp::acceptor acceptor, HttpLimits limits,
+                   Handler handler, ErrorBody errorBody)
+        : threads_(threads), acceptor_(std::move(acceptor)),
+          port_(acceptor_.local_endpoint().port()), limits_(limits), handler_(std::move(handler)),
+          errorBody_(std::move(errorBody))
+    { }
+
+    void accept();
+    void stopAccepting();
+
+    uint16_t port() const { return port_; }
+    HttpServerStats &stats() { return stats_; }
+    const HttpLimits &limits() const { return limits_; }
+    bool isStopping() const { return isStopping_.load(std::memory_order_relaxed); }
+    void handle(HttpRequest request, Reply reply)
+    {
+        handler_(std::move(request), std::move(reply));
+    }
+    std::string errorBody(const Error &error) const;
+
+private:
+    IoThreads &threads_;
+    asio::ip::tcp::acceptor acceptor_;
+    uint16_t port_;
+    HttpLimits limits_;
+    Handler handler_;
+    ErrorBody errorBody_;
+    HttpServerStats stats_;
+    std::atomic<bool> isStopping_ = false;
+    size_t nextThread_ = 0;
+};
+
+namespace {
+
+// Statuses for failures that the parser reports.
+struct ParseFailure
+{
+    http::status status;
+    ErrorCode code;
+    std::string reason;
+};
+
+ParseFailure describe(const error_code &error)
+{
+    if (error == http::error::body_limit)
+        return {http::status::payload_too_large, ErrorCode::BodyTooLarge,
+                "request body is larger than the limit"};
+    if (error == http::error::header_limit)
+        return {http::status::request_header_fields_too_large, ErrorCode::MalformedBody,
+                "request header is larger than the limit"};
+    if (error == beast::error::timeout)
+        return {http::status::request_timeout, ErrorCode::Timeout,
+                "request was not received in time"};
+    return {http::status::bad_request, ErrorCode::MalformedBody,
+            fmt::format("malformed HTTP request: {}", error.message())};
+}
+
+} // namespace
+
+// One accepted connection. Lives as long as an operation on it is pending.
+template<class Server>
+class HttpConnection : public std::enable_shared_from_this<HttpConnection<Server>>
+{
+public:
+    HttpConnection(asio::ip::tcp::socket socket, std::shared_ptr<Server> server)
+        : stream_(std::move(socket)), server_(std::move(server)), readTimer_(stream_.get_executor())
+    {
+        server_->stats().connections.fetch_add(1, std::memory_order_relaxed);
+    }
+    ~HttpConnection() { server_->stats().connections.fetch_sub(1, std::memory_order_relaxed); }
+
+    // Waits for the first byte of a request under the idle timeout, then for the rest under the
+    // read timeout, so that a slow sender cannot keep the connection for long.
+    void readRequest()
+    {
+        parser_.emplace();
+        parser_->body_limit(server_->limits().maxBodyBytes);
+        parser_->header_limit(static_cast<uint32_t>(server_->limits().maxHeaderBytes));
+        if (buffer_.size() > 0) {
+            readWholeRequest();
+            return;
+        }
+        stream_.expires_after(server_->limits().idleTimeout);
+        stream_.async_read_some(buffer_.prepare(readChunkBytes),
+                                [self = this->shared_from_this()](error_code error, size_t count) {
+                                    if (error)
+                                        return;
+                                    self->buffer_.commit(count);
+                                    self->readWholeRequest();
+                                });
+    }
+
+private:
+    static constexpr size_t readChunkBytes = 4096;
+
+    // The timer cancels the read rather than closing the socket, so that the sender gets a 408.
+    void readWholeRequest()
+    {
+        stream_.expires_never();
+        isTooSlow_ = false;
+        readTimer_.expires_after(server_->limits().readTimeout);
+        readTimer_.async_wait([self = this->shared_from_this()](error_code error) {
+            if (error)
+                return;
+            self->isTooSlow_ = true;
+            self->stream_.cancel();
+        });
+        http::async_read(stream_, buffer_, *parser_,
+                         [self = this->shared_from_this()](error_code error, size_t) {
+                             self->readTimer_.cancel();
+                             self->finishRead(error);
+                         });
+    }
+
+    void finishRead(error_code error)
+    {
+        if (error) {
+            rejectRequest(error);
+            return;
+        }
+        server_->stats().requests.fetch_add(1, std::memory_order_relaxed);
+        auto message = parser_->release();
+        keepAlive_ = message.keep_alive();
+        HttpRequest request;
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        for (const auto &field : message)
+            request.headers.push_back(
+                    {std::string(field.name_string()), std::string(field.value())});
+        request.body = std::move(message.body());
+        server_->handle(std::move(request),
+                        [self = this->shared_from_this()](HttpResponse response) {
+                            asio::post(self->stream_.get_executor(),
+                                       [self, response = std::move(response)]() mutable {
+                                           self->writeResponse(std::move(response));
+                                       });
+                        });
+    }
+
+    void rejectRequest(error_code error)
+    {
+        if (isTooSlow_)
+            error = beast::error::timeout;
+        if (error == http::error::end_of_stream || error == asio::error::operation_aborted)
+            return;
+        server_->stats().badRequests.fetch_add(1, std::memory_order_relaxed);
+        const bool isPeerGone = error == asio::error::connection_reset
+                || error == http::error::partial_message || error == asio::error::eof;
+        if (isPeerGone || !stream_.socket().is_open())
+            return;
+        const ParseFailure failure = describe(error);
+        keepAlive_ = false;
+        HttpResponse response;
+        response.status = static_cast<int>(failure.status);
+        response.body = server_->errorBody(notRun(failure.code, failure.reason));
+        writeResponse(std::move(response));
+    }
+
+    void writeResponse(HttpResponse response)
+    {
+        keepAlive_ = keepAlive_ && !server_->isStopping();
+        response_ = {};
+        response_.result(static_cast<unsigned>(response.status));
+        response_.version(11);
+        response_.set(http::field::content_type, response.contentType);
+        for (const HttpHeader &header : response.headers)
+            response_.set(header.name, header.value);
+        response_.body() = std::move(response.body);
+        response_.keep_alive(keepAlive_);
+        response_.prepare_payload();
+        stream_.expires_after(server_->limits().writeTimeout);
+        http::async_write(stream_, response_,
+                          [self = this->shared_from_this()](error_code error, size_t) {
+                              if (error)
+                                  return;
+                              if (self->keepAlive_)
+                                  self->readRequest();
+                              else
+                                  self->close();
+                          });
+    }
+
+    void close()
+    {
+        error_code ignored;
+        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    beast::tcp_stream stream_;
+    std::shared_ptr<Server> server_;
+    asio::steady_timer readTimer_;
+    bool isTooSlow_ = false;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    http::response<http::string_body> response_;
+    bool keepAlive_ = true;
+};
+
+void HttpServer::Implementation::accept()
+{
+    auto &context = contextOf(threads_, nextThread_++);
+    acceptor_.async_accept(
+            context, [self = shared_from_this()](error_code error, asio::ip::tcp::socket socket) {
+                if (self->isStopping() || error == asio::error::operation_aborted)
+                    return;
+                if (!error) {
+                    self->stats_.accepted.fetch_add(1, std::memory_order_relaxed);
+                    if (self->stats_.connections.load(std::memory_order_relaxed)
+                        >= self->limits_.maxConnections) {
+                        self->stats_.rejectedConnections.fetch_add(1, std::memory_order_relaxed);
+                    } else {
+                        error_code ignored;
+                        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+                        const auto executor = socket.get_executor();
+                        asio::post(executor, [self, socket = std::move(socket)]() mutable {
+                            std::make_shared<HttpConnection<Implementation>>(std::move(socket),
+                                                                             self)
+                                    ->readRequest();
+                        });
+                    }
+                }
+                self->accept();
+            });
+}
+
+void HttpServer::Implementation::stopAccepting()
+{
+    isStopping_ = true;
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+        error_code ignored;
+        self->acceptor_.close(ignored);
+    });
+}
+
+std::string HttpServer::Implementation::errorBody(const Error &error) const
+{
+    return errorBody_ ? errorBody_(error) : error.reason;
+}
+
+HttpServer::HttpServer(std::shared_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation))
+{ }
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServer::listen(IoThreads &threads, const Endpoint &endpoint,
+                                                       HttpLimits limits, Handler handler,
+                                                       ErrorBody errorBody)
+{
+    auto acceptor = openAcceptor(contextOf(threads, 0), endpoint);
+    if (!acceptor)
+        return acceptor.error();
+    auto implementation = std::make_shared<Implementation>(
+            threads, std::move(acceptor.value()), limits, std::move(handler), std::move(errorBody));
+    implementation->accept();
+    return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
+}
+
+uint16_t HttpServer::port() const
+{
+    return implementation_->port();
+}
+
+const HttpServerStats &HttpServer::stats() const
+{
+    return implementation_->stats();
+}
+
+void HttpServer::stopAccepting()
+{
+    implementation_->stopAccepting();
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/net/iothreads.h
@@ -0,0 +1,44 @@
+// Access to the event loops behind IoThreads, private to the net library.
+#pragma once
+
+#include "lovage/net.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace lovage {
+
+struct IoThreads::Implementation
+{
+    using WorkGuard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
+
+    std::vector<std::unique_ptr<boost::asio::io_context>> contexts;
+    std::vector<WorkGuard> guards;
+    std::vector<std::thread> threads;
+};
+
+// The event loop of one thread.
+inline boost::asio::io_context &contextOf(IoThreads &threads, size_t thread)
+{
+    auto &contexts = threads.implementation().contexts;
+    return *contexts[thread % contexts.size()];
+}
+
+// Opens a listening TCP socket.
+Result<boost::asio::ip::tcp::acceptor> openAcceptor(boost::asio::io_context &context,
+                                                    const Endpoint &endpoint);
+
+// Converts an endpoint; the error names the text that is not an IP address.
+Result<boost::asio::ip::tcp::endpoint> toTcpEndpoint(const Endpoint &endpoint);
+
+// Opens a TCP socket for an outgoing connection, bound to localAddress unless that is empty.
+boost::system::error_code openOutgoing(boost::asio::ip::tcp::socket &socket,
+                                       const boost::asio::ip::tcp::endpoint &to,
+                                       const std::string &localAddress);
+
+} // namespace lovage
