--- /dev/null
+++ b/include/lovage/placement.h
@@ -0,0 +1,185 @@
+// Decides which backend server or peer VM runs a task. No sockets, threads or clock: the caller
+// passes events and the time.
+#pragma once
+
+#include "lovage/core.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lovage {
+
+struct BackendInfo
+{
+    std::string name;
+    std::string dataCentre;
+    std::string rack;
+    std::string address;
+    uint16_t port = 0;
+    BackendKind kind = BackendKind::Executor;
+    uint32_t slots = 0; // executors: tasks that run at the same time
+    Demand capacity;    // workers: resources for all tasks together
+    bool leaving = false;
+
+    auto operator<=>(const BackendInfo &) const = default;
+};
+
+// What placement needs to know about one task.
+struct TaskNeed
+{
+    std::string workClass;
+    std::string owner;
+    BackendKind kind = BackendKind::Executor;
+    Demand demand;
+    Duration declaredRunTime {}; // prior for a class without measurements; may be far off
+    Time deadline {};
+    bool lastOfJob = false;  // among the last unstarted tasks of its job
+    double wasteWeight = 0;  // 0 favours response time, 1 favours fewer messages
+    uint32_t waiting = 1;    // startable tasks in the queue of this VM, this one included
+    uint32_t jobWaiting = 1; // of these, tasks of the same job and class, this one included
+
+    auto operator<=>(const TaskNeed &) const = default;
+};
+
+struct ToBackend
+{
+    uint32_t backend = 0;
+};
+struct ToPeer
+{
+    std::string vm;
+};
+// No start now. Ask again after the next release, report or change of capacity.
+struct Wait
+{ };
+// The task fits no known backend server. Refuse it NotRun with code Impossible.
+struct Impossible
+{
+    std::string reason;
+};
+using Choice = std::variant<ToBackend, ToPeer, Wait, Impossible>;
+
+enum class AttemptEnd { Succeeded, Failed, Refused, Lost };
+
+// Free capacity that a VM advertises. The speed bands are half octaves of the time a server takes
+// relative to the average server of that VM.
+struct PeerCapacity
+{
+    static constexpr size_t bands = 6;
+    // Upper bound of the relative run time of each band.
+    static constexpr std::array<double, bands> bandLimits = {0.5, 0.71, 1.0, 1.41, 2.0, 1e9};
+
+    std::string vm;
+    std::array<std::array<uint32_t, bands>, 2> freeSlots {}; // by kind, then band
+    Demand freeOnWorkers {0, 0, 0}; // largest free amount of each resource on one worker
+
+    auto operator<=>(const PeerCapacity &) const = default;
+};
+
+// Policies. All of them respect accounts, health and leaving servers.
+struct RandomPolicy
+{ };
+struct RoundRobinPolicy
+{ };
+// Fewest outstanding tasks, as known at the last report. Outstanding counts are refreshed when they
+// are older than reportInterval, so that several VMs that share servers can be modelled.
+struct LeastOutstandingPolicy
+{
+    Duration reportInterval = std::chrono::milliseconds(100);
+};
+// Earliest expected finish by learned speed, late binding while a faster server is soon free.
+struct EarliestFinishPolicy
+{
+    double patience = 1.0; // factor on the gain that justifies waiting for a faster server
+};
+using Policy =
+        std::variant<RandomPolicy, RoundRobinPolicy, LeastOutstandingPolicy, EarliestFinishPolicy>;
+
+struct PlacementOptions
+{
+    Policy policy = EarliestFinishPolicy {};
+    // Tasks an executor may hold above its slots. 0 where servers refuse what they cannot run.
+    uint32_t localQueue = 0;
+    // Share of the slots that long classes leave to short ones.
+    double shortRoom = 0.05;
+    // A class is long when its learned duration on an average server exceeds this.
+    Duration longTask = std::chrono::seconds(1);
+    uint32_t failuresToEject = 5;
+    double largestEjectedShare = 1.0 / 3;
+    Duration firstProbeDelay = std::chrono::seconds(1);
+    Duration lastProbeDelay = std::chrono::seconds(60);
+    // Advertised capacity of a peer is ignored when it is older than this.
+    Duration peerCapacityLifetime = std::chrono::seconds(2);
+    // Expected extra time of a task that is lent to a peer.
+    Duration lendOverhead = std::chrono::milliseconds(3);
+    // A server that refused a start is skipped for this time or until it reports free slots.
+    Duration refusalPause = std::chrono::milliseconds(50);
+};
+
+struct BackendHealth
+{
+    bool ejected = false;
+    bool leaving = false;
+    uint32_t outstanding = 0;
+    uint32_t consecutiveFailures = 0;
+    double relativeRunTime = 1; // learned; 1 is the average server, larger is slower
+};
+
+// Slot accounts, learned speeds, health and choice of a server.
+//
+// Obligations of the caller: reserve() after each ToBackend and lend() after each ToPeer, before
+// the next choose(); exactly one release() or lendEnded() for each of them; after the releases of
+// one reply, reportFree() with the free slots it carried. Times never decrease.
+class Placement
+{
+public:
+    Placement(PlacementOptions options, uint64_t seed);
+    ~Placement();
+    Placement(Placement &&) noexcept;
+    Placement &operator=(Placement &&) noexcept;
+
+    // Replaces the known backend servers of all data centres. Only those named in ownShare are
+    // used. Accounts and learned speeds of servers that stay known are kept.
+    void setBackends(std::vector<BackendInfo> all, const std::set<std::string> &ownShare, Time now);
+    void setLeaving(uint32_t backend);
+
+    // Replaces what is known about one peer (heartbeat or lend reply).
+    void setPeerCapacity(const PeerCapacity &capacity, Time now);
+    // Forgets a peer that is dead, leaving or does not hear this VM.
+    void removePeer(const std::string &vm);
+
+    Choice choose(const TaskNeed &need, Time now);
+
+    void reserve(uint32_t backend, const TaskNeed &need, Time now);
+    // ran is the run time measured by the server; 0 if unknown.
+    void release(uint32_t backend, const TaskNeed &need, AttemptEnd end, Duration ran, Time now);
+    void reportFree(uint32_t backend, uint32_t freeSlots, Time now);
+
+    void lend(const std::string &vm, const TaskNeed &need, Time now);
+    void lendEnded(const std::string &vm, const TaskNeed &need, AttemptEnd end, Time now);
+
+    // Capacity to advertise; nothing while tasks wait in the own queue.
+    PeerCapacity ownCapacity(uint32_t waiting, Time now) const;
+
+    // Expected run time on an average server of the own share.
+    Duration expectedRunTime(const TaskNeed &need) const;
+    // Task starts per second that the own share sustains with the mix of recent tasks. 0 before the
+    // first measurement.
+    double startsPerSecond() const;
+
+    // Indexes are stable for the life of the object.
+    const BackendInfo &info(uint32_t backend) const;
+    std::optional<uint32_t> indexOf(const std::string &name) const;
+    BackendHealth health(uint32_t backend) const;
+    size_t ejectedCount() const;
+
+private:
+    class State;
+    std::unique_ptr<State> state_;
+};
+
+} // namespace lovage
