--- a/include/lovage/admission.h
+++ b/include/lovage/admission.h
@@ -71,6 +71,8 @@
     // After a Wait for a class: pop() skips the class until clearHolds(), so that other classes
     // pass. The caller clears the holds before the next round of choices.
     void hold(const std::string &workClass);
+    // The same for an owner that is at its quota or concurrency limit.
+    void holdOwner(const std::string &owner);
     void clearHolds();
 
     // O(1). Returns the number of queued tasks that will never be popped.
@@ -205,7 +207,7 @@
 
     // Decides on a whole submission before any of its tasks is queued. expectedRun is
     // Placement::expectedRunTime(). Errors (NotRun): TooManyTasks, PastDeadline, QueueFull,
-    // Overloaded, DeadlineUnreachable.
+    // Overloaded, QuotaExceeded, DeadlineUnreachable.
     Result<void> admit(const std::string &owner, size_t tasks, Duration expectedRun, Time deadline,
                        Time now);
 
--- /dev/null
+++ b/src/admission/admission.cpp
@@ -0,0 +1,120 @@
+#include "lovage/admission.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace lovage {
+
+namespace {
+
+constexpr uint64_t retryCost = 100;
+// Budget that an owner may save up, in retries.
+constexpr uint64_t mostSavedRetries = 100;
+
+Duration timeFor(size_t tasks, uint64_t milliStartsPerSecond)
+{
+    if (milliStartsPerSecond == 0)
+        return Duration::max();
+    return Duration(static_cast<int64_t>(1e9 * static_cast<double>(tasks)
+                                         / static_cast<double>(milliStartsPerSecond)));
+}
+
+} // namespace
+
+void RetryBudget::setPercent(const std::string &owner, uint32_t percent)
+{
+    budgets_[owner].percent = percent;
+}
+
+void RetryBudget::started(const std::string &owner, uint32_t count)
+{
+    Budget &budget = budgets_[owner];
+    budget.hundredths += uint64_t {budget.percent} * count;
+    budget.hundredths = std::min(budget.hundredths, mostSavedRetries * retryCost);
+}
+
+bool RetryBudget::tryRetry(const std::string &owner)
+{
+    const auto found = budgets_.find(owner);
+    if (found == budgets_.end() || found->second.hundredths < retryCost)
+        return false;
+    found->second.hundredths -= retryCost;
+    return true;
+}
+
+Admission::Admission(AdmissionOptions options, Time started)
+    : options_(std::move(options)), queue_(options_.queue), quotas_(options_.quota, started)
+{ }
+
+void Admission::setLimits(const std::string &owner, const OwnerLimits &limits, Time now)
+{
+    owners_[owner].limits = limits;
+    queue_.setOwner(owner, limits.startsPerSecond, limits.queued);
+    quotas_.setQuota(owner, limits.startsPerSecond, now);
+    retries_.setPercent(owner, limits.retryPercent);
+}
+
+Result<void> Admission::admit(const std::string &owner, size_t tasks, Duration expectedRun,
+                              Time deadline, Time now)
+{
+    const OwnerLimits &limits = owners_[owner].limits;
+    if (limits.maxTasks > 0 && tasks > limits.maxTasks)
+        return notRun(ErrorCode::TooManyTasks,
+                      fmt::format("{} tasks; the limit is {}", tasks, limits.maxTasks));
+    if (deadline <= now)
+        return notRun(ErrorCode::PastDeadline, "the deadline has passed");
+    const size_t queued = queue_.size(owner) + tasks;
+    if (limits.queued > 0 && queued > limits.queued)
+        return notRun(ErrorCode::QueueFull,
+                      fmt::format("owner {} would have {} tasks queued; the limit is {}", owner,
+                                  queued, limits.queued));
+    if (queue_.size() + tasks > options_.queue.capacity)
+        return notRun(ErrorCode::QueueFull, fmt::format("{} tasks are queued", queue_.size()));
+    const Duration firstWait = queue_.expectedWait(owner, 0, now);
+    if (firstWait > options_.longestWait)
+        return notRun(ErrorCode::Overloaded,
+                      fmt::format("expected wait is {} ms", firstWait.count() / 1000));
+    const Duration left = deadline - now;
+    if (limits.startsPerSecond > 0 && timeFor(queued, quotas_.milliShare(owner, now)) > left)
+        return notRun(ErrorCode::QuotaExceeded,
+                      fmt::format("the quota of owner {} does not admit {} starts in {} ms", owner,
+                                  queued, left.count() / 1000));
+    if (queue_.expectedWait(owner, tasks, now) + expectedRun > left)
+        return notRun(ErrorCode::DeadlineUnreachable,
+                      fmt::format("the work cannot end in {} ms", left.count() / 1000));
+    return boost::outcome_v2::success();
+}
+
+bool Admission::tryStart(const std::string &owner, Time now)
+{
+    Owner &known = owners_[owner];
+    if (known.limits.concurrent > 0 && known.running >= known.limits.concurrent)
+        return false;
+    if (!quotas_.tryTake(owner, 1, now))
+        return false;
+    ++known.running;
+    return true;
+}
+
+void Admission::undoStart(const std::string &owner, Time now)
+{
+    finished(owner);
+    quotas_.giveBack(owner, 1, now);
+}
+
+void Admission::finished(const std::string &owner)
+{
+    Owner &known = owners_[owner];
+    assert(known.running > 0);
+    --known.running;
+}
+
+uint32_t Admission::running(const std::string &owner) const
+{
+    const auto found = owners_.find(owner);
+    return found == owners_.end() ? 0 : found->second.running;
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/placement/estimates.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "lovage/core.h"
+
+#include <vector>
+
+namespace lovage::placement {
+
+// Learned run times: duration of a class on the average server, times the relative run time of a
+// server (1 is average, larger is slower). Times are in microseconds.
+class Estimates
+{
+public:
+    // Makes room; new servers start as average ones.
+    void resize(size_t backends);
+    // The declared duration is the weight of one sample, so a wrong one fades quickly.
+    void ensureClass(uint32_t workClass, Duration declared);
+
+    void observe(uint32_t backend, uint32_t workClass, Duration ran, Time now);
+
+    double classMean(uint32_t workClass) const { return classes_[workClass].mean(); }
+    double relative(uint32_t backend, uint32_t workClass) const;
+    double relative(uint32_t backend) const { return servers_[backend].relative; }
+    double expected(uint32_t backend, uint32_t workClass) const
+    {
+        return classMean(workClass) * relative(backend, workClass);
+    }
+    // Mean absolute deviation of the run times of a server from their expectation, as a ratio.
+    double variability(uint32_t backend) const { return servers_[backend].variability; }
+    Time lastObserved(uint32_t backend) const { return servers_[backend].lastObserved; }
+    uint64_t observations() const { return observations_; }
+    size_t classCount() const { return classes_.size(); }
+    // Duration of recent tasks on the average server; 0 before the first observation.
+    double recentMean() const { return recentMean_; }
+
+private:
+    // Mean over a window of samples with exponential weights.
+    struct Window
+    {
+        double sum = 0;
+        double weight = 0;
+        void add(double sample, double decay)
+        {
+            sum = sum * decay + sample;
+            weight = weight * decay + 1;
+        }
+    };
+    struct Server
+    {
+        Window slow;
+        Window fast;
+        double relative = 1;
+        double variability = 0.5;
+        Time lastObserved {};
+    };
+    struct Class
+    {
+        double declared = 0;
+        Window samples;
+        std::vector<Window> byServer;
+        double mean() const;
+    };
+
+    void updateServer(Server &server, double sample);
+    void normalise();
+
+    std::vector<Server> servers_;
+    std::vector<Class> classes_;
+    uint64_t observations_ = 0;
+    double recentMean_ = 0;
+};
+
+} // namespace lovage::placement
--- /dev/null
+++ b/src/placement/health.cpp
@@ -0,0 +1,288 @@
+#include "health.h"
+
+#include <algorithm>
+
+namespace lovage::placement {
+
+namespace {
+
+// A server is ejected when a healthy one would show its streak with at most this probability.
+constexpr double ejectionChance = 1e-3;
+// Streaks less likely than this restrict the outstanding tasks of a server.
+constexpr double suspicion = 0.3;
+// A lost connection blames the server, hardly ever the work.
+constexpr double lostChance = 0.1;
+// Faulty work has failed on at least this many other servers and on most of them.
+constexpr uint32_t fewestFaultyServers = 2;
+constexpr size_t longestStreak = 16;
+// A suspect that cannot be ejected because of the cap gets one task at a time with this pause.
+constexpr Duration cappedPause = std::chrono::milliseconds(20);
+// A suspect without evidence against it from other servers waits for their results.
+constexpr Duration evidencePause = std::chrono::milliseconds(500);
+
+} // namespace
+
+void Health::resize(size_t backends)
+{
+    servers_.resize(backends);
+    for (Work &work : works_)
+        work.latest.resize(backends, Latest::Unknown);
+}
+
+void Health::ensureWork(uint32_t work)
+{
+    if (work < works_.size())
+        return;
+    works_.resize(work + 1);
+    for (Work &known : works_)
+        known.latest.resize(servers_.size(), Latest::Unknown);
+}
+
+void Health::setCounted(uint32_t backend, BackendKind kind, bool counted)
+{
+    Server &server = servers_[backend];
+    server.kind = kind;
+    server.counted = counted;
+    if (!counted)
+        server.ejected = false;
+}
+
+size_t Health::ejectedCount() const
+{
+    return std::count_if(servers_.begin(), servers_.end(),
+                         [](const Server &server) { return server.ejected; });
+}
+
+size_t Health::ejectedCount(BackendKind kind) const
+{
+    return std::count_if(servers_.begin(), servers_.end(), [&](const Server &server) {
+        return server.ejected && server.kind == kind;
+    });
+}
+
+size_t Health::largestEjected(BackendKind kind) const
+{
+    const auto counted = std::count_if(servers_.begin(), servers_.end(), [&](const Server &server) {
+        return server.counted && server.kind == kind;
+    });
+    return static_cast<size_t>(static_cast<double>(counted) * options_.largestEjectedShare + 1e-9);
+}
+
+void Health::enforceCap()
+{
+    for (const BackendKind kind : {BackendKind::Executor, BackendKind::Worker}) {
+        while (ejectedCount(kind) > largestEjected(kind)) {
+            std::optional<uint32_t> oldest;
+            for (uint32_t i = 0; i < servers_.size(); ++i) {
+                if (!servers_[i].ejected || servers_[i].kind != kind)
+                    continue;
+                if (!oldest || servers_[i].ejectedAt < servers_[*oldest].ejectedAt)
+                    oldest = i;
+            }
+            reinstate(*oldest);
+        }
+    }
+}
+
+void Health::started(uint32_t backend)
+{
+    if (servers_[backend].ejected)
+        ++servers_[backend].probes;
+}
+
+bool Health::isProbeDue(uint32_t backend, Time now) const
+{
+    const Server &server = servers_[backend];
+    return server.ejected && server.probes == 0 && now >= server.nextTry;
+}
+
+uint32_t Health::allowance(uint32_t backend, Time now) const
+{
+    const Server &server = servers_[backend];
+    if (server.ejected)
+        return isProbeDue(backend, now) ? unlimited : 0;
+    if (now < server.nextTry)
+        return 0;
+    return server.proven ? server.limit : std::min(server.limit, options_.failuresToEject);
+}
+
+uint32_t Health::streak(uint32_t backend) const
+{
+    return static_cast<uint32_t>(servers_[backend].failures.size());
+}
+
+void Health::ended(uint32_t backend, uint32_t work, AttemptEnd end, Time now)
+{
+    Server &server = servers_[backend];
+    const bool wasProbe = server.probes > 0;
+    if (wasProbe)
+        --server.probes;
+    if (end == AttemptEnd::Refused)
+        return;
+    if (end == AttemptEnd::Succeeded) {
+        noteResult(backend, work, true, now);
+        server.proven = true;
+        reinstate(backend);
+        reviewSuspects(now);
+        return;
+    }
+    if (end == AttemptEnd::Failed && !server.ejected)
+        noteResult(backend, work, false, now);
+    if (server.failures.empty())
+        server.firstFailure = now;
+    if (server.failures.size() == longestStreak)
+        server.failures.erase(server.failures.begin());
+    server.failures.push_back({work, end == AttemptEnd::Lost});
+    if (server.ejected) {
+        if (wasProbe && now >= server.nextTry) {
+            server.probeDelay = std::min(server.probeDelay * 2, options_.lastProbeDelay);
+            server.nextTry = now + server.probeDelay;
+        }
+        return;
+    }
+    judge(backend, now);
+    if (end == AttemptEnd::Failed && ejectedCount() > 0)
+        reviewEjected(work);
+}
+
+// A success elsewhere may be the evidence that was missing against a suspect.
+void Health::reviewSuspects(Time now)
+{
+    const std::vector<uint32_t> suspects = std::move(suspects_);
+    suspects_.clear();
+    for (const uint32_t suspect : suspects) {
+        const Server &server = servers_[suspect];
+        if (server.counted && !server.ejected && !server.failures.empty())
+            judge(suspect, now);
+    }
+}
+
+void Health::noteResult(uint32_t backend, uint32_t number, bool succeeded, Time now)
+{
+    Work &work = works_[number];
+    Latest &latest = work.latest[backend];
+    work.failed -= latest == Latest::Failed;
+    work.succeeded -= latest == Latest::Succeeded;
+    latest = succeeded ? Latest::Succeeded : Latest::Failed;
+    work.failed += latest == Latest::Failed;
+    work.succeeded += latest == Latest::Succeeded;
+    if (!succeeded)
+        return;
+    if (work.successServer != backend) {
+        work.otherSuccessAt = work.successAt;
+        work.successServer = backend;
+    }
+    work.successAt = now;
+}
+
+// The results of an ejected server say nothing about the work.
+void Health::forgetResults(uint32_t backend)
+{
+    for (Work &work : works_) {
+        Latest &latest = work.latest[backend];
+        work.failed -= latest == Latest::Failed;
+        work.succeeded -= latest == Latest::Succeeded;
+        latest = Latest::Unknown;
+    }
+}
+
+double Health::failureShare(const Work &work, size_t backend) const
+{
+    const double failed = work.failed - (work.latest[backend] == Latest::Failed);
+    const double succeeded = work.succeeded - (work.latest[backend] == Latest::Succeeded);
+    return (failed + 0.25) / (failed + succeeded + 1);
+}
+
+bool Health::isFaulty(const Work &work, size_t backend) const
+{
+    const uint32_t failed = work.failed - (work.latest[backend] == Latest::Failed);
+    const uint32_t succeeded = work.succeeded - (work.latest[backend] == Latest::Succeeded);
+    return failed >= fewestFaultyServers && failed >= succeeded;
+}
+
+Health::Evidence Health::weigh(uint32_t backend) const
+{
+    const Server &server = servers_[backend];
+    Evidence evidence;
+    std::optional<uint32_t> firstWork;
+    for (const Failure &failure : server.failures) {
+        const Work &work = works_[failure.work];
+        if (failure.lost) {
+            ++evidence.counted;
+            evidence.supported = true;
+            evidence.chance *= lostChance;
+            continue;
+        }
+        if (isFaulty(work, backend))
+            continue;
+        ++evidence.counted;
+        evidence.chance *= failureShare(work, backend);
+        const Time elsewhere = work.successServer == backend ? work.otherSuccessAt : work.successAt;
+        evidence.supported |= elsewhere > server.firstFailure;
+        evidence.supported |= firstWork && *firstWork != failure.work;
+        firstWork = failure.work;
+    }
+    return evidence;
+}
+
+void Health::judge(uint32_t backend, Time now)
+{
+    Server &server = servers_[backend];
+    const Evidence evidence = weigh(backend);
+    server.limit = unlimited;
+    if (evidence.counted == 0 || evidence.chance > suspicion)
+        return;
+    if (evidence.counted < options_.failuresToEject) {
+        server.limit = options_.failuresToEject - evidence.counted;
+        return;
+    }
+    server.limit = 1;
+    const bool certain = evidence.supported && evidence.chance <= ejectionChance;
+    if (certain && ejectedCount(server.kind) < largestEjected(server.kind))
+        eject(backend, now);
+    else
+        suspect(backend, now, certain ? cappedPause : evidencePause);
+}
+
+void Health::suspect(uint32_t backend, Time now, Duration pause)
+{
+    Server &server = servers_[backend];
+    server.nextTry = now + pause;
+    if (std::find(suspects_.begin(), suspects_.end(), backend) == suspects_.end())
+        suspects_.push_back(backend);
+}
+
+void Health::eject(uint32_t backend, Time now)
+{
+    Server &server = servers_[backend];
+    server.ejected = true;
+    server.ejectedAt = now;
+    server.probeDelay = std::max(server.probeDelay * 2, options_.firstProbeDelay);
+    server.probeDelay = std::min(server.probeDelay, options_.lastProbeDelay);
+    server.nextTry = now + server.probeDelay;
+    forgetResults(backend);
+}
+
+void Health::reinstate(uint32_t backend)
+{
+    Server &server = servers_[backend];
+    server.ejected = false;
+    server.failures.clear();
+    server.limit = unlimited;
+    server.nextTry = {};
+    server.probeDelay = {};
+}
+
+// Work that fails on several servers after one of them was ejected for it proves that server right.
+void Health::reviewEjected(uint32_t number)
+{
+    for (uint32_t i = 0; i < servers_.size(); ++i) {
+        const Server &server = servers_[i];
+        if (!server.ejected || !isFaulty(works_[number], i))
+            continue;
+        if (weigh(i).counted < options_.failuresToEject)
+            reinstate(i);
+    }
+}
+
+} // namespace lovage::placement
--- /dev/null
+++ b/src/placement/peers.cpp
@@ -0,0 +1,90 @@
+#include "peers.h"
+
+namespace lovage::placement {
+
+namespace {
+
+// Run time that stands for each band of PeerCapacity: the middle of the band.
+constexpr std::array<double, PeerCapacity::bands> bandRelative = {0.4, 0.6, 0.85, 1.2, 1.7, 3.0};
+
+bool fitsWorker(const Demand &demand, const Demand &free)
+{
+    return demand.milliCores <= free.milliCores && demand.memoryMb <= free.memoryMb
+            && demand.accelerators <= free.accelerators;
+}
+
+void takeFastest(std::array<uint32_t, PeerCapacity::bands> &slots, uint32_t count)
+{
+    for (uint32_t &free : slots) {
+        const uint32_t taken = std::min(free, count);
+        free -= taken;
+        count -= taken;
+    }
+}
+
+} // namespace
+
+void Peers::set(const PeerCapacity &capacity, Time now, Duration lendOverhead)
+{
+    Peer &peer = peers_[capacity.vm];
+    peer.capacity = capacity;
+    peer.at = now;
+    // Lends that were on their way when the peer counted are not in its advertisement.
+    if (now - peer.lastLend > lendOverhead)
+        peer.recentLends = {};
+    for (size_t kind = 0; kind < peer.recentLends.size(); ++kind)
+        takeFastest(peer.capacity.freeSlots[kind], peer.recentLends[kind]);
+}
+
+std::optional<Peers::Offer> Peers::best(const TaskNeed &need, Time now, Duration lifetime,
+                                        Random &random) const
+{
+    std::optional<Offer> offer;
+    size_t bestBand = PeerCapacity::bands;
+    uint64_t equal = 0;
+    for (const auto &[vm, peer] : peers_) {
+        if (now - peer.at > lifetime)
+            continue;
+        if (need.kind == BackendKind::Worker
+            && !fitsWorker(need.demand, peer.capacity.freeOnWorkers))
+            continue;
+        const auto &slots = peer.capacity.freeSlots[static_cast<size_t>(need.kind)];
+        for (size_t band = 0; band < slots.size() && band <= bestBand; ++band) {
+            if (slots[band] == 0)
+                continue;
+            equal = band < bestBand ? 1 : equal + 1;
+            bestBand = band;
+            if (random.below(equal) == 0)
+                offer = Offer {&vm, bandRelative[band]};
+            break;
+        }
+    }
+    return offer;
+}
+
+void Peers::lend(const std::string &vm, const TaskNeed &need, Time now, Duration lendOverhead)
+{
+    const auto found = peers_.find(vm);
+    if (found == peers_.end())
+        return;
+    Peer &peer = found->second;
+    const auto kind = static_cast<size_t>(need.kind);
+    takeFastest(peer.capacity.freeSlots[kind], 1);
+    if (now - peer.lastLend > lendOverhead)
+        peer.recentLends = {};
+    ++peer.recentLends[kind];
+    peer.lastLend = now;
+}
+
+void Peers::ended(const std::string &vm, const TaskNeed &need, AttemptEnd end)
+{
+    const auto found = peers_.find(vm);
+    if (found == peers_.end())
+        return;
+    if (end == AttemptEnd::Refused)
+        found->second.capacity.freeSlots[static_cast<size_t>(need.kind)] = {};
+    if (end == AttemptEnd::Lost)
+        found->second.capacity.freeSlots = {};
+}
+
+} // namespace lovage::placement
