--- /dev/null
+++ b/include/lovage/settings.h
@@ -0,0 +1,146 @@
+// Settings of lovaged: JSON with comments, validated as a whole before start.
+#pragma once
+
+#include "lovage/core.h"
+#include "lovage/net.h"
+#include "lovage/telemetry.h"
+
+#include <string>
+#include <vector>
+
+namespace lovage {
+
+// Name and secret of a caller's owner or of an operator.
+struct TokenSettings
+{
+    std::string name;
+    std::string token; // at least 8 characters
+
+    auto operator<=>(const TokenSettings &) const = default;
+};
+
+// An entry VM of the deployment that is known in advance. The list holds this VM too; it decides
+// the base shares of quotas and the homes of keyed submissions, so it is the same on every VM.
+struct MemberSettings
+{
+    std::string name;
+    std::string dataCentre;
+    Endpoint peer; // TCP and UDP
+
+    auto operator<=>(const MemberSettings &) const = default;
+};
+
+struct PeerKeySettings
+{
+    uint32_t id = 0;
+    std::string secret; // at least 16 characters
+
+    auto operator<=>(const PeerKeySettings &) const = default;
+};
+
+struct LimitSettings
+{
+    size_t maxBodyBytes = 8U << 20;
+    size_t maxHeaderBytes = 16U << 10;
+    size_t maxConnections = 4096;
+    size_t maxAnswerBytes = 16U << 20;
+    size_t maxTasksPerJob = 1900;
+    size_t maxQueuedTasks = 200000;
+    Duration idleTimeout = std::chrono::seconds(60);
+    Duration readTimeout = std::chrono::seconds(10);
+    Duration maxDeadline = std::chrono::minutes(5);
+
+    auto operator<=>(const LimitSettings &) const = default;
+};
+
+struct LedgerSettings
+{
+    Duration retention = std::chrono::minutes(15);
+    Duration openLifetime = std::chrono::minutes(10);
+    size_t maxBytes = 48U << 20;
+    Duration skewMargin = std::chrono::seconds(2);
+    uint32_t spareIds = 4; // handed out with each answer
+
+    auto operator<=>(const LedgerSettings &) const = default;
+};
+
+struct PlatformSettings
+{
+    Endpoint logService;
+    Endpoint vmList;
+    Duration logRetention = std::chrono::hours(24); // shorter than what the platform keeps
+    Duration requestTimeout = std::chrono::seconds(2);
+
+    auto operator<=>(const PlatformSettings &) const = default;
+};
+
+struct BackendSettings
+{
+    size_t connectionsPerExecutor = 60; // shared by the entry VMs of the data centre
+    Duration lease = std::chrono::seconds(5);
+    Duration inquiryInterval = std::chrono::milliseconds(200);
+    std::string policy =
+            "earliest-finish"; // random, round-robin, least-outstanding, earliest-finish
+
+    auto operator<=>(const BackendSettings &) const = default;
+};
+
+struct TraceSettings
+{
+    double sampleRate = 0.0; // share of traces started here, 0 to 1
+    std::string file;        // one OTLP JSON request per line; empty for none
+    Endpoint endpoint;       // receives POST /v1/traces; port 0 for none
+
+    auto operator<=>(const TraceSettings &) const = default;
+};
+
+struct Settings
+{
+    std::string name; // of this VM
+    std::string dataCentre;
+    Endpoint http;            // callers and operators; port 0 lets the kernel pick one
+    Endpoint peer;            // TCP and UDP
+    std::string localAddress; // outgoing connections are bound to it; empty for any
+    uint32_t ioThreads = 2;
+    std::vector<MemberSettings> members;
+    std::vector<PeerKeySettings> peerKeys; // the first signs; all are accepted
+    std::vector<TokenSettings> owners;
+    std::vector<TokenSettings> operators;
+    PlatformSettings platform;
+    LimitSettings limits;
+    LedgerSettings ledger;
+    BackendSettings backend;
+    TraceSettings trace;
+    Duration drainDeadline = std::chrono::seconds(30);
+    LogLevel logLevel = LogLevel::Info;
+
+    auto operator<=>(const Settings &) const = default;
+};
+
+// One fault in a settings file.
+struct SettingsError
+{
+    std::string path; // of the key, for example "members[2].peer"
+    std::string expected;
+
+    auto operator<=>(const SettingsError &) const = default;
+};
+
+struct SettingsErrors
+{
+    std::vector<SettingsError> errors;
+};
+
+// Either settings that are valid as a whole, or every fault found.
+using SettingsResult = boost::outcome_v2::unchecked<Settings, SettingsErrors>;
+
+// Parses JSON with comments and trailing commas. Unknown and repeated keys are errors.
+SettingsResult parseSettings(std::string_view text);
+
+// Reads and parses a file. A file that cannot be read is one error with an empty path.
+SettingsResult loadSettings(const std::string &file);
+
+// One line per error: "file: path: expected ...".
+std::string describe(const std::string &file, const SettingsErrors &errors);
+
+} // namespace lovage
--- /dev/null
+++ b/src/settings/reader.h
@@ -0,0 +1,62 @@
+// Reads typed values from a JSON object and collects every fault with the path of its key.
+#pragma once
+
+#include "lovage/settings.h"
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <set>
+
+namespace lovage {
+
+// Reads the keys of one JSON object. Each read marks its key as known; finish() reports the keys
+// that nothing read. Callers keep the object and the error list alive.
+class ObjectReader
+{
+public:
+    ObjectReader(const boost::json::value &value, std::string path,
+                 std::vector<SettingsError> &errors);
+
+    void readName(std::string_view key, std::string &target);
+    void readText(std::string_view key, std::string &target, size_t minLength);
+    void readOneOf(std::string_view key, std::string &target,
+                   const std::vector<std::string_view> &allowed);
+    void readEndpoint(std::string_view key, Endpoint &target, bool isRequired);
+    void readMillis(std::string_view key, Duration &target, int64_t least, int64_t most);
+    void readShare(std::string_view key, double &target);
+
+    template<class Number>
+    void readNumber(std::string_view key, Number &target, uint64_t least, uint64_t most)
+    {
+        const auto number = findNumber(key, least, most);
+        if (number)
+            target = static_cast<Number>(*number);
+    }
+
+    // Reads a nested object with the given function; absent keys leave the defaults.
+    void readObject(std::string_view key, bool isRequired,
+                    const std::function<void(ObjectReader &)> &read);
+
+    // Reads each element of an array of objects with the given function.
+    void readArray(std::string_view key, bool isRequired,
+                   const std::function<void(ObjectReader &)> &readElement);
+
+    // Reports a fault of a key of this object that only shows in comparison with others.
+    void report(std::string_view key, std::string expected);
+    // Reports unknown keys.
+    void finish();
+
+private:
+    const boost::json::value *find(std::string_view key, bool isRequired,
+                                   std::string_view expected);
+    std::optional<uint64_t> findNumber(std::string_view key, uint64_t least, uint64_t most);
+    std::string pathOf(std::string_view key) const;
+
+    const boost::json::object *object_ = nullptr;
+    std::string path_;
+    std::vector<SettingsError> &errors_;
+    std::set<std::string, std::less<>> known_;
+};
+
+} // namespace lovage
