--- a/include/lovage/catalogue.h
+++ b/include/lovage/catalogue.h
@@ -167,9 +167,7 @@
 
 private:
     ChangeOutcome applyChange(const ChangeRecord &change);
-    bool isInForce(const ChangeRecord &change, const Entry *current) const;
     void remember(ChangeOutcome outcome);
-    size_t lowerBound(std::string_view name) const;
 
     std::vector<std::shared_ptr<const Entry>> entries_;
     std::vector<ChangeOutcome> outcomes_;
@@ -203,6 +201,7 @@
 struct CatalogueSnapshot
 {
     uint64_t digest = 0; // of the record at snapshot.at
+    // takenAtMs is the time of the newest snapshot that the sender saw in the log, 0 if none.
     SnapshotRecord snapshot;
 };
 
@@ -291,12 +290,6 @@
     Catalogue catalogue;
 };
 
-// Outcomes of the changes folded in this step, for the CataloguePublisher.
-struct ChangesSettled
-{
-    std::vector<ChangeOutcome> outcomes;
-};
-
 // Append a snapshot record. A lost reply needs no handling.
 struct AppendSnapshot
 {
@@ -317,23 +310,24 @@
     uint64_t offset = 0;
 };
 
-using FollowerAction = std::variant<ReadLog, SendCatalogueMessage, PublishCatalogue, ChangesSettled,
-                                    AppendSnapshot, FollowerStateChanged, PeerDiverged>;
+using FollowerAction = std::variant<ReadLog, SendCatalogueMessage, PublishCatalogue, AppendSnapshot,
+                                    FollowerStateChanged, PeerDiverged>;
 
 struct FollowerOptions
 {
     // Reads of the log. A page bounds what one start-up asks of the log at once.
     uint32_t pageRecords = 500;
-    Duration longPoll = std::chrono::seconds(5);        // relay
+    Duration longPoll = std::chrono::seconds(2);        // relay
     Duration pollInterval = std::chrono::seconds(2);    // other VMs, with jitter of a quarter
     Duration verifyInterval = std::chrono::seconds(10); // relay re-reads its applied record
     Duration readTimeout = std::chrono::seconds(2);     // beyond the requested wait
     Duration retryMin = std::chrono::milliseconds(200);
     Duration retryMax = std::chrono::seconds(2); // bounds the time to notice that the log is back
     // Start-up. The relay reads after a random delay up to startJitter; other VMs leave the relay
-    // time to pass on what it read and read the log themselves after startFallback plus jitter.
+    // time to pass on what it read, and read the log themselves after startFallback plus up to half
+    // of it.
     Duration startJitter = std::chrono::milliseconds(200);
-    Duration startFallback = std::chrono::milliseconds(600);
+    Duration startFallback = std::chrono::milliseconds(1000);
     Duration peerTimeout = std::chrono::milliseconds(700);
     // Snapshots.
     Duration logRetention = std::chrono::hours(1);
@@ -341,7 +335,7 @@
     Duration snapshotSpread = std::chrono::seconds(10); // random delay between relays
     // Records kept to pass on by offset.
     size_t historyRecords = 1024;
-    size_t historyBytes = 1024 * 1024;
+    size_t historyBytes = 1 << 20;
 };
 
 // Follows the catalogue stream of the log, or peers while the log is down. Feed a FollowerTick at
@@ -390,12 +384,12 @@
     std::string reason;
 };
 
-// State and catalogue of the follower after it handled an event, with the outcomes it settled.
+// State and catalogue of the follower. Feed it after every step of the follower that published a
+// catalogue or changed its state.
 struct FollowerAdvanced
 {
     FollowerState state = FollowerState::Empty;
     Catalogue catalogue;
-    std::vector<ChangeOutcome> outcomes;
 };
 
 struct PublisherTick
@@ -418,13 +412,15 @@
     uint64_t offset = 0; // 0 if the place of the record is unknown
 };
 
-// The publish ended: the offset of the accepted change, or
-//  - NotRun with InvalidEntry, PublishConflict, LogBehind, LogUnavailable or NoCatalogue,
+// The publish ended. Without an error the change is accepted and in the log at `offset`. Errors:
+//  - NotRun with InvalidEntry, PublishConflict, LogBehind, LogUnavailable, NoCatalogue, Overloaded
+//    or Timeout: the change is not and never will be in force,
 //  - MayHaveRun with PublishUnknown.
 struct PublishFinished
 {
     uint64_t token = 0;
-    Result<uint64_t> result;
+    uint64_t offset = 0;
+    std::optional<Error> error;
 };
 
 using PublisherAction = std::variant<AppendChange, ReadBack, PublishFinished>;
--- /dev/null
+++ b/src/catalogue/follower.cpp
@@ -0,0 +1,619 @@
+#include "lovage/catalogue.h"
+
+#include "follower_machine.h"
+#include "record_history.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace lovage {
+
+namespace {
+
+// Bounds of one message with records to a peer.
+constexpr size_t maxRecordsPerMessage = 500;
+constexpr size_t maxBytesPerMessage = 1 << 18;
+// A relay forwards at most this many new records at once; peers ask for the rest by offset, so a
+// relay that catches up does not send a long history to peers that already have it.
+constexpr size_t maxForwardedRecords = 100;
+// Keeps a log that ignores the requested wait from being read in a busy loop.
+constexpr Duration minReadPause = std::chrono::milliseconds(100);
+// A starting VM reads the log, too, after this many peers did not answer.
+constexpr uint32_t maxFailedAsks = 2;
+// A snapshot that did not appear in the log by then is written again.
+constexpr Duration snapshotRetry = std::chrono::seconds(30);
+
+struct OutstandingRead
+{
+    uint64_t token = 0;
+    uint64_t from = 0;
+    Duration wait {0};
+    Time issuedAt;
+    // The catalogue at the time of the read. A reply is judged against these, not against records
+    // that arrived from peers meanwhile.
+    bool hadState = false;
+    uint64_t applied = 0;
+    uint64_t digest = 0;
+    bool isVerifying = false;
+};
+
+struct OutstandingAsk
+{
+    std::string vm;
+    Time deadline;
+};
+
+bool mayBeSnapshot(const LogRecord &record)
+{
+    return record.data.find("\"snapshot\"") != std::string::npos;
+}
+
+std::optional<SnapshotRecord> parseSnapshot(const LogRecord &record)
+{
+    if (!mayBeSnapshot(record))
+        return std::nullopt;
+    Result<LogContent> content = parseLogRecord(record.data);
+    if (!content.has_value())
+        return std::nullopt;
+    auto *snapshot = std::get_if<SnapshotRecord>(&content.value());
+    if (snapshot == nullptr || snapshot->at >= record.offset)
+        return std::nullopt;
+    return std::move(*snapshot);
+}
+
+} // namespace
+
+struct CatalogueFollower::Impl
+{
+    Impl(FollowerOptions options, uint64_t seed, Time now);
+
+    // Events.
+    void on(const LogPage &page, Time now);
+    void on(const LogError &error, Time now);
+    void on(const PeerMessage &message, Time now);
+    void on(const PeerOffset &peer, Time now);
+    void on(const RelayUpdate &update, Time now);
+    void on(const LogGrew &grew, Time now);
+    void on(const FollowerTick &tick, Time now);
+
+    void answer(const std::string &vm, const CatalogueRequest &request);
+    void take(const std::string &vm, const CatalogueRecords &message, Time now);
+    void take(const std::string &vm, const CatalogueSnapshot &message, Time now);
+
+    // Log.
+    void startRead(Time now);
+    void readFailed(const std::string &reason, Time now);
+    std::string differenceFrom(const OutstandingRead &read, const LogPage &page) const;
+    void absorb(const LogPage &page, Time now);
+    void scan(const LogPage &page, Time now);
+    void stopScan();
+    bool tryScanned(Time now);
+    void scheduleRead(const OutstandingRead &read, const LogPage &page, Time now);
+
+    // Catalogue.
+    void applyRecords(std::span<const LogRecord> records, Time now);
+    void replaceState(const CatalogueFold &state, FollowerSignal start, Time now);
+    void publish(const Catalogue &next);
+    void noteSnapshot(const LogRecord &record, Time now);
+    void forward(uint64_t after, uint64_t afterDigest);
+    void considerSnapshot(Time now);
+
+    // Peers.
+    void askIfBehind(Time now);
+    bool isHistoryOf(const std::string &vm, const CatalogueRecords &message);
+
+    void signal(FollowerSignal signal, const std::string &reason);
+    bool hasState() const { return machine.state() != FollowerState::Empty; }
+    uint64_t applied() const { return catalogue.offset(); }
+    Duration randomUpTo(Duration bound);
+
+    FollowerOptions options;
+    Random random;
+    FollowerMachine machine;
+    Catalogue catalogue;
+    RecordHistory history;
+    std::vector<FollowerAction> actions;
+
+    std::optional<OutstandingRead> outstanding;
+    uint64_t lastToken = 0;
+    Time nextReadAt;
+    Time verifiedAt {};
+    uint32_t failures = 0;
+    bool readAgain = false;
+    // Records read while there is no state to apply them to: at the start, or after retention
+    // dropped records that this VM never read.
+    std::map<uint64_t, LogRecord> scanned;
+    std::optional<uint64_t> scanFrom = 1;
+
+    bool isRelay = false;
+    std::vector<std::string> localPeers;
+    std::map<std::string, uint64_t> peerOffsets;
+    std::map<std::string, uint64_t> diverged; // peer, offset of the reported difference
+    std::optional<OutstandingAsk> ask;
+    uint32_t failedAsks = 0;
+
+    std::optional<Time> snapshotTakenAt; // of the newest snapshot seen in the log
+    uint64_t snapshotAt = 0;
+    std::optional<Time> snapshotDueAt;
+};
+
+CatalogueFollower::Impl::Impl(FollowerOptions followerOptions, uint64_t seed, Time now)
+    : options(followerOptions), random(seed), history(options.historyRecords, options.historyBytes),
+      nextReadAt(now + options.startFallback + randomUpTo(options.startFallback / 2))
+{ }
+
+Duration CatalogueFollower::Impl::randomUpTo(Duration bound)
+{
+    return Duration(static_cast<int64_t>(random.below(static_cast<uint64_t>(bound.count()) + 1)));
+}
+
+void CatalogueFollower::Impl::signal(FollowerSignal signal, const std::string &reason)
+{
+    if (machine.process(signal))
+        actions.push_back(FollowerStateChanged {machine.state(), reason});
+}
+
+// Reading the log.
+
+void CatalogueFollower::Impl::startRead(Time now)
+{
+    OutstandingRead read;
+    read.token = ++lastToken;
+    read.issuedAt = now;
+    read.hadState = hasState();
+    read.applied = applied();
+    read.digest = catalogue.lastRecordDigest();
+    const bool mayWait = isRelay && machine.state() == FollowerState::FollowingLog
+            && now - verifiedAt < options.verifyInterval;
+    if (scanFrom) {
+        read.from = *scanFrom;
+    } else if (mayWait) {
+        read.from = applied() + 1;
+        read.wait = options.longPoll;
+    } else {
+        // Includes the applied record, which shows whether the log still holds what was applied.
+        read.from = std::max<uint64_t>(applied(), 1);
+        read.isVerifying = true;
+    }
+    actions.push_back(ReadLog {read.token, read.from, options.pageRecords, read.wait});
+    outstanding = read;
+    readAgain = false;
+}
+
+void CatalogueFollower::Impl::readFailed(const std::string &reason, Time now)
+{
+    outstanding.reset();
+    constexpr uint32_t maxDoublings = 10;
+    const Duration backoff = std::min<Duration>(
+            options.retryMax, options.retryMin * (1U << std::min(failures, maxDoublings)));
+    ++failures;
+    nextReadAt = now + backoff * 3 / 4 + randomUpTo(backoff / 2);
+    if (hasState())
+        stopScan();
+    signal(FollowerSignal::LogFails, reason);
+}
+
+void CatalogueFollower::Impl::stopScan()
+{
+    scanFrom.reset();
+    scanned.clear();
+}
+
+// Says how the log contradicts what was applied before the read; empty if it does not.
+std::string CatalogueFollower::Impl::differenceFrom(const OutstandingRead &read,
+                                                    const LogPage &page) const
+{
+    if (!read.hadState || read.applied == 0)
+        return {};
+    if (page.next <= read.applied)
+        return fmt::format("the log ends at offset {}, before the applied offset {}", page.next - 1,
+                           read.applied);
+    if (!read.isVerifying || page.first > read.applied)
+        return {};
+    const auto record = std::ranges::find(page.records, read.applied, &LogRecord::offset);
+    if (record == page.records.end())
+        return fmt::format("the log has no record at the applied offset {}", read.applied);
+    if (recordDigest(record->data) != read.digest)
+        return fmt::format("the log has another record at the applied offset {}", read.applied);
+    // Records that came from peers after the read was issued.
+    for (const LogRecord &other : page.records) {
+        const auto own = history.digestAt(other.offset);
+        if (other.offset > read.applied && own && *own != recordDigest(other.data))
+            return fmt::format("the log has another record at offset {}", other.offset);
+    }
+    return {};
+}
+
+void CatalogueFollower::Impl::on(const LogPage &received, Time now)
+{
+    if (!outstanding || outstanding->token != received.token)
+        return;
+    const OutstandingRead read = *outstanding;
+    outstanding.reset();
+    failures = 0;
+    LogPage page = received;
+    std::ranges::sort(page.records, {}, &LogRecord::offset);
+    const std::string difference = differenceFrom(read, page);
+    if (!difference.empty()) {
+        stopScan();
+        signal(FollowerSignal::LogDiffers, difference);
+        nextReadAt = now + options.pollInterval + randomUpTo(options.pollInterval / 4);
+        return;
+    }
+    if (read.hadState && read.isVerifying) {
+        verifiedAt = now;
+        signal(FollowerSignal::LogMatches, "the log holds the applied record");
+    }
+    // A long poll does not contain the applied record, so it only tells that there are new ones:
+    // they are applied after a read that shows that the log was not replaced. After a start from a
+    // peer, an older read says nothing about the applied record either.
+    const bool isUsable = read.isVerifying || read.from > read.applied + 1;
+    if (!hasState() || (machine.state() == FollowerState::FollowingLog && isUsable))
+        absorb(page, now);
+    else if (!page.records.empty() && machine.state() == FollowerState::FollowingLog)
+        verifiedAt = Time {};
+    scheduleRead(read, page, now);
+}
+
+void CatalogueFollower::Impl::absorb(const LogPage &page, Time now)
+{
+    if (!hasState() || page.first > applied() + 1) {
+        scan(page, now);
+        return;
+    }
+    stopScan();
+    applyRecords(page.records, now);
+}
+
+// Buffers records until a state can be built from them.
+void CatalogueFollower::Impl::scan(const LogPage &page, Time now)
+{
+    uint64_t expected = std::max(scanFrom.value_or(page.first), page.first);
+    if (!page.records.empty())
+        expected = std::max(expected, page.records.front().offset);
+    // Records that retention dropped during the scan leave a gap; only what follows it is usable.
+    if (!scanned.empty() && scanned.rbegin()->first + 1 != expected)
+        scanned.clear();
+    for (const LogRecord &record : page.records) {
+        if (record.offset == expected) {
+            scanned.emplace(record.offset, record);
+            ++expected;
+        }
+    }
+    scanFrom = expected;
+    if (tryScanned(now)) {
+        stopScan();
+    } else if (!hasState() && page.first <= 1 && page.next <= 1 && scanned.empty()) {
+        scanFrom.reset();
+        replaceState(CatalogueFold(), FollowerSignal::StartedFromLog, now);
+    }
+}
+
+// Builds a state from the newest usable snapshot, or from offset 1, and the records after it.
+bool CatalogueFollower::Impl::tryScanned(Time now)
+{
+    if (scanned.empty())
+        return false;
+    const uint64_t first = scanned.begin()->first;
+    std::optional<CatalogueFold> state;
+    for (auto it = scanned.rbegin(); it != scanned.rend() && !state; ++it) {
+        const auto snapshot = parseSnapshot(it->second);
+        const bool isUsable =
+                snapshot && snapshot->at + 1 >= first && (!hasState() || snapshot->at >= applied());
+        if (isUsable)
+            state.emplace(*snapshot, 0);
+    }
+    if (!state && first == 1 && !hasState())
+        state.emplace();
+    if (!state)
+        return false;
+    const uint64_t start = state->offset();
+    history.restart(0, 0);
+    for (auto it = scanned.upper_bound(start); it != scanned.end(); ++it) {
+        const LogRecord &record = it->second;
+        state->apply(record);
+        // A snapshot does not tell the digest of the record at its offset, so the history starts
+        // with the first record after it.
+        if (record.offset == start + 1 && start > 0)
+            history.restart(record.offset, recordDigest(record.data));
+        else
+            history.append(record);
+        noteSnapshot(record, now);
+    }
+    verifiedAt = now;
+    replaceState(*state, FollowerSignal::StartedFromLog, now);
+    return true;
+}
+
+void CatalogueFollower::Impl::scheduleRead(const OutstandingRead &read, const LogPage &page,
+                                           Time now)
+{
+    const bool isFull = page.records.size() >= options.pageRecords;
+    const bool isScanning = scanFrom && !page.records.empty();
+    const bool isOutdated = machine.state() == FollowerState::FollowingPeers;
+    if (isFull || isScanning || readAgain) {
+        nextReadAt = now;
+    } else if (isRelay && !scanFrom && !isOutdated) {
+        const bool isEarly = page.records.empty() && now - read.issuedAt < read.wait / 2;
+        nextReadAt = isEarly ? now + minReadPause : now;
+    } else {
+        nextReadAt = now + options.pollInterval * 3 / 4 + randomUpTo(options.pollInterval / 2);
+    }
+    if (nextReadAt <= now)
+        startRead(now);
+}
+
+void CatalogueFollower::Impl::on(const LogError &error, Time now)
+{
+    if (outstanding && outstanding->token == error.token)
+        readFailed(error.reason, now);
+}
+
+void CatalogueFollower::Impl::on(const LogGrew &grew, Time now)
+{
+    if (grew.offset != 0 && grew.offset <= applied())
+        return;
+    if (outstanding) {
+        readAgain = outstanding->wait == Duration::zero();
+        return;
+    }
+    nextReadAt = std::min(nextReadAt, now);
+    startRead(now);
+}
+
+// The catalogue.
+
+void CatalogueFollower::Impl::applyRecords(std::span<const LogRecord> records, Time now)
+{
+    CatalogueFold state(catalogue);
+    const uint64_t before = applied();
+    const uint64_t digestBefore = catalogue.lastRecordDigest();
+    for (const LogRecord &record : records) {
+        // Repeated records were applied before; a gap waits for the next read.
+        if (record.offset != state.offset() + 1)
+            continue;
+        state.apply(record);
+        history.append(record);
+        noteSnapshot(record, now);
+    }
+    if (state.offset() == before)
+        return;
+    publish(state.build());
+    forward(before, digestBefore);
+}
+
+void CatalogueFollower::Impl::replaceState(const CatalogueFold &state, FollowerSignal start,
+                                           Time now)
+{
+    const bool isFirst = !hasState();
+    signal(start, isFirst ? "the catalogue is complete" : "");
+    const Catalogue next = state.build();
+    if (isFirst) {
+        catalogue = next;
+        actions.push_back(PublishCatalogue {catalogue});
+    } else {
+        publish(next);
+    }
+}
+
+void CatalogueFollower::Impl::publish(const Catalogue &next)
+{
+    LOVAGE_ASSERT_INVARIANT(Promise::CatalogueForward, next.offset() > catalogue.offset(),
+                            "a published catalogue has a higher offset than the one before");
+    LOVAGE_ASSERT_INVARIANT(Promise::CatalogueForward, machine.state() != FollowerState::LogBehind,
+                            "nothing is published while the log is behind");
+    catalogue = next;
+    actions.push_back(PublishCatalogue {catalogue});
+}
+
+void CatalogueFollower::Impl::forward(uint64_t after, uint64_t afterDigest)
+{
+    if (!isRelay || applied() - after > maxForwardedRecords)
+        return;
+    const CatalogueRecords message {after, afterDigest,
+                                    history.after(after, maxForwardedRecords, maxBytesPerMessage)};
+    for (const std::string &vm : localPeers)
+        actions.push_back(SendCatalogueMessage {vm, message});
+}
+
+void CatalogueFollower::Impl::noteSnapshot(const LogRecord &record, Time now)
+{
+    const auto snapshot = parseSnapshot(record);
+    if (!snapshot)
+        return;
+    snapshotTakenAt = std::min(now, fromUnixMillis(snapshot->takenAtMs));
+    snapshotAt = snapshot->at;
+    snapshotDueAt.reset();
+}
+
+// Retention may drop what no snapshot replaces, so one is due after half the retention time. The
+// age is unknown until a snapshot was seen.
+void CatalogueFollower::Impl::considerSnapshot(Time now)
+{
+    const bool isFollowing = isRelay && machine.state() == FollowerState::FollowingLog;
+    if (!isFollowing || applied() == 0) {
+        snapshotDueAt.reset();
+        return;
+    }
+    const bool isOld = !snapshotTakenAt || now - *snapshotTakenAt >= options.logRetention / 2;
+    const bool isLong = applied() - snapshotAt >= options.snapshotChanges;
+    if (!isOld && !isLong)
+        return;
+    if (!snapshotDueAt)
+        snapshotDueAt = now + randomUpTo(options.snapshotSpread);
+    if (now < *snapshotDueAt)
+        return;
+    actions.push_back(AppendSnapshot {serializeLogRecord(snapshotOf(catalogue, now))});
+    snapshotDueAt = now + snapshotRetry + randomUpTo(options.snapshotSpread);
+}
+
+// Peers.
+
+void CatalogueFollower::Impl::askIfBehind(Time now)
+{
+    if (ask || machine.state() == FollowerState::LogBehind)
+        return;
+    std::vector<const std::string *> ahead;
+    for (const auto &[vm, offset] : peerOffsets) {
+        if (offset > applied() && !diverged.contains(vm))
+            ahead.push_back(&vm);
+    }
+    if (ahead.empty())
+        return;
+    // A random choice spreads the load when a whole data centre starts.
+    const std::string &vm = *ahead[random.below(ahead.size())];
+    ask = OutstandingAsk {vm, now + options.peerTimeout};
+    actions.push_back(
+            SendCatalogueMessage {vm, CatalogueRequest {applied(), catalogue.lastRecordDigest()}});
+}
+
+void CatalogueFollower::Impl::on(const PeerOffset &peer, Time now)
+{
+    peerOffsets[peer.vm] = peer.offset;
+    askIfBehind(now);
+}
+
+void CatalogueFollower::Impl::on(const PeerMessage &message, Time now)
+{
+    if (const auto *request = std::get_if<CatalogueRequest>(&message.message)) {
+        answer(message.vm, *request);
+        return;
+    }
+    if (ask && ask->vm == message.vm)
+        ask.reset();
+    if (machine.state() == FollowerState::LogBehind)
+        return;
+    if (const auto *records = std::get_if<CatalogueRecords>(&message.message))
+        take(message.vm, *records, now);
+    else if (const auto *snapshot = std::get_if<CatalogueSnapshot>(&message.message))
+        take(message.vm, *snapshot, now);
+    askIfBehind(now);
+}
+
+void CatalogueFollower::Impl::answer(const std::string &vm, const CatalogueRequest &request)
+{
+    if (!hasState() || request.after > applied())
+        return;
+    const auto digest = history.digestAt(request.after);
+    if (!digest) {
+        CatalogueSnapshot state {catalogue.lastRecordDigest(), snapshotOf(catalogue, Time {})};
+        state.snapshot.takenAtMs = snapshotTakenAt ? toUnixMillis(*snapshotTakenAt) : 0;
+        actions.push_back(SendCatalogueMessage {vm, std::move(state)});
+        return;
+    }
+    actions.push_back(SendCatalogueMessage {
+            vm,
+            CatalogueRecords {
+                    request.after, *digest,
+                    history.after(request.after, maxRecordsPerMessage, maxBytesPerMessage)}});
+}
+
+// Compares the record before the message, and records in the message, with what was applied.
+bool CatalogueFollower::Impl::isHistoryOf(const std::string &vm, const CatalogueRecords &message)
+{
+    uint64_t different = 0;
+    const auto own = history.digestAt(message.after);
+    if (own && *own != message.afterDigest)
+        different = message.after;
+    for (const LogRecord &record : message.records) {
+        const auto ownRecord = history.digestAt(record.offset);
+        if (record.offset <= applied() && ownRecord && *ownRecord != recordDigest(record.data))
+            different = record.offset;
+    }
+    if (different == 0) {
+        diverged.erase(vm);
+        return true;
+    }
+    if (diverged.emplace(vm, different).second)
+        actions.push_back(PeerDiverged {vm, different});
+    return false;
+}
+
+void CatalogueFollower::Impl::take(const std::string &vm, const CatalogueRecords &message, Time now)
+{
+    if (message.after > applied() || !isHistoryOf(vm, message))
+        return;
+    std::vector<LogRecord> records = message.records;
+    std::ranges::sort(records, {}, &LogRecord::offset);
+    if (hasState()) {
+        applyRecords(records, now);
+        return;
+    }
+    if (records.empty())
+        return;
+    // Without a state, `after` is 0: the records begin with offset 1.
+    stopScan();
+    history.restart(0, 0);
+    signal(FollowerSignal::StartedFromPeer, "the catalogue came from " + vm);
+    applyRecords(records, now);
+    nextReadAt = now + randomUpTo(options.pollInterval);
+}
+
+void CatalogueFollower::Impl::take(const std::string &vm, const CatalogueSnapshot &message,
+                                   Time now)
+{
+    if (message.snapshot.at <= applied())
+        return;
+    stopScan();
+    history.restart(message.snapshot.at, message.digest);
+    replaceState(CatalogueFold(message.snapshot, message.digest), FollowerSignal::StartedFromPeer,
+                 now);
+    if (message.snapshot.takenAtMs != 0) {
+        snapshotTakenAt = std::min(now, fromUnixMillis(message.snapshot.takenAtMs));
+        snapshotAt = message.snapshot.at;
+    }
+    // Spreads the first reads of a data centre whose VMs started together.
+    nextReadAt = now + randomUpTo(options.pollInterval);
+}
+
+void CatalogueFollower::Impl::on(const RelayUpdate &update, Time now)
+{
+    localPeers = update.localPeers;
+    const bool isNewRelay = update.isRelay && !isRelay;
+    isRelay = update.isRelay;
+    if (isNewRelay && failures == 0)
+        nextReadAt = std::min(nextReadAt, now + randomUpTo(options.startJitter));
+}
+
+void CatalogueFollower::Impl::on(const FollowerTick &, Time now)
+{
+    if (outstanding && now - outstanding->issuedAt > outstanding->wait + options.readTimeout)
+        readFailed("the log did not answer in time", now);
+    if (ask && now >= ask->deadline) {
+        // Its next heartbeat makes the peer a candidate again.
+        peerOffsets.erase(ask->vm);
+        ask.reset();
+        ++failedAsks;
+        askIfBehind(now);
+    }
+    const bool waitsForPeer = !hasState() && ask && failedAsks < maxFailedAsks;
+    if (!outstanding && !waitsForPeer && now >= nextReadAt)
+        startRead(now);
+    considerSnapshot(now);
+}
+
+CatalogueFollower::CatalogueFollower(FollowerOptions options, uint64_t seed, Time now)
+    : impl_(std::make_unique<Impl>(options, seed, now))
+{ }
+
+CatalogueFollower::~CatalogueFollower() = default;
+
+std::vector<FollowerAction> CatalogueFollower::handle(const FollowerEvent &event, Time now)
+{
+    std::visit([&](const auto &specific) { impl_->on(specific, now); }, event);
+    return std::exchange(impl_->actions, {});
+}
+
+FollowerState CatalogueFollower::state() const
+{
+    return impl_->machine.state();
+}
+
+const Catalogue &CatalogueFollower::catalogue() const
+{
+    return impl_->catalogue;
+}
+
+} // namespace lovage
