Add membership: heartbeats, VM list, relay, shares, summaries

A VM list forwarded whole costs the relay 130 KB per peer and change at 1,100 workers (computed, 120 bytes per line), so the relay forwards only what changed and sends the whole list to a peer whose heartbeat shows an older version.

--- /dev/null
+++ b/src/membership/conclusions.cpp
@@ -0,0 +1,274 @@
+// Timers of Membership, the VM list, and what follows from the state of the peers.
+#include "membership_impl.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+constexpr Duration pollTimeout = std::chrono::seconds(2);
+// Time beyond one heartbeat interval that a starting VM waits for heartbeats before it acts as the
+// relay or takes a share.
+constexpr Duration settleMargin = std::chrono::milliseconds(100);
+
+Duration randomBelow(Random &random, Duration bound)
+{
+    return Duration(static_cast<int64_t>(random.below(static_cast<uint64_t>(bound.count()) + 1)));
+}
+
+} // namespace
+
+Membership::Impl::Impl(MembershipOptions membershipOptions, uint64_t seed, Time now)
+    : options(std::move(membershipOptions)), localRules {options.suspectAfter, options.deadAfter,
+                                                         options.flapWindow, options.flapDelayMin,
+                                                         options.flapDelayMax},
+      remoteRules {options.remoteSuspectAfter, options.remoteDeadAfter, options.flapWindow,
+                   options.flapDelayMin, options.flapDelayMax},
+      random(seed), startedAt(now), vmList(options.backendForgetAfter), nextHeartbeat(now),
+      nextSummary(now + randomBelow(random, options.heartbeatInterval)),
+      nextPoll(now + randomBelow(random, options.vmListInterval / 2))
+{
+    for (const Member &seedMember : options.seeds) {
+        if (seedMember.name == options.vm)
+            continue;
+        Peer &peer = peerFor(seedMember.name, seedMember.dataCentre, now);
+        peer.member.address = seedMember.address;
+        peer.isSeed = true;
+    }
+}
+
+Peer &Membership::Impl::peerFor(const std::string &vm, const std::string &dataCentre, Time now)
+{
+    const auto [place, isNew] = peers.try_emplace(vm);
+    Peer &peer = place->second;
+    if (isNew) {
+        peer.member.name = vm;
+        peer.member.dataCentre = dataCentre;
+        peer.member.lastHeard = now;
+        peer.isLocal = dataCentre == options.dataCentre;
+    }
+    return peer;
+}
+
+const LivenessRules &Membership::Impl::rulesFor(const Peer &peer) const
+{
+    return peer.isLocal ? localRules : remoteRules;
+}
+
+bool Membership::Impl::isSettled(Time now) const
+{
+    return now - startedAt >= options.heartbeatInterval + settleMargin;
+}
+
+void Membership::Impl::on(const OwnStatus &status, Time)
+{
+    own = status;
+}
+
+void Membership::Impl::on(const MembershipTick &, Time now)
+{
+    if (now >= nextHeartbeat) {
+        sendHeartbeats();
+        // After a pause of the process the missed heartbeats are not made up for.
+        nextHeartbeat = std::max(nextHeartbeat + options.heartbeatInterval, now);
+    }
+    if (now >= nextSummary) {
+        sendSummaries();
+        nextSummary = std::max(nextSummary + options.summaryInterval, now);
+    }
+    if (leavingMessages > 0)
+        sendLeaving();
+    pollVmList(now);
+    checkOwnLeaving(now);
+    if (vmList.forgetAbsent(now))
+        areSharesOutdated = true;
+}
+
+// VM list.
+
+void Membership::Impl::pollVmList(Time now)
+{
+    if (pollSentAt && now - *pollSentAt >= pollTimeout)
+        pollSentAt.reset();
+    // Without any list a VM knows no peers, so it does not wait for a relay.
+    const bool mayPoll = isSelfRelay() || vmList.version() == 0;
+    if (!mayPoll || pollSentAt || now < nextPoll)
+        return;
+    pollSentAt = now;
+    nextPoll = now + options.vmListInterval;
+    actions.push_back(PollVmList {});
+}
+
+void Membership::Impl::on(const VmListFailed &, Time)
+{
+    pollSentAt.reset();
+}
+
+void Membership::Impl::on(const VmListRead &read, Time now)
+{
+    pollSentAt.reset();
+    // The version follows every version seen, so that a relay whose clock is behind the clock of
+    // its predecessor is not ignored.
+    const auto clock = static_cast<uint64_t>(now.time_since_epoch().count());
+    const uint64_t version = std::max(clock, std::max(highestListVersion, vmList.version()) + 1);
+    const auto change = vmList.replace(read.vms, version, now);
+    if (!change)
+        return;
+    highestListVersion = version;
+    mergeVmList(now);
+    if (!isSelfRelay())
+        return;
+    for (auto &[vm, peer] : peers) {
+        if (!peer.isLocal || peer.member.state == MemberState::Dead || !peer.isHeard())
+            continue;
+        const bool knowsBase = change->base != 0 && peer.vmListVersion == change->base;
+        sendVmList(peer, knowsBase ? *change : vmList.whole(), now);
+    }
+}
+
+void Membership::Impl::mergeVmList(Time now)
+{
+    areSharesOutdated = true;
+    for (auto &[vm, peer] : peers) {
+        // Absence says nothing about a VM whose heartbeats arrive.
+        const VmListEntry *entry = vmList.find(vm);
+        peer.member.inVmList = entry != nullptr && entry->role == VmRole::Entry;
+        peer.isListedLeaving = peer.member.inVmList && entry->leaving;
+    }
+    for (const auto &[vm, entry] : vmList.vms()) {
+        if (entry.role != VmRole::Entry || vm == options.vm)
+            continue;
+        Peer &peer = peerFor(vm, entry.dataCentre, now);
+        peer.member.inVmList = true;
+        peer.isListedLeaving = entry.leaving;
+        // The address that the VM uses itself is better than a list that lags.
+        const bool isSilent = now - peer.lastDirect >= rulesFor(peer).deadAfter;
+        if (isSilent && !entry.address.host.empty())
+            peer.member.address = entry.address;
+    }
+    const VmListEntry *self = vmList.find(options.vm);
+    const bool isListed = self != nullptr && self->role == VmRole::Entry && self->leaving;
+    if (!isListed)
+        listedLeavingSince.reset();
+    else if (!listedLeavingSince)
+        listedLeavingSince = now;
+}
+
+void Membership::Impl::checkOwnLeaving(Time now)
+{
+    const bool isConfirmed =
+            listedLeavingSince && now - *listedLeavingSince >= options.confirmLeaving;
+    if (!isConfirmed || isDrainBegun || isLeaving)
+        return;
+    isDrainBegun = true;
+    actions.push_back(BeginDrain {});
+}
+
+// Conclusions.
+
+void Membership::Impl::conclude(Time now)
+{
+    updatePeers(now);
+    forgetPeers(now);
+    if (!isSettled(now))
+        return;
+    chooseRelay();
+    assignShares();
+}
+
+void Membership::Impl::updatePeers(Time now)
+{
+    for (auto &[vm, peer] : peers) {
+        if (peer.updateState(rulesFor(peer), now))
+            actions.push_back(PeerLostSeen {vm, peer.member.incarnation});
+        if (peer.isUsable && !peer.isReachable())
+            reportUsability(peer);
+    }
+}
+
+void Membership::Impl::reportUsability(Peer &peer)
+{
+    const bool isUsable = peer.isReachable();
+    if (!isUsable && !peer.isUsable)
+        return;
+    peer.isUsable = isUsable;
+    actions.push_back(
+            PeerCapacitySeen {peer.member.name, peer.member.incarnation,
+                              isUsable ? peer.member.capacity : std::vector<uint32_t> {}});
+}
+
+void Membership::Impl::forgetPeers(Time now)
+{
+    std::erase_if(peers, [&](const auto &item) {
+        const Member &member = item.second.member;
+        const bool isGone = member.state == MemberState::Dead && !member.inVmList;
+        return isGone && !item.second.isSeed && now - member.lastHeard >= options.forgetAfter;
+    });
+}
+
+void Membership::Impl::chooseRelay()
+{
+    RelayChanged next;
+    bool followsLog = false;
+    // A VM that cannot read the log is relay only if no other VM of the data centre can.
+    const auto consider = [&](const std::string &vm, bool candidateFollowsLog) {
+        const bool isBetter = next.relay.empty() || (candidateFollowsLog && !followsLog)
+                || (candidateFollowsLog == followsLog && vm < next.relay);
+        if (!isBetter)
+            return;
+        next.relay = vm;
+        followsLog = candidateFollowsLog;
+    };
+    for (const auto &[vm, peer] : peers) {
+        if (!peer.isLocal)
+            continue;
+        if (peer.isReachable())
+            consider(vm, peer.member.followsLog);
+        const bool isDead = peer.member.state == MemberState::Dead;
+        if (peer.isHeard() && !isDead)
+            next.localPeers.push_back(vm);
+    }
+    if (staysHere())
+        consider(options.vm, own.followsLog);
+    next.isSelf = next.relay == options.vm;
+    const bool isSame =
+            isRelayKnown && next.relay == relay.relay && next.localPeers == relay.localPeers;
+    if (isSame)
+        return;
+    isRelayKnown = true;
+    relay = next;
+    actions.push_back(std::move(next));
+}
+
+void Membership::Impl::assignShares()
+{
+    std::set<std::string> owners;
+    for (const auto &[vm, peer] : peers) {
+        if (peer.ownsShare())
+            owners.insert(vm);
+    }
+    // The last VM of a data centre keeps the servers while it drains.
+    if (staysHere() || owners.empty())
+        owners.insert(options.vm);
+    if (!areSharesOutdated && owners == shareOwners)
+        return;
+    areSharesOutdated = false;
+    shareOwners = owners;
+    const std::vector<std::string> names(owners.begin(), owners.end());
+    BackendShares next;
+    next.backends = vmList.backends();
+    for (const VmListEntry &backend : next.backends) {
+        if (backend.dataCentre != options.dataCentre)
+            continue;
+        const auto owner = rendezvousIndex(backend.name, names);
+        if (owner && names[*owner] == options.vm)
+            next.ownShare.insert(backend.name);
+    }
+    if (next.backends == shares.backends && next.ownShare == shares.ownShare)
+        return;
+    shares = next;
+    actions.push_back(std::move(next));
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/membership/messages.cpp
@@ -0,0 +1,294 @@
+// What Membership receives and sends.
+#include "membership_impl.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// Summaries list the members of the data centre in one of this many messages.
+constexpr size_t memberListPeriod = 3;
+// One of this many summaries goes to a VM that seems dead, so that both sides notice the end of a
+// partition.
+constexpr uint64_t deadTargetPeriod = 4;
+constexpr uint32_t leavingRepeats = 3;
+constexpr Duration vmListResend = std::chrono::seconds(1);
+
+} // namespace
+
+// Receiving.
+
+void Membership::Impl::on(const MessageReceived &received, Time now)
+{
+    std::visit([&](const auto &message) { receive(received.from, message, now); },
+               received.message);
+}
+
+void Membership::Impl::fence(uint64_t higherIncarnation)
+{
+    isFenced = true;
+    actions.clear();
+    actions.push_back(FenceSelf {higherIncarnation});
+}
+
+Peer *Membership::Impl::accept(const PeerAddress &from, const Heartbeat &heartbeat, Time now)
+{
+    const PeerAddress source {from.host, heartbeat.port};
+    if (heartbeat.vm == options.vm && heartbeat.incarnation <= options.incarnation) {
+        // The older process of the same name learns of this one from the answer. An equal
+        // incarnation is an own message that came back.
+        if (heartbeat.incarnation < options.incarnation)
+            actions.push_back(SendMembership {options.vm, source,
+                                              heartbeatTo(options.vm, options.incarnation)});
+        return nullptr;
+    }
+    const uint64_t ownIncarnation =
+            heartbeat.vm == options.vm ? heartbeat.incarnation : heartbeat.receiverIncarnation;
+    if (ownIncarnation > options.incarnation) {
+        fence(ownIncarnation);
+        return nullptr;
+    }
+    Peer &peer = peerFor(heartbeat.vm, heartbeat.dataCentre, now);
+    if (heartbeat.incarnation < peer.member.incarnation) {
+        actions.push_back(SendMembership {heartbeat.vm, source,
+                                          heartbeatTo(heartbeat.vm, peer.member.incarnation)});
+        return nullptr;
+    }
+    if (heartbeat.incarnation > peer.member.incarnation) {
+        const uint64_t lost = peer.member.incarnation;
+        if (peer.adopt(heartbeat.incarnation, rulesFor(peer), now))
+            actions.push_back(PeerLostSeen {heartbeat.vm, lost});
+    }
+    // What the VM says of itself overrides a wrong VM list.
+    peer.member.dataCentre = heartbeat.dataCentre;
+    peer.isLocal = heartbeat.dataCentre == options.dataCentre;
+    peer.member.address = source;
+    peer.markHeard(rulesFor(peer), now);
+    peer.lastDirect = now;
+    peer.saidLeaving = peer.saidLeaving || heartbeat.leaving;
+    peer.vmListVersion = std::max(peer.vmListVersion, heartbeat.vmListVersion);
+    highestListVersion = std::max(highestListVersion, heartbeat.vmListVersion);
+    Member &member = peer.member;
+    // Datagrams may arrive out of order; the offset of an incarnation never decreases.
+    member.catalogueOffset = std::max(member.catalogueOffset, heartbeat.catalogueOffset);
+    member.followsLog = heartbeat.followsLog;
+    member.capacity = heartbeat.capacity;
+    member.hearsThisVm =
+            std::ranges::find(heartbeat.hears, nameTag(options.vm)) != heartbeat.hears.end();
+    if (member.catalogueOffset > own.catalogueOffset)
+        actions.push_back(PeerOffsetSeen {member.name, member.catalogueOffset});
+    return &peer;
+}
+
+void Membership::Impl::receive(const PeerAddress &from, const Heartbeat &heartbeat, Time now)
+{
+    Peer *peer = accept(from, heartbeat, now);
+    if (peer == nullptr)
+        return;
+    peer->updateState(rulesFor(*peer), now);
+    reportUsability(*peer);
+    const bool lacksList = peer->isLocal && peer->vmListVersion < vmList.version();
+    if (isSelfRelay() && lacksList && now - peer->vmListSentAt >= vmListResend)
+        sendVmList(*peer, vmList.whole(), now);
+}
+
+void Membership::Impl::receive(const PeerAddress &from, const Summary &summary, Time now)
+{
+    Peer *peer = accept(from, summary.sender, now);
+    if (peer == nullptr)
+        return;
+    peer->updateState(rulesFor(*peer), now);
+    reportUsability(*peer);
+    for (const SummaryMember &listed : summary.members) {
+        if (!isFenced)
+            receiveListed(summary, listed, now);
+    }
+}
+
+void Membership::Impl::receiveListed(const Summary &summary, const SummaryMember &listed, Time now)
+{
+    if (listed.vm == options.vm) {
+        if (listed.incarnation > options.incarnation)
+            fence(listed.incarnation);
+        return;
+    }
+    // Direct messages say more about the VMs of the own data centre.
+    if (summary.sender.dataCentre == options.dataCentre || listed.incarnation == 0)
+        return;
+    Peer &peer = peerFor(listed.vm, summary.sender.dataCentre, now);
+    if (peer.isLocal || listed.incarnation < peer.member.incarnation)
+        return;
+    if (listed.incarnation > peer.member.incarnation) {
+        const uint64_t lost = peer.member.incarnation;
+        if (peer.adopt(listed.incarnation, rulesFor(peer), now))
+            actions.push_back(PeerLostSeen {listed.vm, lost});
+    }
+    const uint64_t senderOffset = summary.sender.catalogueOffset;
+    const uint64_t offset = senderOffset - std::min<uint64_t>(senderOffset, listed.offsetLag);
+    peer.member.catalogueOffset = std::max(peer.member.catalogueOffset, offset);
+    if (listed.state == MemberState::Alive || listed.state == MemberState::Leaving)
+        peer.markHeard(rulesFor(peer), now);
+    peer.saidLeaving = peer.saidLeaving || listed.state == MemberState::Leaving;
+}
+
+void Membership::Impl::receive(const PeerAddress &, const Leaving &leaving, Time now)
+{
+    if (leaving.vm == options.vm) {
+        if (leaving.incarnation > options.incarnation)
+            fence(leaving.incarnation);
+        return;
+    }
+    Peer &peer = peerFor(leaving.vm, leaving.dataCentre, now);
+    if (leaving.incarnation < peer.member.incarnation)
+        return;
+    if (leaving.incarnation > peer.member.incarnation)
+        peer.adopt(leaving.incarnation, rulesFor(peer), now);
+    if (!peer.saidLeaving)
+        actions.push_back(PeerLeavingSeen {leaving.vm, leaving.incarnation, leaving.successor});
+    peer.saidLeaving = true;
+    peer.markHeard(rulesFor(peer), now);
+}
+
+void Membership::Impl::receive(const PeerAddress &, const VmListUpdate &update, Time now)
+{
+    highestListVersion = std::max(highestListVersion, update.version);
+    if (vmList.apply(update, now))
+        mergeVmList(now);
+}
+
+// Sending.
+
+Heartbeat Membership::Impl::heartbeatTo(const std::string &vm, uint64_t receiverIncarnation) const
+{
+    return {.vm = options.vm,
+            .dataCentre = options.dataCentre,
+            .incarnation = options.incarnation,
+            .receiverIncarnation = receiverIncarnation,
+            .catalogueOffset = own.catalogueOffset,
+            .vmListVersion = vmList.version(),
+            .port = options.address.port,
+            .leaving = isLeaving,
+            .followsLog = own.followsLog,
+            .hears = {},
+            .capacity = own.capacity};
+}
+
+void Membership::Impl::sendHeartbeats()
+{
+    std::vector<uint32_t> hears;
+    for (const auto &[vm, peer] : peers) {
+        const bool isHeardNow =
+                peer.isHeard() && nextHeartbeat - peer.lastDirect < options.suspectAfter;
+        if (peer.isLocal && isHeardNow)
+            hears.push_back(nameTag(vm));
+    }
+    for (const auto &[vm, peer] : peers) {
+        if (!peer.isLocal || peer.member.address.host.empty())
+            continue;
+        Heartbeat heartbeat = heartbeatTo(vm, peer.member.incarnation);
+        heartbeat.hears = hears;
+        actions.push_back(SendMembership {vm, peer.member.address, std::move(heartbeat)});
+    }
+}
+
+size_t Membership::Impl::ownRank() const
+{
+    return static_cast<size_t>(std::ranges::count_if(peers, [&](const auto &item) {
+        return item.second.isLocal && item.first < options.vm;
+    }));
+}
+
+std::vector<SummaryMember> Membership::Impl::ownMembers() const
+{
+    std::vector<SummaryMember> result;
+    for (const auto &[vm, peer] : peers) {
+        const Member &member = peer.member;
+        if (!peer.isLocal || !peer.isHeard())
+            continue;
+        const uint64_t lag =
+                own.catalogueOffset - std::min(own.catalogueOffset, member.catalogueOffset);
+        constexpr uint64_t maxLag = std::numeric_limits<uint32_t>::max();
+        result.push_back({vm, member.incarnation, member.state,
+                          static_cast<uint32_t>(std::min(lag, maxLag))});
+    }
+    return result;
+}
+
+void Membership::Impl::sendSummary(const std::vector<Peer *> &targets)
+{
+    // The rank makes the VMs of a data centre address different targets in the same second.
+    const size_t turn = summaryCount + ownRank();
+    const Peer &target = *targets[turn % targets.size()];
+    Summary summary;
+    summary.sender = heartbeatTo(target.member.name, target.member.incarnation);
+    const bool isHeardNow =
+            target.isHeard() && nextSummary - target.lastDirect < options.remoteDeadAfter;
+    if (isHeardNow)
+        summary.sender.hears.push_back(nameTag(target.member.name));
+    const size_t round = summaryCount / targets.size();
+    if ((round + turn) % memberListPeriod == 0)
+        summary.members = ownMembers();
+    actions.push_back(SendMembership {target.member.name, target.member.address, summary});
+}
+
+void Membership::Impl::sendSummaries()
+{
+    std::map<std::string, std::vector<Peer *>> up;
+    std::map<std::string, std::vector<Peer *>> down;
+    for (auto &[vm, peer] : peers) {
+        if (peer.isLocal || peer.member.address.host.empty())
+            continue;
+        auto &group = peer.member.state == MemberState::Dead ? down : up;
+        group[peer.member.dataCentre].push_back(&peer);
+    }
+    const bool isDeadTurn = summaryCount % deadTargetPeriod == 0;
+    for (const auto &[dataCentre, targets] : up) {
+        if (!isDeadTurn || !down.contains(dataCentre))
+            sendSummary(targets);
+    }
+    for (const auto &[dataCentre, targets] : down) {
+        if (isDeadTurn || !up.contains(dataCentre))
+            sendSummary(targets);
+    }
+    ++summaryCount;
+}
+
+void Membership::Impl::on(const LeaveStarted &, Time)
+{
+    if (isLeaving)
+        return;
+    isLeaving = true;
+    announcedSuccessor = successor();
+    leavingMessages = leavingRepeats;
+    sendLeaving();
+}
+
+std::string Membership::Impl::successor() const
+{
+    const Peer *best = nullptr;
+    for (const auto &[vm, peer] : peers) {
+        // Peers are sorted by name, so the first of the data centre is the lowest.
+        if (peer.isReachable() && (best == nullptr || (peer.isLocal && !best->isLocal)))
+            best = &peer;
+    }
+    return best == nullptr ? std::string() : best->member.name;
+}
+
+void Membership::Impl::sendLeaving()
+{
+    --leavingMessages;
+    const Leaving message {options.vm, options.dataCentre, options.incarnation, announcedSuccessor};
+    for (const auto &[vm, peer] : peers) {
+        if (peer.member.state != MemberState::Dead && !peer.member.address.host.empty())
+            actions.push_back(SendMembership {vm, peer.member.address, message});
+    }
+}
+
+void Membership::Impl::sendVmList(Peer &peer, const VmListUpdate &update, Time now)
+{
+    peer.vmListSentAt = now;
+    actions.push_back(SendMembership {peer.member.name, peer.member.address, update});
+}
+
+} // namespace lovage
