Limit tasks per start message by waste weight

Cause: an executor answers a batch when its last task ends, so large batches hold slots and delay short results.

--- a/bench/placement_sim_run.h
+++ b/bench/placement_sim_run.h
@@ -132,8 +132,13 @@
             instance.queue.hold(workClass);
         }
     }
-    for (auto &[key, tasks] : starts)
-        sendBatch(index, key.second, std::move(tasks));
+    for (const auto &[key, tasks] : starts) {
+        const size_t limit = instance.placement->batchLimit(tasks.front().task.need);
+        for (size_t first = 0; first < tasks.size(); first += limit) {
+            const size_t last = std::min(tasks.size(), first + limit);
+            sendBatch(index, key.second, {tasks.begin() + first, tasks.begin() + last});
+        }
+    }
     for (auto &[key, tasks] : lends)
         sendLend(index, key.second, std::move(tasks));
 }
--- a/include/lovage/placement.h
+++ b/include/lovage/placement.h
@@ -108,6 +108,10 @@
     double shortRoom = 0.05;
     // A class is long when its learned duration on an average server exceeds this.
     Duration longTask = std::chrono::seconds(1);
+    // Tasks per start message at waste weight 1 (executors) and at any weight (workers, which
+    // report each result on its own).
+    uint32_t largestExecutorBatch = 8;
+    uint32_t largestWorkerBatch = 64;
     uint32_t failuresToEject = 5;
     double largestEjectedShare = 1.0 / 3;
     Duration firstProbeDelay = std::chrono::seconds(1);
@@ -165,6 +169,10 @@
     // Capacity to advertise; nothing while tasks wait in the own queue.
     PeerCapacity ownCapacity(uint32_t waiting, Time now) const;
 
+    // Largest number of tasks to put into one start message. An executor answers a message when its
+    // last task has ended, so a large batch saves messages and holds slots longer.
+    uint32_t batchLimit(const TaskNeed &need) const;
+
     // Expected run time on an average server of the own share.
     Duration expectedRunTime(const TaskNeed &need) const;
     // Task starts per second that the own share sustains with the mix of recent tasks. 0 before the
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,5 +1,8 @@
 #include "state.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace lovage {
 
 Placement::Placement(PlacementOptions options, uint64_t seed)
@@ -67,6 +70,15 @@
     return state_->ownCapacity(waiting, now);
 }
 
+uint32_t Placement::batchLimit(const TaskNeed &need) const
+{
+    const PlacementOptions &options = state_->options;
+    if (need.kind == BackendKind::Worker)
+        return options.largestWorkerBatch;
+    const double weight = std::clamp(need.wasteWeight, 0.0, 1.0);
+    return 1 + static_cast<uint32_t>(std::lround(weight * (options.largestExecutorBatch - 1)));
+}
+
 Duration Placement::expectedRunTime(const TaskNeed &need) const
 {
     const uint32_t workClass = state_->classes.find(need.workClass);
