--- a/include/lovage/dispatch.h
+++ b/include/lovage/dispatch.h
@@ -22,7 +22,7 @@
 {
     uint64_t request = 0;
 
-    auto operator<=>(const LocalCaller &) const = default;
+    bool operator==(const LocalCaller &) const = default;
 };
 // A caller at another VM that forwarded the request (ForwardSubmit, ForwardCancel, ForwardQuery).
 struct RemoteCaller
@@ -30,7 +30,7 @@
     std::string vm;
     uint64_t request = 0;
 
-    auto operator<=>(const RemoteCaller &) const = default;
+    bool operator==(const RemoteCaller &) const = default;
 };
 using Origin = std::variant<LocalCaller, RemoteCaller>;
 
@@ -53,8 +53,8 @@
     TaskId id;
     TaskStatus status = TaskStatus::Accepted;
     bool hasOutput = true; // false: Done without the output, as in inquiries to backend servers
-    std::string output;
-    std::string reason;
+    std::string output {};
+    std::string reason {};
     Duration ran {};
 };
 
@@ -84,10 +84,11 @@
 
 // Events. A backend server is named by its index in Placement.
 //
-// `instance` tells the processes of one backend server apart (for example its start time; for a
-// peer its incarnation). 0 means that it was not reported. A server that lost its memory answers
-// "unknown" for tasks that it ran, so "unknown" proves NotRun only if the instance is reported and
-// the same as before the start was sent; otherwise the verdict is MayHaveRun.
+// `instance` tells the processes of one backend server apart and grows with each restart (for
+// example its start time; for a peer its incarnation). 0 means that it was not reported. A server
+// that lost its memory answers "unknown" for tasks that it ran, so "unknown" proves NotRun only if
+// the instance is reported and the same as before the start was sent; otherwise the verdict is
+// MayHaveRun.
 
 struct OpenRequested
 {
@@ -463,7 +464,7 @@
     uint64_t startsAfterRefusal = 0;
     uint64_t contradictions = 0; // for example "refused" after "accepted"
 
-    auto operator<=>(const ServerFaults &) const = default;
+    bool operator==(const ServerFaults &) const = default;
 };
 
 struct DispatchCounters
--- a/include/lovage/ledger.h
+++ b/include/lovage/ledger.h
@@ -6,9 +6,11 @@
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <memory>
+#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -21,7 +23,7 @@
     std::string name;
     std::string output;
 
-    auto operator<=>(const TaskAnswer &) const = default;
+    bool operator==(const TaskAnswer &) const = default;
 };
 
 // The whole answer of a submission, in the order of its tasks.
@@ -29,7 +31,7 @@
 {
     std::vector<TaskAnswer> tasks;
 
-    auto operator<=>(const Answer &) const = default;
+    bool operator==(const Answer &) const = default;
 };
 
 // The final result of a submission. Shared between the record and every waiting caller, so that an
@@ -49,7 +51,12 @@
     std::string vm;
     uint64_t incarnation = 0;
 
-    auto operator<=>(const Issuer &) const = default;
+    bool operator==(const Issuer &) const = default;
+    bool operator<(const Issuer &other) const
+    {
+        return std::tie(dataCentre, vm, incarnation)
+                < std::tie(other.dataCentre, other.vm, other.incarnation);
+    }
 };
 
 Issuer issuerOf(const SubmissionId &id);
@@ -144,7 +151,7 @@
     uint64_t horizon() const { return horizon_; }
     size_t size() const { return records_.size(); }
     size_t running() const { return records_.size() - finishedOrder_.size(); }
-    size_t bytes() const { return bytes_; }
+    size_t bytes() const;
     const std::deque<std::pair<uint64_t, Time>> &finishedOrder() const { return finishedOrder_; }
 
 private:
@@ -226,8 +233,9 @@
 
     uint32_t ownerIndex(const std::string &owner);
     bool isOwnedBy(const RecordStore::Record &record, const std::string &owner) const;
-    std::variant<Opened, AlreadyRunning, Finished, Refuse, ForwardTo>
-    findForeign(const SubmissionId &id, const std::string &owner) const;
+    LookupDecision findForeign(const SubmissionId &id, const std::string &owner) const;
+    LookupDecision findImported(const Imported &ledger, const SubmissionId &id,
+                                const std::string &owner) const;
     std::optional<Error> whyNotOpen(uint64_t sequence, Time now) const;
     std::optional<Error> whyKeyRefused(Time keyTime, Time now) const;
     SubmitDecision decideRecorded(const SubmissionId &id, const RecordStore::Record &record,
@@ -247,6 +255,7 @@
     boost::unordered_flat_map<std::string, uint32_t> ownerIndexes_;
     boost::unordered_flat_map<std::string, KeyRecord> keys_;
     boost::unordered_flat_map<uint64_t, std::string> keyOfSequence_;
+    size_t keyBytes_ = 0;
     Time keyHorizon_; // keys at or before it are too old
     std::map<Issuer, Imported> imported_;
     std::map<Issuer, Successor> successors_;
