Add failure tests and a seeded random run of the dispatcher

Cause: each rule about verdicts and starts needs a test that causes the failure. After: focused tests of starts and VMs, and a random run over a lossy message seam with its own record of starts.

--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -47,6 +47,10 @@
         Task &task() const { return submission->tasks[index]; }
     };
 
+    // What became of a popped task: it needs no place in the queue any more, or its class or owner
+    // has to wait.
+    enum class Progress { Ended, ClassWaits, OwnerWaits };
+
     // engine.cpp: time
     void advance(Time now);
     void onPause(Duration gap, Time now);
@@ -70,7 +74,7 @@
 
     // engine_start.cpp: starts
     void pump(Time now);
-    bool tryStart(QueuedTask &task, Time now);
+    Progress tryStart(QueuedTask &queued, Time now);
     void send(Submission &submission, uint32_t index, uint32_t server, Time now);
     Batch &openBatch(uint32_t server, const Submission &submission, Time now);
     void flush(Time now);
--- a/src/dispatch/engine_start.cpp
+++ b/src/dispatch/engine_start.cpp
@@ -25,23 +25,27 @@
     FairQueue &queue = admission_.queue();
     queue.clearHolds();
     while (std::optional<QueuedTask> task = queue.pop(now)) {
-        const std::string workClass = task->need.workClass;
-        if (!tryStart(*task, now)) {
-            queue.unpop(std::move(*task));
-            queue.hold(workClass);
-        }
+        const Progress progress = tryStart(*task, now);
+        if (progress == Progress::Ended)
+            continue;
+        const std::string held = progress == Progress::ClassWaits ? task->need.workClass
+                                                                  : task->need.owner;
+        queue.unpop(std::move(*task));
+        if (progress == Progress::ClassWaits)
+            queue.hold(held);
+        else
+            queue.holdOwner(held);
     }
 }
 
-// False if the task has to wait.
-bool Dispatcher::Engine::tryStart(QueuedTask &queued, Time now)
+Dispatcher::Engine::Progress Dispatcher::Engine::tryStart(QueuedTask &queued, Time now)
 {
     const auto found = submissions_.find(queued.submission);
     if (found == submissions_.end() || found->second.abort)
-        return true;
+        return Progress::Ended;
     Submission &submission = found->second;
     if (!admission_.tryStart(queued.need.owner, now))
-        return false;
+        return Progress::OwnerWaits;
     FairQueue &queue = admission_.queue();
     TaskNeed need = queued.need;
     need.waiting = uint32_t(queue.size() + 1);
@@ -52,19 +56,19 @@
     if (const auto *backend = std::get_if<ToBackend>(&choice)) {
         placement_.reserve(backend->backend, submission.need, now);
         send(submission, queued.index, serverOfBackend(backend->backend), now);
-        return true;
+        return Progress::Ended;
     }
     if (const auto *peer = std::get_if<ToPeer>(&choice)) {
         placement_.lend(peer->vm, submission.need, now);
         send(submission, queued.index, serverOfPeer(peer->vm), now);
-        return true;
+        return Progress::Ended;
     }
     admission_.undoStart(queued.need.owner, now);
     if (std::holds_alternative<Wait>(choice))
-        return false;
+        return Progress::ClassWaits;
     const std::string &reason = std::get<Impossible>(choice).reason;
     abort(submission, notRun(ErrorCode::Impossible, reason), false, now);
-    return true;
+    return Progress::Ended;
 }
 
 void Dispatcher::Engine::send(Submission &submission, uint32_t index, uint32_t server, Time now)
--- /dev/null
+++ b/tests/dispatch_vm_test.cpp
@@ -0,0 +1,395 @@
+#define BOOST_TEST_MODULE dispatch_vm
+#include "support/dispatch_world.h"
+
+using namespace lovage;
+using namespace lovage::test;
+
+namespace {
+
+// Two data centres. dc1 has the VMs 0 and 1 and, in a world without servers of its own for VM 1,
+// one executor; dc2 has VM 2 and an executor.
+struct TwoCentres : World
+{
+    explicit TwoCentres(BackendKind kind = BackendKind::Executor)
+    {
+        options.inquiryTimeout = 500ms;
+        addServer("s0", "dc1", kind, 8);
+        addServer("t0", "dc2", kind, 8);
+        addVm("vm0", "dc1");
+        addVm("vm1", "dc1");
+        addVm("vm2", "dc2");
+        for (size_t vm = 0; vm < vms.size(); ++vm)
+            startVm(vm);
+        run(500ms);
+        submit(0, open(0), {"warm"});
+        submit(2, open(2), {"warm"});
+        run(1s);
+        starts.clear();
+        messages.clear();
+    }
+
+    void next(Kind kind, Fate chosen)
+    {
+        fate = [=, used = false](Kind sent, const std::string &, const std::string &) mutable {
+            if (sent != kind || used)
+                return Fate {};
+            used = true;
+            return chosen;
+        };
+    }
+
+    void checkPromises()
+    {
+        run(20s);
+        for (const std::string &broken : violations())
+            BOOST_ERROR(broken);
+    }
+};
+
+const Fate lost {.isDropped = true};
+
+} // namespace
+
+// Guards against a resubmission through another VM, of the same or another data centre, that
+// starts the tasks again or gets another answer.
+BOOST_AUTO_TEST_CASE(resubmissionThroughOtherVmsGetsTheSameAnswer)
+{
+    TwoCentres world;
+    const SubmissionId id = world.open(0);
+    const uint64_t first = world.submit(0, id, {"a", "b"});
+    const uint64_t running = world.submit(1, id, {"a", "b"});
+    world.run(1s);
+    const uint64_t finished = world.submit(2, id, {"a", "b"});
+    world.run(1s);
+    for (const uint64_t request : {first, running, finished})
+        BOOST_REQUIRE(world.answer(request));
+    BOOST_TEST((*world.answer(first) == *world.answer(finished)));
+    BOOST_TEST(world.startsOf(id).size() == 2u);
+    world.checkPromises();
+}
+
+// Guards against another body under a known id: it must neither start nor get the answer of the
+// first one.
+BOOST_AUTO_TEST_CASE(reusedIdIsRefused)
+{
+    TwoCentres world;
+    const SubmissionId id = world.open(0);
+    const uint64_t first = world.submit(0, id, {"a"});
+    const uint64_t other = world.submit(1, id, {"b"}, false, 5s, 8);
+    world.run(1s);
+    BOOST_TEST(world.answer(first));
+    BOOST_REQUIRE(world.failure(other));
+    BOOST_TEST((world.failure(other)->code == ErrorCode::IdReused));
+    BOOST_TEST(world.startsOf(id).size() == 1u);
+    world.checkPromises();
+}
+
+// Guards against work that starts again elsewhere, or on the restarted VM of the same name, after
+// its VM crashed.
+BOOST_AUTO_TEST_CASE(crashedVmIsNotTakenOver)
+{
+    TwoCentres world;
+    world.servers[0].runTime = 500ms;
+    const SubmissionId id = world.open(0);
+    const SubmissionId unused = world.open(0);
+    world.submit(0, id, {"a"});
+    world.run(100ms);
+    world.crashVm(0);
+    const uint64_t elsewhere = world.submit(2, id, {"a"});
+    world.run(1s);
+    BOOST_REQUIRE(world.failure(elsewhere));
+    BOOST_TEST((world.failure(elsewhere)->verdict == Verdict::MayHaveRun));
+    world.startVm(0);
+    world.run(1s);
+    const uint64_t restarted = world.submit(0, id, {"a"});
+    const uint64_t neverStarted = world.submit(2, unused, {"a"});
+    world.run(1s);
+    BOOST_REQUIRE(world.failure(restarted));
+    BOOST_TEST((world.failure(restarted)->verdict == Verdict::MayHaveRun));
+    BOOST_TEST((world.failure(neverStarted)->verdict == Verdict::MayHaveRun));
+    BOOST_TEST(world.startsOf(id).size() == 1u);
+    world.checkPromises();
+}
+
+// Guards against a VM cut off from the issuer that starts the tasks or claims "not run".
+BOOST_AUTO_TEST_CASE(partitionedVmAnswersMayHaveRun)
+{
+    TwoCentres world;
+    world.partition("vm0", "vm2");
+    const SubmissionId id = world.open(0);
+    const uint64_t first = world.submit(0, id, {"a"});
+    const uint64_t cutOff = world.submit(2, id, {"a"});
+    world.run(2s);
+    BOOST_TEST(world.answer(first));
+    BOOST_REQUIRE(world.failure(cutOff));
+    BOOST_TEST((world.failure(cutOff)->code == ErrorCode::IssuerUnreachable));
+    BOOST_TEST((world.failure(cutOff)->verdict == Verdict::MayHaveRun));
+    const uint64_t own = world.submit(2, world.open(2), {"b"});
+    world.run(1s);
+    BOOST_TEST(world.answer(own));
+    world.checkPromises();
+}
+
+// Guards against starts on a server that began to leave while the VM was paused. The events that
+// waited during the pause know nothing of it.
+BOOST_AUTO_TEST_CASE(pausedVmReadsTheViewBeforeItStarts)
+{
+    TwoCentres world;
+    const SubmissionId id = world.open(0);
+    world.pauseVm(0);
+    const uint64_t request = world.submit(0, id, {"a"}, false, 20s);
+    world.run(100ms);
+    world.markLeaving(0);
+    world.run(5s);
+    world.vms[0].inbox.resize(1); // the lists read during the pause never reached the process
+    world.resumeVm(0);
+    world.run(3s);
+    BOOST_TEST(world.vms[0].dispatcher->counters().pauses == 1u);
+    world.checkPromises();
+    BOOST_TEST((world.answer(request) || world.failure(request)));
+}
+
+// Guards against a start after the deadline by the first event that follows a pause.
+BOOST_AUTO_TEST_CASE(deadlinePassedDuringPause)
+{
+    TwoCentres world;
+    const SubmissionId id = world.open(0);
+    world.pauseVm(0);
+    const uint64_t request = world.submit(0, id, {"a"}, false, 1s);
+    world.run(30s);
+    world.resumeVm(0);
+    world.run(3s);
+    BOOST_REQUIRE(world.failure(request));
+    BOOST_TEST((world.failure(request)->verdict == Verdict::NotRun));
+    BOOST_TEST(world.startsOf(id).empty());
+    world.checkPromises();
+}
+
+// Guards against a cut request, a lost answer and a late start when a VM leaves in an orderly way.
+BOOST_AUTO_TEST_CASE(leavingVmHandsOverItsAnswers)
+{
+    TwoCentres world;
+    world.servers[0].runTime = 300ms;
+    const SubmissionId finished = world.open(0);
+    world.submit(0, finished, {"a"});
+    world.run(500ms);
+    const SubmissionId running = world.open(0);
+    const SubmissionId unused = world.open(0);
+    const uint64_t request = world.submit(0, running, {"b"});
+    world.run(10ms);
+    world.drain(0, "vm1");
+    const uint64_t refused = world.submit(0, unused, {"c"});
+    world.run(3s);
+    BOOST_TEST(world.answer(request));
+    BOOST_TEST(world.drainsFinished == 1u);
+    BOOST_TEST(world.wasLastDrainOrderly);
+    BOOST_TEST((world.failure(refused)->code == ErrorCode::Draining));
+    BOOST_TEST((world.failure(refused)->verdict == Verdict::NotRun));
+    const uint64_t again = world.submit(2, finished, {"a"});
+    const uint64_t atSuccessor = world.submit(1, running, {"b"});
+    const uint64_t never = world.submit(2, unused, {"c"});
+    world.run(1s);
+    BOOST_TEST(world.answer(again));
+    BOOST_TEST(world.answer(atSuccessor));
+    BOOST_REQUIRE(world.failure(never));
+    BOOST_TEST((world.failure(never)->verdict == Verdict::NotRun));
+    BOOST_TEST(world.startsOf(finished).size() == 1u);
+    world.checkPromises();
+}
+
+// Guards against a submission that the leaving VM starts after the successor may have answered
+// "not run" for its id.
+BOOST_AUTO_TEST_CASE(sealedLedgerStartsNothing)
+{
+    TwoCentres world;
+    const SubmissionId id = world.open(0);
+    world.next(Kind::HandoverAck, lost);
+    world.drain(0, "vm1");
+    world.run(50ms);
+    const uint64_t atSuccessor = world.submit(1, id, {"a"});
+    const uint64_t atIssuer = world.submit(0, id, {"a"});
+    world.run(3s);
+    BOOST_REQUIRE(world.failure(atSuccessor));
+    BOOST_TEST((world.failure(atSuccessor)->verdict == Verdict::NotRun));
+    BOOST_TEST((world.failure(atIssuer)->verdict == Verdict::NotRun));
+    BOOST_TEST(world.drainsFinished == 1u);
+    world.checkPromises();
+    BOOST_TEST(world.startsOf(id).empty());
+}
+
+// Guards against a hanging or untruthful end when the second signal cuts the drain short.
+BOOST_AUTO_TEST_CASE(secondSignalEndsWithTrueVerdicts)
+{
+    TwoCentres world;
+    world.servers[0].runTime = 5s;
+    const SubmissionId running = world.open(0);
+    const uint64_t first = world.submit(0, running, {"a"}, false, 20s);
+    std::vector<std::string> many(50, "x");
+    const SubmissionId job = world.open(0);
+    const uint64_t second = world.submit(0, job, many, false, 20s);
+    world.run(50ms);
+    world.drain(0, "vm1");
+    world.run(100ms);
+    BOOST_TEST(!world.failure(first));
+    world.drain(0, "vm1");
+    world.run(100ms);
+    BOOST_REQUIRE(world.failure(first));
+    BOOST_REQUIRE(world.failure(second));
+    BOOST_TEST((world.failure(first)->verdict != Verdict::NotRun));
+    BOOST_TEST((world.failure(second)->verdict != Verdict::NotRun));
+    BOOST_TEST(!world.wasLastDrainOrderly);
+    world.checkPromises();
+}
+
+// Guards against a drain that never ends because a task hangs.
+BOOST_AUTO_TEST_CASE(drainEndsAtItsDeadline)
+{
+    TwoCentres world;
+    world.servers[0].runTime = 300s;
+    const uint64_t request = world.submit(0, world.open(0), {"a"}, false, 50s);
+    world.run(50ms);
+    world.drain(0, "");
+    world.run(31s);
+    BOOST_TEST(world.drainsFinished == 1u);
+    BOOST_REQUIRE(world.failure(request));
+    BOOST_TEST((world.failure(request)->verdict != Verdict::NotRun));
+}
+
+// Guards against an old incarnation that keeps starting work next to its replacement.
+BOOST_AUTO_TEST_CASE(fencedVmStartsNothing)
+{
+    TwoCentres world;
+    world.servers[0].runTime = 1s;
+    const uint64_t running = world.submit(0, world.open(0), {"a"});
+    const SubmissionId job = world.open(0);
+    const uint64_t queued = world.submit(0, job, std::vector<std::string>(30, "x"));
+    const SubmissionId later = world.open(0);
+    world.run(50ms);
+    world.deliver(0, world.vms[0].self.incarnation, FenceRequested {});
+    const size_t started = world.starts.size();
+    const uint64_t refused = world.submit(0, later, {"b"});
+    world.run(3s);
+    BOOST_TEST(world.answer(running));
+    BOOST_REQUIRE(world.failure(queued));
+    BOOST_TEST((world.failure(queued)->code == ErrorCode::Fenced));
+    BOOST_TEST((world.failure(refused)->verdict == Verdict::NotRun));
+    BOOST_TEST(world.starts.size() == started);
+    world.checkPromises();
+}
+
+// VM 1 has no servers, so its work is lent to VM 0.
+namespace {
+
+struct LendWorld : TwoCentres
+{
+    LendWorld()
+    {
+        partition("vm1", "vm2");
+        run(3s); // the capacity of vm2 is forgotten
+        submit(1, open(1), {"warm"});
+        run(500ms);
+        starts.clear();
+        messages.clear();
+    }
+};
+
+} // namespace
+
+// Guards against lent work that is lost, or done twice, on the plain path.
+BOOST_AUTO_TEST_CASE(workIsLentToAPeer)
+{
+    LendWorld world;
+    const SubmissionId id = world.open(1);
+    const uint64_t request = world.submit(1, id, {"a", "b", "c"});
+    world.run(2s);
+    BOOST_TEST(world.answer(request));
+    BOOST_TEST(world.count(Kind::Lend) >= 1u);
+    BOOST_TEST(world.startsOf(id).size() == 3u);
+    world.checkPromises();
+}
+
+// Guards against a lend message that starts after an inquiry made the lender look elsewhere.
+BOOST_AUTO_TEST_CASE(delayedLendMeetsATombstone)
+{
+    LendWorld world;
+    world.servers[0].runTime = 2s;
+    world.next(Kind::Lend, {.delay = 900ms});
+    const SubmissionId id = world.open(1);
+    const uint64_t request = world.submit(1, id, {"a"}, false, 10s);
+    world.run(50ms);
+    world.deliver(1, world.vms[1].self.incarnation, LendLost {"vm0", world.lastLend, true});
+    world.run(8s);
+    BOOST_TEST(world.answer(request));
+    BOOST_TEST(world.startsOf(id).size() == 1u);
+    world.checkPromises();
+}
+
+// Guards against lent work that is forgotten when the messages about it are lost.
+BOOST_AUTO_TEST_CASE(lostLendMessagesAreInquiredAbout)
+{
+    for (const Kind kind : {Kind::Lend, Kind::LendReply, Kind::LendResult}) {
+        LendWorld world;
+        world.next(kind, lost);
+        const SubmissionId id = world.open(1);
+        const uint64_t request = world.submit(1, id, {"a"}, false, 10s);
+        world.run(5s);
+        BOOST_TEST(world.answer(request));
+        BOOST_TEST(world.startsOf(id).size() == 1u);
+        // After a lost reply the result itself tells how the task ended.
+        if (kind != Kind::LendReply)
+            BOOST_TEST(world.count(Kind::LendInquiry) >= 1u);
+        world.checkPromises();
+    }
+}
+
+// Guards against lent work that starts after the lend message has expired and its caller was told
+// that the cancellation is confirmed.
+BOOST_AUTO_TEST_CASE(expiredLendIsRefused)
+{
+    LendWorld world;
+    world.next(Kind::Lend, {.delay = 2500ms});
+    const SubmissionId id = world.open(1);
+    world.submit(1, id, {"a"}, false, 10s);
+    world.run(5ms);
+    world.partition("vm0", "vm1");
+    const uint64_t cancelled = world.cancel(1, id);
+    world.run(2100ms);
+    BOOST_REQUIRE(world.failure(cancelled));
+    BOOST_TEST((world.failure(cancelled)->verdict == Verdict::MayHaveRun));
+    world.checkPromises();
+    BOOST_TEST(world.startsOf(id).empty());
+}
+
+// Guards against "not run" for lent work whose borrower crashed.
+BOOST_AUTO_TEST_CASE(crashedBorrowerProvesNothing)
+{
+    LendWorld world;
+    world.servers[0].runTime = 1s;
+    const SubmissionId id = world.open(1);
+    const uint64_t request = world.submit(1, id, {"a"}, false, 8s);
+    world.run(100ms);
+    world.crashVm(0);
+    world.run(500ms);
+    world.startVm(0);
+    world.run(8s);
+    BOOST_REQUIRE(world.failure(request));
+    BOOST_TEST((world.failure(request)->verdict == Verdict::MayHaveRun));
+    BOOST_TEST(world.startsOf(id).size() == 1u);
+    world.checkPromises();
+}
+
+// Guards against lent work that keeps running after its cancellation was confirmed.
+BOOST_AUTO_TEST_CASE(lentWorkIsStopped)
+{
+    LendWorld world;
+    world.servers[0].runTime = 3s;
+    const SubmissionId id = world.open(1);
+    world.submit(1, id, {"a"}, false, 8s);
+    world.run(100ms);
+    const uint64_t cancelled = world.cancel(1, id);
+    world.run(1500ms);
+    BOOST_REQUIRE(world.failure(cancelled));
+    BOOST_TEST((world.failure(cancelled)->verdict == Verdict::Ran));
+    BOOST_TEST((world.startsOf(id).front().end == RunEnd::Stopped));
+    world.checkPromises();
+}
--- /dev/null
+++ b/tests/support/dispatch_world.h
@@ -0,0 +1,255 @@
+// Several dispatchers, fake backend servers and a faulty message seam in virtual time. The start
+// record of the fake servers is the ground truth.
+#pragma once
+
+#include "lovage/dispatch.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <map>
+#include <queue>
+
+namespace lovage::test {
+
+using namespace std::chrono_literals;
+
+inline const Time epoch = fromUnixMillis(1'700'000'000'000);
+
+enum class Kind {
+    Start,
+    StartReply,
+    Inquiry,
+    InquiryReply,
+    Stop,
+    StopReply,
+    Result,
+    Forward,
+    ForwardReply,
+    Lend,
+    LendReply,
+    LendResult,
+    LendInquiry,
+    LendInquiryReply,
+    Handover,
+    HandoverAck,
+    View
+};
+
+// What the seam does with one message.
+struct Fate
+{
+    bool isDropped = false;
+    Duration delay = 1ms;
+    std::optional<Duration> copyDelay; // set: a second copy arrives after this time
+};
+
+enum class RunEnd { Running, Succeeded, Failed, Stopped, Died };
+
+// One start in the record of a fake server.
+struct StartRecord
+{
+    TaskId id;
+    std::string server;
+    Time at;
+    RunEnd end = RunEnd::Running;
+    Time endedAt = Time::max();
+};
+
+struct FakeServer
+{
+    BackendInfo info;
+    uint64_t instance = 1;
+    bool isUp = true;
+    std::optional<Time> leavingSince; // as marked in the VM list; the server itself does not know
+    Duration runTime = 20ms;
+    double failShare = 0;
+    bool startsAfterRefusal = false; // misbehaves: runs tasks that it refused
+    bool acceptsExpired = false;     // misbehaves: ignores the expiry of starts
+    size_t answerPadding = 0;
+    bool isMalformed = false;
+
+    struct Run
+    {
+        size_t record = 0; // index into World::starts
+        std::string output;
+        RunEnd end = RunEnd::Running;
+        std::string holder;
+    };
+    std::map<std::string, Run> runs;
+    std::set<std::string> tombstones;
+    std::map<std::string, Time> leases;              // by holder VM
+    std::map<uint64_t, std::function<bool()>> waits; // open replies of executors; true: sent
+    std::vector<std::function<void()>> onCrash;
+    size_t running = 0;
+};
+
+// What a test submitted under an id.
+struct Submitted
+{
+    bool isRepeatable = false;
+    std::vector<std::string> inputs;
+    std::vector<uint64_t> requests;
+};
+
+struct Reply
+{
+    Time at;
+    SubmissionId id;
+    OutcomePtr outcome;
+};
+
+struct World
+{
+    struct Vm
+    {
+        std::string name;
+        std::string dataCentre;
+        Issuer self;
+        std::unique_ptr<Dispatcher> dispatcher;
+        bool isPaused = false;
+        bool isFinished = false;
+        std::vector<Event> inbox; // events that wait for the end of a pause
+        Time wakeAt = Time::max();
+        Duration pausedFor {};
+        std::map<uint32_t, Time> leaseUntil; // by backend, as this VM believes
+    };
+
+    explicit World(uint64_t seed = 1) : random(seed) { }
+
+    Time now = epoch;
+    Random random;
+    std::vector<Vm> vms;
+    std::vector<FakeServer> servers;
+    std::vector<StartRecord> starts;
+    std::map<uint64_t, Reply> replies;           // by request number
+    std::map<uint64_t, SubmissionId> opened;     // by request number
+    std::map<std::string, Submitted> submitted;  // by id; the first body only
+    std::map<uint64_t, SubmissionId> requestIds; // id that each submission or cancellation named
+    std::set<uint64_t> cancels;                  // requests that are cancellations
+    std::vector<std::pair<Kind, Time>> messages; // every message handed to the seam
+    std::function<Fate(Kind, const std::string &from, const std::string &to)> fate;
+    std::set<std::pair<std::string, std::string>> cut; // partitioned pairs, both orders
+    DispatcherOptions options;
+    uint64_t nextRequest = 0;
+    Duration replyTimeout = 300ms;
+    uint64_t lastLend = 0; // exchange of the last lend message
+    size_t drainsFinished = 0;
+    bool wasLastDrainOrderly = false;
+
+    // Set-up.
+    void addServer(const std::string &name, const std::string &dataCentre, BackendKind kind,
+                   uint32_t slots);
+    size_t addVm(const std::string &name, const std::string &dataCentre);
+    void startVm(size_t vm);
+    void publishView(size_t vm);
+
+    // Time.
+    void at(Time time, std::function<void()> action)
+    {
+        queue.push({time, ++order, std::move(action)});
+    }
+    void after(Duration delay, std::function<void()> action) { at(now + delay, std::move(action)); }
+    void run(Duration duration);
+
+    // Callers.
+    SubmissionId open(size_t vm);
+    uint64_t submit(size_t vm, const SubmissionId &id, std::vector<std::string> inputs,
+                    bool isRepeatable = false, Duration deadline = 5s, uint64_t digest = 7,
+                    const std::string &entry = "screen", const std::string &key = {});
+    uint64_t cancel(size_t vm, const SubmissionId &id);
+    const Error *failure(uint64_t request) const;
+    const Answer *answer(uint64_t request) const;
+    std::vector<StartRecord> startsOf(const SubmissionId &id) const;
+    size_t count(Kind kind) const;
+    size_t serverIndex(const std::string &name) const;
+
+    // Compares the record of the fake servers with every reply; one text per broken promise.
+    std::vector<std::string> violations() const;
+
+    // Faults.
+    void crashVm(size_t vm);
+    void pauseVm(size_t vm) { vms[vm].isPaused = true; }
+    void resumeVm(size_t vm);
+    void crashServer(size_t server);
+    void restartServer(size_t server);
+    void partition(const std::string &left, const std::string &right);
+    void heal() { cut.clear(); }
+    void markLeaving(size_t server);
+    void drain(size_t vm, const std::string &successor);
+
+    void deliver(size_t vm, uint64_t incarnation, Event event);
+
+private:
+    struct Timer
+    {
+        Time at;
+        uint64_t order;
+        std::function<void()> action;
+        bool operator<(const Timer &other) const
+        {
+            return std::tie(at, order) > std::tie(other.at, other.order);
+        }
+    };
+
+    size_t vmIndex(const std::string &name) const;
+
+    std::string holderOf(size_t vm) const;
+    bool isCut(const std::string &left, const std::string &right) const;
+    std::optional<Duration> post(Kind kind, const std::string &from, const std::string &to,
+                                 const std::function<void()> &arrive);
+    void step(size_t vm);
+    void wake(size_t vm);
+    void housekeep(size_t vm, uint64_t incarnation);
+    void renewLeases(size_t vm);
+    void stopLapsed(size_t server);
+    bool toVm(Kind kind, size_t from, const std::string &vm, const std::function<Event()> &make);
+
+    void perform(size_t vm, Action &action);
+    void perform(size_t vm, ReplyOpened &action);
+    void perform(size_t vm, CompleteSubmission &action);
+    void perform(size_t, ReplyState &) { }
+    void perform(size_t vm, ForwardSubmission &action);
+    void perform(size_t vm, ForwardCancel &action);
+    void perform(size_t, ForwardQuery &) { }
+    void perform(size_t vm, SendStarts &action);
+    void perform(size_t vm, SendInquiry &action);
+    void perform(size_t vm, SendStop &action);
+    void perform(size_t vm, SendLend &action);
+    void perform(size_t vm, SendLendInquiry &action);
+    void perform(size_t vm, SendLendReply &action);
+    void perform(size_t vm, SendLendResult &action);
+    void perform(size_t vm, SendLendInquiryReply &action);
+    void perform(size_t vm, HandOverLedger &action);
+    void perform(size_t vm, AcknowledgeHandover &action);
+    void perform(size_t vm, DrainFinished &action);
+    void forward(size_t vm, const std::string &target, uint64_t number,
+                 const std::function<Event(Origin)> &make);
+    void exchangeIds(size_t vm, uint32_t backend, uint64_t exchange, std::vector<TaskId> ids,
+                     bool stop);
+
+    // The contract of a backend server (docs/design.md, section 3.9).
+    std::vector<TaskReply> startAll(size_t server, const SendStarts &message,
+                                    const std::string &holder);
+    void begin(size_t server, const TaskId &id, const std::string &input,
+               const std::string &holder);
+    void endRun(size_t server, const std::string &id, RunEnd end);
+    TaskReply finalReply(size_t server, const TaskId &id);
+    TaskReply statusOf(size_t server, const TaskId &id, bool stop);
+    void pushResult(size_t server, const TaskId &id, const std::string &holder, Time until);
+    void replyWhenEnded(size_t server, std::vector<TaskReply> results,
+                        std::function<void(std::vector<TaskReply>)> reply);
+
+    std::priority_queue<Timer> queue;
+    uint64_t order = 0;
+    uint64_t nextIncarnation = 100;
+    uint64_t nextRemote = 0;
+    uint64_t nextWait = 0;
+    std::map<uint64_t, std::function<void(OutcomePtr)>> remoteRequests;
+};
+
+} // namespace lovage::test
+
+#include "dispatch_world_impl.h"
--- /dev/null
+++ b/tests/support/dispatch_world_check.h
@@ -0,0 +1,82 @@
+// Cross-check of replies and the start record of the fake servers.
+#pragma once
+
+#include "dispatch_world.h"
+
+namespace lovage::test {
+
+// The definition of "started twice" in docs/design.md, section 3.7.
+inline void checkStarts(const std::vector<StartRecord> &starts, bool isRepeatable,
+                        std::vector<std::string> &broken)
+{
+    for (size_t i = 0; i < starts.size(); ++i) {
+        for (size_t j = 0; j < i; ++j) {
+            const StartRecord &earlier = starts[j];
+            const StartRecord &later = starts[i];
+            if (earlier.id.index != later.id.index)
+                continue;
+            const std::string id = toString(later.id);
+            if (earlier.id.attempt == later.id.attempt)
+                broken.push_back("attempt started twice: " + id);
+            else if (!isRepeatable)
+                broken.push_back("second start of a task that is not repeatable: " + id);
+            else if (earlier.endedAt > later.at)
+                broken.push_back("started while an earlier attempt ran: " + id);
+            else if (earlier.end == RunEnd::Succeeded)
+                broken.push_back("started after an earlier attempt succeeded: " + id);
+        }
+    }
+}
+
+inline void checkAnswer(const Answer &answer, const Submitted &submitted, const std::string &id,
+                        std::vector<std::string> &broken)
+{
+    bool isRight = answer.tasks.size() == submitted.inputs.size();
+    for (size_t i = 0; isRight && i < answer.tasks.size(); ++i)
+        isRight = answer.tasks[i].output == outputOf(submitted.inputs[i]);
+    if (!isRight)
+        broken.push_back("partial or foreign answer: " + id);
+}
+
+inline std::vector<std::string> World::violations() const
+{
+    std::vector<std::string> broken;
+    std::map<std::string, std::vector<StartRecord>> bySubmission;
+    for (const StartRecord &start : starts)
+        bySubmission[toString(start.id.submission)].push_back(start);
+    for (const auto &[id, records] : bySubmission) {
+        const auto known = submitted.find(id);
+        checkStarts(records, known != submitted.end() && known->second.isRepeatable, broken);
+    }
+    for (const auto &[request, reply] : replies) {
+        // A keyed submission learns its id from the reply.
+        const SubmissionId &named = requestIds.at(request);
+        const std::string id = toString(named.sequence == 0 ? reply.id : named);
+        const auto started = bySubmission.find(id);
+        const bool hasStarted = started != bySubmission.end();
+        const Error *error = errorOf(*reply.outcome);
+        if (!error) {
+            const auto known = submitted.find(id);
+            if (known != submitted.end())
+                checkAnswer(std::get<Answer>(*reply.outcome), known->second, id, broken);
+            continue;
+        }
+        const bool isAboutBody = error->code == ErrorCode::IdReused;
+        if (error->verdict == Verdict::NotRun && hasStarted && !isAboutBody)
+            broken.push_back("not-run, but started: " + id + " " + error->reason);
+        if (!hasStarted || error->code != ErrorCode::Cancelled)
+            continue;
+        for (const StartRecord &start : started->second) {
+            if (start.at > reply.at)
+                broken.push_back("started after its cancellation was confirmed: " + id);
+        }
+    }
+    for (const StartRecord &start : starts) {
+        const FakeServer &server = servers[serverIndex(start.server)];
+        if (server.leavingSince && start.at > *server.leavingSince + 2s)
+            broken.push_back("start on a leaving server: " + toString(start.id));
+    }
+    return broken;
+}
+
+} // namespace lovage::test
