Move the backend codecs into namespace lovage::backend

Cause: src/settings has its own ObjectReader in namespace lovage; two classes of one name in one program break the one-definition rule. Conclusion: the codecs and their private reader live in lovage::backend.

--- a/include/lovage/backend.h
+++ b/include/lovage/backend.h
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace lovage {
+namespace lovage::backend {
 
 struct BodyLimits
 {
@@ -250,4 +250,4 @@
 std::string serialize(const std::vector<VmInfo> &vms);
 Result<std::vector<VmInfo>> parseVmList(std::string_view body, const BodyLimits &limits = {});
 
-} // namespace lovage
+} // namespace lovage::backend
--- a/src/backend/caller.cpp
+++ b/src/backend/caller.cpp
@@ -5,7 +5,7 @@
 
 #include <unordered_set>
 
-namespace lovage {
+namespace lovage::backend {
 
 namespace json = boost::json;
 
@@ -171,4 +171,4 @@
     return out;
 }
 
-} // namespace lovage
+} // namespace lovage::backend
--- a/src/backend/platform.cpp
+++ b/src/backend/platform.cpp
@@ -3,7 +3,7 @@
 
 #include <fmt/format.h>
 
-namespace lovage {
+namespace lovage::backend {
 
 namespace json = boost::json;
 
@@ -123,4 +123,4 @@
     return finishParse(body, std::move(vms));
 }
 
-} // namespace lovage
+} // namespace lovage::backend
--- a/src/backend/reader.cpp
+++ b/src/backend/reader.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace lovage {
+namespace lovage::backend {
 
 namespace json = boost::json;
 
@@ -230,4 +230,4 @@
     out += '"';
 }
 
-} // namespace lovage
+} // namespace lovage::backend
--- a/src/backend/reader.h
+++ b/src/backend/reader.h
@@ -8,7 +8,7 @@
 #include <functional>
 #include <initializer_list>
 
-namespace lovage {
+namespace lovage::backend {
 
 // A parsed body and the first error found in it. Values read after an error are defaults, so a
 // parse function checks the error once, at its end.
@@ -117,4 +117,4 @@
 // Appends a JSON string with quotes.
 void appendQuoted(std::string &out, std::string_view text);
 
-} // namespace lovage
+} // namespace lovage::backend
--- a/src/backend/server.cpp
+++ b/src/backend/server.cpp
@@ -6,7 +6,7 @@
 #include <iterator>
 #include <unordered_set>
 
-namespace lovage {
+namespace lovage::backend {
 
 namespace json = boost::json;
 
@@ -285,4 +285,4 @@
     return finishParse(body, std::move(results));
 }
 
-} // namespace lovage
+} // namespace lovage::backend
--- a/tests/backend_codec_test.cpp
+++ b/tests/backend_codec_test.cpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 using namespace lovage;
+using namespace lovage::backend;
 using namespace std::chrono_literals;
 
 namespace {
