--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -174,7 +174,8 @@
 class UdpSocket
 {
 public:
-    using Handler = std::function<void(std::string_view bytes)>; // runs on the I/O thread
+    // Runs on the I/O thread.
+    using Handler = std::function<void(const Endpoint &from, std::string_view bytes)>;
 
     static Result<std::unique_ptr<UdpSocket>> open(IoThreads &threads, size_t thread,
                                                    const Endpoint &local, Handler handler);
--- a/src/net/udp.cpp
+++ b/src/net/udp.cpp
@@ -20,14 +20,16 @@
 
     void receive()
     {
-        socket_.async_receive_from(asio::buffer(buffer_), from_,
-                                   [self = shared_from_this()](error_code error, size_t count) {
-                                       if (error == asio::error::operation_aborted)
-                                           return;
-                                       if (!error)
-                                           self->handler_({self->buffer_.data(), count});
-                                       self->receive();
-                                   });
+        socket_.async_receive_from(
+                asio::buffer(buffer_), from_,
+                [self = shared_from_this()](error_code error, size_t count) {
+                    if (error == asio::error::operation_aborted)
+                        return;
+                    if (!error)
+                        self->handler_({self->from_.address().to_string(), self->from_.port()},
+                                       {self->buffer_.data(), count});
+                    self->receive();
+                });
     }
 
     void send(const Endpoint &to, std::string bytes)
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -141,10 +141,12 @@
     BOOST_TEST((frame.get_future().get() == large));
 
     std::promise<std::string> datagram;
-    auto receiver = UdpSocket::open(threads, 1, {"127.0.0.1", 0}, [&](std::string_view bytes) {
-        datagram.set_value(std::string(bytes));
-    });
-    auto sender = UdpSocket::open(threads, 0, {"127.0.0.1", 0}, [](std::string_view) {});
+    auto receiver = UdpSocket::open(threads, 1, {"127.0.0.1", 0},
+                                    [&](const Endpoint &, std::string_view bytes) {
+                                        datagram.set_value(std::string(bytes));
+                                    });
+    auto sender = UdpSocket::open(threads, 0, {"127.0.0.1", 0},
+                                  [](const Endpoint &, std::string_view) {});
     sender.value()->send({"127.0.0.1", receiver.value()->port()}, "beat");
     BOOST_TEST(datagram.get_future().get() == "beat");
     threads.stop();
