Add daemon and lovaged: decision thread, adapters, callers' interface, life cycle

One decision thread drives Dispatcher, Membership, CatalogueFollower and CataloguePublisher from a queue that is drained in batches. I/O threads parse, authenticate, encode and answer catalogue reads, health and metrics.

Requests are refused on I/O threads only for reasons that lie in the request: any other refusal has to be recorded in the ledger, or a delayed copy could start after the caller saw not-run.

--- /dev/null
+++ b/src/daemon/counters.h
@@ -0,0 +1,81 @@
+// Metrics of the daemon, looked up once.
+#pragma once
+
+#include "lovage/dispatch.h"
+#include "lovage/net.h"
+#include "lovage/telemetry.h"
+
+#include <string>
+
+namespace lovage::daemon {
+
+// Bytes and messages of one kind of control traffic.
+struct TrafficCounters
+{
+    TrafficCounters(Metrics &metrics, const std::string &kind);
+
+    void sent(size_t bytes);
+    void received(size_t bytes);
+
+    Counter &sentBytes;
+    Counter &receivedBytes;
+    Counter &sentMessages;
+    Counter &receivedMessages;
+};
+
+// Size of an HTTP message on the wire, without the header fields that the client adds.
+size_t wireBytes(const HttpRequest &request);
+size_t wireBytes(const HttpResponse &response);
+
+struct DaemonCounters
+{
+    explicit DaemonCounters(Metrics &metrics);
+
+    // Carries the counts of the decision libraries over. Called by the decision thread.
+    void sync(const DispatchCounters &counters);
+
+    TrafficCounters peerTraffic;
+    TrafficCounters logTraffic;
+    TrafficCounters vmListTraffic;
+    TrafficCounters leaseTraffic;
+
+    Counter &callerRequests;
+    Counter &callerRefusals; // answered with 4xx or 5xx
+    LatencyHistogram &callerLatency;
+    Counter &malformedPeerMessages;
+    Counter &unauthorizedPeerMessages;
+    Counter &replayedPeerMessages;
+    Counter &stalePeerMessages;
+    Counter &unencodedPeerMessages;
+    Counter &unreachablePeers; // messages to a VM without a known address
+    Counter &malformedServerAnswers;
+    Counter &failedServerExchanges;
+    Counter &leaseLapses;
+    Counter &logErrors;
+    Counter &vmListErrors;
+    Counter &publishes;
+    Counter &publishFailures;
+    Gauge &catalogueOffset;
+    Gauge &inFlight;
+    Gauge &queuedTasks;
+    Gauge &ejectedServers;
+    Gauge &aliveMembers;
+    Gauge &ledgerBytes;
+    Gauge &ledgerRecords;
+    Gauge &state; // DaemonState as a number
+    Gauge &followerState;
+
+private:
+    struct Mirror
+    {
+        Counter *counter;
+        uint64_t DispatchCounters::*field;
+        uint64_t last = 0;
+    };
+    std::vector<Mirror> mirrors_;
+};
+
+// Processor time and resident memory of this process, invariants and traces, in Prometheus text.
+std::string processMetricsText(const Tracer &tracer);
+
+} // namespace lovage::daemon
--- /dev/null
+++ b/src/daemon/decision.h
@@ -0,0 +1,197 @@
+// The decision thread's state: the decision libraries and what connects them.
+#pragma once
+
+#include "backendlink.h"
+#include "lifecycle.h"
+#include "peerlink.h"
+#include "platformlink.h"
+#include "shared.h"
+
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace lovage::daemon {
+
+// Feeds every input to the decision library it concerns and carries out the resulting actions.
+// Used by one thread only.
+class Decision : private LifeCycleActions
+{
+public:
+    Decision(Shared &shared, IoThreads &threads, PeerLink &peers, PlatformLink &platform,
+             BackendLink &backends, uint64_t seed, Time now);
+    ~Decision();
+
+    // Handles the inputs, then everything that is due, and carries out all actions.
+    void run(std::vector<Input> &batch);
+    // Longest wait for the next call of run().
+    Duration nextWait();
+    // The drain has ended. Callers that still come are refused.
+    bool hasFinished() const { return hasFinished_; }
+    // Address in the introductions to other VMs. Set before the first run().
+    void setHttpAddress(std::string address) { httpAddress_ = std::move(address); }
+
+private:
+    // A request that was forwarded to another VM. Sent again until it is answered, because frames
+    // are lost with a connection; the receiver recognises repetitions.
+    struct Forwarded
+    {
+        std::string vm;
+        WireMessage message;
+        Time nextSend {};
+        Time until {};
+        std::optional<Span> span;
+    };
+    struct OpenLend
+    {
+        std::string vm;
+        Time until {};
+        std::optional<Span> span;
+    };
+    // Trace of a sampled submission.
+    struct TraceMark
+    {
+        TraceContext context;
+        Time accepted {};
+        bool hasStarted = false;
+        Time until {};
+    };
+    struct PeerInfo
+    {
+        Member member;
+        uint64_t introducedTo = 0; // incarnation of the peer that was told our HTTP address
+        std::string httpAddress;
+        std::string successor; // announced with its departure
+    };
+
+    // decision.cpp: inputs and time
+    void on(Event &event);
+    void on(CallerInput &input);
+    void on(PublishInput &input);
+    void on(StatusInput &input);
+    void on(PeerInput &input);
+    void on(VmListInput &input);
+    void on(WorkerResults &input);
+    void on(LeaseAnswer &input);
+    void on(LogPage &input);
+    void on(LogError &input);
+    void on(AppendReplied &input);
+    void on(AppendFailed &input);
+    void on(StopInput &input);
+    void dispatch(Event event);
+    void tick(Time now);
+    void updateMetrics(Time now);
+    void checkReady(Time now);
+    void flushTraces();
+
+    // decision_actions.cpp: actions of the Dispatcher
+    void performActions();
+    void perform(ReplyOpened &action);
+    void perform(CompleteSubmission &action);
+    void perform(ReplyState &action);
+    void perform(ForwardSubmission &action);
+    void perform(ForwardCancel &action);
+    void perform(ForwardQuery &action);
+    void perform(SendStarts &action);
+    void perform(SendInquiry &action);
+    void perform(SendStop &action);
+    void perform(SendLend &action);
+    void perform(SendLendInquiry &action);
+    void perform(SendLendReply &action);
+    void perform(SendLendResult &action);
+    void perform(SendLendInquiryReply &action);
+    void perform(HandOverLedger &action);
+    void perform(AcknowledgeHandover &action);
+    void perform(DrainFinished &action);
+    std::optional<WaitingCaller> takeCaller(uint64_t request);
+    void answer(WaitingCaller caller, HttpResponse response);
+    void forward(uint64_t number, const std::string &vm, WireMessage message, Time until,
+                 std::optional<Span> span);
+    void loseForwards(const std::string &vm);
+    const TraceMark *findTrace(const SubmissionId &id) const;
+    std::optional<Span> startSpan(const SendStarts &action, Time now);
+
+    // decision_peers.cpp: messages of peers, membership, catalogue
+    struct MessageVisitor;
+    void performAll(const std::vector<MembershipAction> &actions);
+    void performAll(const std::vector<FollowerAction> &actions);
+    void performAll(const std::vector<PublisherAction> &actions);
+    void perform(const SendMembership &action);
+    void perform(const PollVmList &action);
+    void perform(const PeerOffsetSeen &action);
+    void perform(const PeerCapacitySeen &action);
+    void perform(const RelayChanged &action);
+    void perform(const BackendShares &action);
+    void perform(const PeerLostSeen &action);
+    void perform(const PeerLeavingSeen &action);
+    void perform(const FenceSelf &action);
+    void perform(const BeginDrain &action);
+    void perform(const ReadLog &action);
+    void perform(const SendCatalogueMessage &action);
+    void perform(const PublishCatalogue &action);
+    void perform(const AppendSnapshot &action);
+    void perform(const FollowerStateChanged &action);
+    void perform(const PeerDiverged &action);
+    void perform(const AppendChange &action);
+    void perform(const ReadBack &action);
+    void perform(const PublishFinished &action);
+    void feed(const MembershipEvent &event);
+    void feed(const FollowerEvent &event);
+    void feed(const PublisherEvent &event);
+    void refreshPeers();
+    void sendOwnStatus(Time now);
+    void sendLoanRequests(Time now);
+    // False if the VM is unknown or dead.
+    bool sendTo(const std::string &vm, const WireMessage &message);
+    std::string redirectAddress() const;
+
+    // status.cpp
+    std::string statusText() const;
+
+    // LifeCycleActions
+    void enterServing() override;
+    void enterDraining() override;
+    void endDrainNow() override;
+    void enterStopped(bool wasOrderly) override;
+
+    Shared &shared_;
+    IoThreads &threads_;
+    PeerLink &peerLink_;
+    PlatformLink &platform_;
+    BackendLink &backends_;
+
+    Dispatcher dispatcher_;
+    Membership membership_;
+    CatalogueFollower follower_;
+    CataloguePublisher publisher_;
+    LifeCycle lifeCycle_;
+
+    // Added to the numbers of forwards and lends, so that a late reply to an earlier process of
+    // this VM matches nothing.
+    const uint64_t numberBase_;
+    Time started_;
+    Time nextHousekeeping_ {};
+    Time nextLoanRequests_ {};
+    Time nextTraceFlush_ {};
+    Time nextDispatcherTick_ {};
+    bool hasBackends_ = false;
+    bool hasFinished_ = false;
+    bool isDrainFinished_ = false;
+    bool wasOrderly_ = true;
+    bool hasToldSuccessor_ = false;
+    bool hasSharesChanged_ = false;
+    Time listAsOf_ {};
+    std::string httpAddress_;
+
+    uint64_t lastRequest_ = 0;
+    std::unordered_map<uint64_t, WaitingCaller> callers_;
+    std::map<uint64_t, HttpServer::Reply> publishes_;
+    std::unordered_map<uint64_t, Forwarded> forwards_;
+    std::unordered_map<uint64_t, OpenLend> lends_;
+    std::map<SubmissionId, TraceMark> traces_;
+    std::map<std::string, PeerInfo> peers_;
+    std::set<std::string> divergedPeers_;
+    std::unique_ptr<HttpClient> traceClient_;
+};
+
+} // namespace lovage::daemon
--- /dev/null
+++ b/src/daemon/decision_peers.cpp
@@ -0,0 +1,451 @@
+#include "callerapi.h"
+#include "decision.h"
+
+namespace lovage::daemon {
+
+namespace {
+
+constexpr Duration traceLifetime = std::chrono::minutes(1);
+
+// Capacity as carried by heartbeats: the slots by kind and band, then the largest free amounts on
+// one worker. Empty without any free capacity.
+std::vector<uint32_t> encodeCapacity(const PeerCapacity &capacity)
+{
+    std::vector<uint32_t> words;
+    bool isFree = false;
+    for (const auto &kind : capacity.freeSlots) {
+        for (const uint32_t slots : kind) {
+            words.push_back(slots);
+            isFree = isFree || slots > 0;
+        }
+    }
+    const Demand &free = capacity.freeOnWorkers;
+    words.insert(words.end(), {free.milliCores, free.memoryMb, free.accelerators});
+    return isFree ? words : std::vector<uint32_t>();
+}
+
+PeerCapacity decodeCapacity(const std::string &vm, const std::vector<uint32_t> &words)
+{
+    PeerCapacity capacity;
+    capacity.vm = vm;
+    constexpr size_t length = 2 * PeerCapacity::bands + 3;
+    if (words.size() != length)
+        return capacity;
+    size_t next = 0;
+    for (auto &kind : capacity.freeSlots) {
+        for (uint32_t &slots : kind)
+            slots = words[next++];
+    }
+    capacity.freeOnWorkers = {words[next], words[next + 1], words[next + 2]};
+    return capacity;
+}
+
+BackendInfo toInfo(const VmListEntry &entry)
+{
+    BackendInfo info;
+    info.name = entry.name;
+    info.dataCentre = entry.dataCentre;
+    info.rack = entry.rack;
+    info.address = entry.address.host;
+    info.port = entry.address.port;
+    info.kind = entry.role == VmRole::Worker ? BackendKind::Worker : BackendKind::Executor;
+    info.slots = entry.slots;
+    info.capacity = entry.capacity;
+    info.leaving = entry.leaving;
+    return info;
+}
+
+} // namespace
+
+// Handles one verified message of another VM.
+struct Decision::MessageVisitor
+{
+    Decision &self;
+    const std::string &sender;
+    uint64_t incarnation;
+    PeerAddress from;
+
+    template<class Message>
+    void toMembership(Message &message)
+    {
+        self.feed(MembershipEvent(MessageReceived {from, std::move(message)}));
+    }
+    template<class Message>
+    void toFollower(Message &message)
+    {
+        self.feed(FollowerEvent(PeerMessage {sender, std::move(message)}));
+    }
+    uint64_t own(uint64_t number) const { return number - self.numberBase_; }
+
+    void operator()(Heartbeat &message) { toMembership(message); }
+    void operator()(Summary &message) { toMembership(message); }
+    void operator()(Leaving &message) { toMembership(message); }
+    void operator()(VmListUpdate &message) { toMembership(message); }
+    void operator()(CatalogueRequest &message) { toFollower(message); }
+    void operator()(CatalogueRecords &message) { toFollower(message); }
+    void operator()(CatalogueSnapshot &message) { toFollower(message); }
+    void operator()(wire::ForwardSubmit &message)
+    {
+        const auto parent = parseTraceparent(message.traceparent);
+        if (parent && message.key.empty())
+            self.traces_[message.id] = {*parent, currentTime(), false,
+                                        message.deadline + traceLifetime};
+        self.dispatch(SubmitRequested {RemoteCaller {sender, message.request}, message.id,
+                                       message.key, message.owner, message.entry,
+                                       message.bodyDigest, message.deadline, message.repeatable,
+                                       std::move(message.tasks)});
+    }
+    void operator()(wire::ForwardReply &message)
+    {
+        const auto found = self.forwards_.find(own(message.request));
+        if (found == self.forwards_.end() || found->second.vm != sender)
+            return;
+        if (found->second.span)
+            self.shared_.tracer.finish(std::move(*found->second.span), currentTime());
+        self.forwards_.erase(found);
+        self.dispatch(ForwardReplied {own(message.request), message.outcome, message.isRunning});
+    }
+    void operator()(wire::ForwardCancel &message)
+    {
+        self.dispatch(CancelRequested {RemoteCaller {sender, message.request}, message.id,
+                                       message.owner});
+    }
+    void operator()(wire::ForwardQuery &message)
+    {
+        self.dispatch(
+                QueryRequested {RemoteCaller {sender, message.request}, message.id, message.owner});
+    }
+    void operator()(wire::Lend &message)
+    {
+        if (const auto parent = parseTraceparent(message.traceparent)) {
+            for (const LentTask &task : message.tasks)
+                self.traces_[task.id.submission] = {*parent, currentTime(), false,
+                                                    task.need.deadline + traceLifetime};
+        }
+        self.dispatch(LendReceived {sender, message.exchange, message.expectedIncarnation,
+                                    message.expiry, std::move(message.tasks)});
+    }
+    void operator()(wire::LendReply &message)
+    {
+        const auto found = self.lends_.find(message.exchange);
+        if (found == self.lends_.end() || found->second.vm != sender)
+            return;
+        if (found->second.span)
+            self.shared_.tracer.finish(std::move(*found->second.span), currentTime());
+        self.lends_.erase(found);
+        self.dispatch(LendReplied {sender, incarnation, own(message.exchange),
+                                   std::move(message.results)});
+    }
+    void operator()(wire::LendResult &message)
+    {
+        self.dispatch(LendFinished {sender, incarnation, std::move(message.results)});
+    }
+    void operator()(wire::LendInquiry &message)
+    {
+        self.dispatch(
+                LendInquiryReceived {sender, message.exchange, std::move(message.ids), false});
+    }
+    void operator()(wire::LendStop &message)
+    {
+        self.dispatch(LendInquiryReceived {sender, message.exchange, std::move(message.ids), true});
+    }
+    void operator()(wire::LendInquiryReply &message)
+    {
+        self.dispatch(LendInquiryReplied {sender, incarnation, own(message.exchange),
+                                          std::move(message.results)});
+    }
+    void operator()(LoanRequest &message)
+    {
+        if (message.borrower != sender)
+            return;
+        if (auto grant = self.dispatcher_.admission().quotas().grant(message, currentTime()))
+            self.sendTo(sender, std::move(*grant));
+    }
+    void operator()(LoanGrant &message)
+    {
+        if (message.giver == sender)
+            self.dispatcher_.admission().quotas().accept(message, currentTime());
+    }
+    void operator()(wire::LedgerHandover &message)
+    {
+        self.dispatch(HandoverReceived {sender, std::move(message.part)});
+    }
+    void operator()(wire::LedgerAck &message)
+    {
+        self.dispatch(HandoverAcknowledged {message.part, message.issuer});
+    }
+    void operator()(wire::LedgerMoved &message)
+    {
+        if (message.issuer.vm == sender)
+            self.dispatch(IssuerSealed {message.issuer, message.successor});
+    }
+    void operator()(wire::Introduction &message)
+    {
+        self.peers_[sender].httpAddress = std::move(message.httpAddress);
+    }
+};
+
+void Decision::on(PeerInput &input)
+{
+    Envelope &envelope = input.envelope;
+    PeerAddress from {input.from.address, input.from.port};
+    const auto peer = peers_.find(envelope.sender);
+    if (from.port == 0 && peer != peers_.end())
+        from = peer->second.member.address;
+    MessageVisitor visitor {*this, envelope.sender, envelope.incarnation, from};
+    std::visit(visitor, envelope.message);
+}
+
+bool Decision::sendTo(const std::string &vm, const WireMessage &message)
+{
+    const auto found = peers_.find(vm);
+    if (found == peers_.end() || found->second.member.address.port == 0
+        || found->second.member.state == MemberState::Dead) {
+        shared_.counters.unreachablePeers.add();
+        return false;
+    }
+    peerLink_.send(vm, found->second.member.address, message);
+    return true;
+}
+
+void Decision::refreshPeers()
+{
+    std::set<std::string> known;
+    for (Member &member : membership_.members()) {
+        known.insert(member.name);
+        PeerInfo &peer = peers_[member.name];
+        peer.member = std::move(member);
+        const bool isNew = peer.member.state == MemberState::Alive
+                && peer.introducedTo != peer.member.incarnation;
+        if (isNew && !httpAddress_.empty()) {
+            peer.introducedTo = peer.member.incarnation;
+            sendTo(peer.member.name, wire::Introduction {httpAddress_});
+        }
+    }
+    std::erase_if(peers_, [&known](const auto &item) { return !known.contains(item.first); });
+}
+
+std::string Decision::redirectAddress() const
+{
+    std::string remote;
+    for (const auto &[name, peer] : peers_) {
+        if (peer.member.state != MemberState::Alive || peer.httpAddress.empty())
+            continue;
+        if (peer.member.dataCentre == shared_.settings.dataCentre)
+            return peer.httpAddress;
+        if (remote.empty())
+            remote = peer.httpAddress;
+    }
+    return remote;
+}
+
+void Decision::sendOwnStatus(Time now)
+{
+    OwnStatus status;
+    status.catalogueOffset = follower_.catalogue().offset();
+    status.followsLog = follower_.state() == FollowerState::FollowingLog;
+    status.capacity = encodeCapacity(dispatcher_.advertisedCapacity(now));
+    feed(MembershipEvent(std::move(status)));
+}
+
+void Decision::sendLoanRequests(Time now)
+{
+    std::vector<std::string> usable;
+    for (const auto &[name, peer] : peers_) {
+        if (peer.member.state == MemberState::Alive && peer.member.hearsThisVm)
+            usable.push_back(name);
+    }
+    for (LoanRequest &request : dispatcher_.admission().quotas().loanRequests(usable, now)) {
+        const std::string giver = request.giver;
+        sendTo(giver, std::move(request));
+    }
+}
+
+void Decision::feed(const MembershipEvent &event)
+{
+    performAll(membership_.handle(event, currentTime()));
+}
+
+void Decision::feed(const FollowerEvent &event)
+{
+    performAll(follower_.handle(event, currentTime()));
+}
+
+void Decision::feed(const PublisherEvent &event)
+{
+    performAll(publisher_.handle(event, currentTime()));
+}
+
+void Decision::performAll(const std::vector<MembershipAction> &actions)
+{
+    for (const MembershipAction &action : actions)
+        std::visit([this](const auto &typed) { perform(typed); }, action);
+}
+
+// The publisher is told once, after all actions of the step.
+void Decision::performAll(const std::vector<FollowerAction> &actions)
+{
+    bool hasAdvanced = false;
+    for (const FollowerAction &action : actions) {
+        hasAdvanced = hasAdvanced || std::holds_alternative<PublishCatalogue>(action)
+                || std::holds_alternative<FollowerStateChanged>(action);
+        std::visit([this](const auto &typed) { perform(typed); }, action);
+    }
+    if (hasAdvanced)
+        feed(PublisherEvent(FollowerAdvanced {follower_.state(), follower_.catalogue()}));
+}
+
+void Decision::performAll(const std::vector<PublisherAction> &actions)
+{
+    for (const PublisherAction &action : actions)
+        std::visit([this](const auto &typed) { perform(typed); }, action);
+}
+
+void Decision::perform(const SendMembership &action)
+{
+    const WireMessage message =
+            std::visit([](const auto &typed) { return WireMessage(typed); }, action.message);
+    peerLink_.send(action.vm, action.address, message);
+}
+
+void Decision::perform(const PollVmList &)
+{
+    platform_.pollVmList(currentTime());
+}
+
+void Decision::perform(const PeerOffsetSeen &action)
+{
+    feed(FollowerEvent(PeerOffset {action.vm, action.offset}));
+}
+
+void Decision::perform(const PeerCapacitySeen &action)
+{
+    dispatch(PeerCapacityChanged {decodeCapacity(action.vm, action.capacity)});
+}
+
+void Decision::perform(const RelayChanged &action)
+{
+    logEvent(LogLevel::Info, "relay", {{"vm", action.relay}, {"self", action.isSelf}});
+    feed(FollowerEvent(RelayUpdate {action.isSelf, action.localPeers}));
+}
+
+void Decision::perform(const BackendShares &action)
+{
+    hasBackends_ = true;
+    hasSharesChanged_ = true;
+    BackendsChanged changed;
+    for (const VmListEntry &entry : action.backends)
+        changed.backends.push_back(toInfo(entry));
+    changed.ownShare = action.ownShare;
+    changed.asOf = listAsOf_ == Time() ? currentTime() : listAsOf_;
+    logEvent(LogLevel::Info, "backend_servers",
+             {{"known", changed.backends.size()}, {"own_share", changed.ownShare.size()}});
+    dispatch(std::move(changed));
+}
+
+void Decision::perform(const PeerLostSeen &action)
+{
+    logEvent(LogLevel::Warning, "peer_lost",
+             {{"vm", action.vm}, {"incarnation", action.incarnation}});
+    dispatch(PeerLost {action.vm});
+    loseForwards(action.vm);
+    // The message that names the successor may have been lost.
+    const auto peer = peers_.find(action.vm);
+    if (peer != peers_.end() && !peer->second.successor.empty())
+        dispatch(IssuerSealed {{peer->second.member.dataCentre, action.vm, action.incarnation},
+                               peer->second.successor});
+}
+
+void Decision::perform(const PeerLeavingSeen &action)
+{
+    logEvent(LogLevel::Info, "peer_leaving", {{"vm", action.vm}, {"successor", action.successor}});
+    // Its ledger moves only when its work is done; until then it answers for its ids itself.
+    peers_[action.vm].successor = action.successor;
+}
+
+void Decision::perform(const FenceSelf &action)
+{
+    logEvent(LogLevel::Error, "fenced", {{"higher_incarnation", action.higherIncarnation}});
+    dispatch(FenceRequested {});
+}
+
+void Decision::perform(const BeginDrain &)
+{
+    if (lifeCycle_.state() != DaemonState::Draining)
+        lifeCycle_.stopRequested();
+}
+
+void Decision::perform(const ReadLog &action)
+{
+    platform_.readLog(action);
+}
+
+void Decision::perform(const SendCatalogueMessage &action)
+{
+    const WireMessage message =
+            std::visit([](const auto &typed) { return WireMessage(typed); }, action.message);
+    sendTo(action.vm, message);
+}
+
+void Decision::perform(const PublishCatalogue &action)
+{
+    const uint64_t offset = action.catalogue.offset();
+    {
+        const auto current = shared_.catalogue.read();
+        LOVAGE_ASSERT_INVARIANT(Promise::CatalogueForward, !current || current->offset() <= offset,
+                                "catalogue in force would go back");
+    }
+    shared_.catalogue.publish(std::make_unique<const Catalogue>(action.catalogue));
+    shared_.counters.catalogueOffset.set(static_cast<int64_t>(offset));
+    logEvent(LogLevel::Info, "catalogue", {{"offset", offset}});
+    dispatch(CatalogueChanged {action.catalogue});
+    sendOwnStatus(currentTime());
+}
+
+void Decision::perform(const AppendSnapshot &action)
+{
+    platform_.appendSnapshot(action);
+}
+
+void Decision::perform(const FollowerStateChanged &action)
+{
+    const bool isAlarm = action.state == FollowerState::LogBehind;
+    logEvent(isAlarm ? LogLevel::Error : LogLevel::Info, "follower",
+             {{"state", toString(action.state)}, {"reason", action.reason}});
+}
+
+void Decision::perform(const PeerDiverged &action)
+{
+    if (divergedPeers_.insert(action.vm).second)
+        logEvent(LogLevel::Error, "peer_diverged", {{"vm", action.vm}, {"offset", action.offset}});
+}
+
+void Decision::perform(const AppendChange &action)
+{
+    platform_.appendChange(action);
+}
+
+void Decision::perform(const ReadBack &action)
+{
+    feed(FollowerEvent(LogGrew {action.offset}));
+}
+
+void Decision::perform(const PublishFinished &action)
+{
+    const auto found = publishes_.find(action.token);
+    if (found == publishes_.end())
+        return;
+    const HttpServer::Reply reply = std::move(found->second);
+    publishes_.erase(found);
+    if (action.error) {
+        shared_.counters.publishFailures.add();
+        reply(failureResponse({}, *action.error));
+        return;
+    }
+    shared_.counters.publishes.add();
+    HttpResponse response;
+    response.body = fmt::format("{{\"accepted\":true,\"offset\":{}}}", action.offset);
+    reply(std::move(response));
+}
+
+} // namespace lovage::daemon
--- /dev/null
+++ b/src/daemon/inputs.h
@@ -0,0 +1,108 @@
+// Everything that reaches the decision thread, and the queue that carries it.
+#pragma once
+
+#include "lovage/catalogue.h"
+#include "lovage/dispatch.h"
+#include "lovage/membership.h"
+#include "lovage/net.h"
+#include "lovage/protocol.h"
+#include "lovage/telemetry.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lovage::daemon {
+
+// A caller that waits for its reply.
+struct WaitingCaller
+{
+    HttpServer::Reply reply;
+    std::string id;           // as the caller wrote it; for failure bodies
+    std::optional<Span> span; // of the caller's request
+    Time received {};
+    bool wantsSpareIds = false;
+    std::string spareIds; // header value of the answer
+    bool isOpen = false;  // POST /v1/submissions
+};
+
+// A caller's request for the Dispatcher. The decision thread sets the origin of the event.
+struct CallerInput
+{
+    Event event;
+    WaitingCaller caller;
+};
+
+struct PublishInput
+{
+    ChangeRecord change;
+    HttpServer::Reply reply;
+};
+
+struct StatusInput
+{
+    HttpServer::Reply reply;
+};
+
+// A verified message of another VM. `from` is empty for messages over TCP.
+struct PeerInput
+{
+    Endpoint from;
+    Envelope envelope;
+};
+
+// Reply to a poll of the VM list, or nothing if it failed.
+struct VmListInput
+{
+    std::optional<std::vector<VmListEntry>> vms;
+    std::string reason;
+    Time asOf {}; // when the poll was sent
+};
+
+// Reply of a worker to the long poll for results.
+struct WorkerResults
+{
+    uint32_t backend = 0;
+    bool isFailed = false;
+    uint64_t instance = 0;
+    uint64_t next = 0;
+    std::optional<uint32_t> freeSlots;
+    bool leaving = false;
+    std::vector<TaskReply> results;
+};
+
+// A worker answered the renewal of the leases of this VM, or did not.
+struct LeaseAnswer
+{
+    uint32_t backend = 0;
+    bool isRenewed = false;
+    Time sentAt {};
+};
+
+struct StopInput
+{ };
+
+using Input = std::variant<Event, CallerInput, PublishInput, StatusInput, PeerInput, VmListInput,
+                           WorkerResults, LeaseAnswer, LogPage, LogError, AppendReplied,
+                           AppendFailed, StopInput>;
+
+// Queue of the decision thread. Producers hold a mutex for the time of one move; the consumer takes
+// the whole batch.
+class InputQueue
+{
+public:
+    // Thread safe.
+    void push(Input input);
+    // Waits until there is input, or for the duration. Replaces the content of the batch.
+    void take(std::vector<Input> &batch, Duration wait);
+
+private:
+    std::mutex mutex_;
+    std::condition_variable ready_;
+    std::vector<Input> inputs_;
+    bool isWaiting_ = false;
+};
+
+} // namespace lovage::daemon
