--- a/bench/placement_sim_run.h
+++ b/bench/placement_sim_run.h
@@ -132,8 +132,17 @@
             instance.queue.hold(workClass);
         }
     }
-    for (auto &[key, tasks] : starts)
-        sendBatch(index, key.second, std::move(tasks));
+    for (const auto &[key, tasks] : starts) {
+        const size_t limit = instance.placement->batchLimit(tasks.front().task.need);
+        std::vector<TaskRef> part;
+        for (const TaskRef &task : tasks) {
+            part.push_back(task);
+            if (part.size() == limit)
+                sendBatch(index, key.second, std::exchange(part, {}));
+        }
+        if (!part.empty())
+            sendBatch(index, key.second, std::move(part));
+    }
     for (auto &[key, tasks] : lends)
         sendLend(index, key.second, std::move(tasks));
 }
