--- a/include/lovage/dispatch.h
+++ b/include/lovage/dispatch.h
@@ -262,7 +262,7 @@
 struct IssuerSealed
 {
     Issuer issuer;
-    std::string successor;
+    std::string successor; // empty: none, its ids may have run
 };
 // As successor: a part of a handed-over ledger.
 struct HandoverReceived
@@ -408,7 +408,8 @@
     Issuer issuer;
     uint32_t part = 0;
 };
-// The process may exit. Every caller has its reply among the actions up to this one.
+// The process may exit. Every caller has its reply among the actions up to this one; requests that
+// wait in the event queue of the daemon are still to be passed, and are refused.
 struct DrainFinished
 {
     bool wasOrderly = true; // false: ended by the deadline or the second signal
--- a/include/lovage/ledger.h
+++ b/include/lovage/ledger.h
@@ -193,7 +193,7 @@
 
     // Takes over the answers of a sealed ledger; repeated parts change nothing.
     void import(LedgerPart part, Time now);
-    // Remembers which VM answers for the ids of a sealed ledger.
+    // Remembers which VM answers for the ids of a sealed ledger; empty if none does.
     void noteSuccessor(const Issuer &issuer, const std::string &successorVm, Time now);
 
     // Drops records beyond retention or size. Call about once per second.
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -2,7 +2,6 @@
 
 namespace lovage {
 
-
 namespace {
 
 // Interval of the work that needs no precise time: expiry of records and of borrowed tasks.
@@ -116,7 +115,7 @@
             endAttempt(submission, task, AttemptEnd::Lost, {}, false, now);
         }
         if (submission.isBorrowed())
-            finishBorrowed(submission, {submission.lentId, TaskStatus::Lost}, now);
+            finishBorrowed(submission, {submission.loan->id, TaskStatus::Lost}, now);
         else
             forget(submission);
         return;
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -69,6 +69,7 @@
     void refuse(const Origin &origin, const SubmissionId &id, Error error);
     void complete(const Origin &origin, const SubmissionId &id, OutcomePtr outcome);
     void addWaiter(const SubmissionId &id, const Origin &origin);
+    bool mayForward(const Origin &origin) const;
     uint64_t addForward(const Origin &origin, const SubmissionId &id, Time until);
     void loseForward(uint64_t forward);
 
@@ -191,9 +192,10 @@
     size_t borrowed_ = 0;   // active borrowed tasks
     uint64_t lastBorrowed_ = 0;
     uint64_t lastAccepted_ = 0; // highest sequence of a started submission
-    boost::unordered_flat_map<uint64_t, Batch> exchanges_; // start replies that are open
-    std::vector<Batch> batches_;                           // not flushed yet
-    bool hasStopped_ = false;                              // a stop was wanted since the last flush
+    boost::unordered_flat_map<uint64_t, dispatch::Exchange>
+            exchanges_;          // start replies that are open
+    std::vector<Batch> batches_; // not flushed yet
+    bool hasStopped_ = false;    // a stop was wanted since the last flush
     uint64_t lastExchange_ = 0;
     bool isStartable_ = false; // something changed since the last pump
 
--- a/src/dispatch/engine_borrow.cpp
+++ b/src/dispatch/engine_borrow.cpp
@@ -59,10 +59,8 @@
     submission.need = std::move(lent.need);
     submission.remaining = 1;
     submission.tasks.resize(1);
-    submission.lender = event.vm;
-    submission.startBy = event.expiry;
-    submission.lentId = lent.id;
-    submission.lentInput = std::move(lent.input);
+    submission.loan = std::make_unique<dispatch::Loan>(
+            dispatch::Loan {event.vm, lent.id, std::move(lent.input), event.expiry});
     setEnd(submission, submission.need.deadline);
     ++borrowed_;
     ++counters_.borrowed;
@@ -93,9 +91,9 @@
 
 void Dispatcher::Engine::finishBorrowed(Submission &submission, TaskReply reply, Time now)
 {
-    const std::string lender = submission.lender;
+    const std::string lender = submission.loan->lender;
     BorrowedRecord record {.state = BorrowedState::Finished, .submission = 0, .reply = reply};
-    remember(submission.lentId, std::move(record), now);
+    remember(submission.loan->id, std::move(record), now);
     std::vector<TaskReply> results;
     results.push_back(std::move(reply));
     actions_.push_back(SendLendResult {lender, std::move(results)});
--- a/src/dispatch/engine_inquiry.cpp
+++ b/src/dispatch/engine_inquiry.cpp
@@ -18,7 +18,7 @@
 TaskId Dispatcher::Engine::idOf(const Submission &submission, uint32_t index) const
 {
     if (submission.isBorrowed())
-        return submission.lentId;
+        return submission.loan->id;
     return {submission.id, index, submission.tasks[index].attempt};
 }
 
--- a/src/dispatch/engine_reply.cpp
+++ b/src/dispatch/engine_reply.cpp
@@ -101,7 +101,7 @@
     const auto open = exchanges_.find(exchange);
     if (open == exchanges_.end() || open->second.server != server)
         return;
-    const Batch batch = std::move(open->second);
+    const dispatch::Exchange batch = std::move(open->second);
     exchanges_.erase(open);
     // A reply that leaves out a task says nothing about it.
     for (const TaskRef &ref : batch.refs) {
@@ -128,7 +128,7 @@
     const auto open = exchanges_.find(exchange);
     if (open == exchanges_.end() || open->second.server != server)
         return;
-    const Batch batch = std::move(open->second);
+    const dispatch::Exchange batch = std::move(open->second);
     exchanges_.erase(open);
     for (const TaskRef &ref : batch.refs) {
         const Located found = locate(ref);
--- a/src/dispatch/engine_result.cpp
+++ b/src/dispatch/engine_result.cpp
@@ -68,7 +68,7 @@
                             "a started attempt counted as not run");
     endAttempt(submission, task, end, {}, true, now);
     if (submission.isBorrowed()) {
-        finishBorrowed(submission, {submission.lentId, TaskStatus::Refused}, now);
+        finishBorrowed(submission, {submission.loan->id, TaskStatus::Refused}, now);
         return;
     }
     if (submission.abort) {
@@ -134,7 +134,7 @@
     markStarted(submission, task);
     endAttempt(submission, task, end, reply.ran, false, now);
     if (submission.isBorrowed()) {
-        reply.id = submission.lentId;
+        reply.id = submission.loan->id;
         finishBorrowed(submission, std::move(reply), now);
         return;
     }
@@ -153,7 +153,7 @@
     submission.anyUnknown = true;
     endAttempt(submission, task, AttemptEnd::Lost, {}, false, now);
     if (submission.isBorrowed())
-        finishBorrowed(submission, {submission.lentId, TaskStatus::Lost}, now);
+        finishBorrowed(submission, {submission.loan->id, TaskStatus::Lost}, now);
     else if (submission.abort)
         settle(submission, now);
     else
--- a/src/dispatch/engine_start.cpp
+++ b/src/dispatch/engine_start.cpp
@@ -28,8 +28,8 @@
         const Progress progress = tryStart(*task, now);
         if (progress == Progress::Ended)
             continue;
-        const std::string held = progress == Progress::ClassWaits ? task->need.workClass
-                                                                  : task->need.owner;
+        const std::string held =
+                progress == Progress::ClassWaits ? task->need.workClass : task->need.owner;
         queue.unpop(std::move(*task));
         if (progress == Progress::ClassWaits)
             queue.hold(held);
@@ -94,7 +94,9 @@
         admission_.retries().started(submission.need.owner);
     Batch &batch = openBatch(server, submission, now);
     batch.refs.push_back({submission.number, index, task.attempt});
-    batch.expiry = std::min({batch.expiry, submission.need.deadline, submission.startBy});
+    batch.expiry = std::min(batch.expiry, submission.need.deadline);
+    if (submission.isBorrowed())
+        batch.expiry = std::min(batch.expiry, submission.loan->startBy);
 }
 
 // The batch of this server that the task may join. The reply of an executor comes when the whole
@@ -146,8 +148,8 @@
             flushLend(batch);
         else
             flushStarts(batch);
-        const uint64_t exchange = batch.exchange;
-        exchanges_.emplace(exchange, std::move(batch));
+        exchanges_.emplace(batch.exchange,
+                           dispatch::Exchange {batch.server, std::move(batch.refs)});
     }
     batches_.clear();
     hasStopped_ = false;
@@ -174,7 +176,7 @@
             continue;
         const Submission &submission = *found.submission;
         SharedInput input = submission.isBorrowed()
-                ? submission.lentInput
+                ? submission.loan->input
                 : SharedInput(submission.inputs, &(*submission.inputs)[ref.index].input);
         starts.tasks.push_back({idOf(submission, ref.index), std::move(input)});
     }
--- a/src/dispatch/engine_submit.cpp
+++ b/src/dispatch/engine_submit.cpp
@@ -53,8 +53,7 @@
         complete(event.origin, finished->id, std::move(finished->outcome));
     } else if (const auto *refusal = std::get_if<Refuse>(&decision)) {
         complete(event.origin, event.id, makeOutcome(refusal->error));
-    } else if (std::holds_alternative<RemoteCaller>(event.origin)) {
-        // A forwarded request is not forwarded again, so that stale views cannot form a loop.
+    } else if (!mayForward(event.origin)) {
         complete(event.origin, event.id, makeOutcome(issuerUnreachable()));
     } else {
         const Time until = std::max(event.deadline, now) + options_.forwardWait;
@@ -170,7 +169,7 @@
         complete(event.origin, event.id, std::move(finished->outcome));
     } else if (const auto *refusal = std::get_if<Refuse>(&decision)) {
         complete(event.origin, event.id, makeOutcome(refusal->error));
-    } else if (std::holds_alternative<RemoteCaller>(event.origin)) {
+    } else if (!mayForward(event.origin)) {
         complete(event.origin, event.id, makeOutcome(issuerUnreachable()));
     } else {
         const Time until = now + options_.cancelWait + options_.forwardWait;
@@ -190,7 +189,7 @@
     } else if (!std::holds_alternative<ForwardTo>(decision)) {
         const bool isRunning = std::holds_alternative<AlreadyRunning>(decision);
         actions_.push_back(ReplyState {event.origin, event.id, isRunning});
-    } else if (std::holds_alternative<RemoteCaller>(event.origin)) {
+    } else if (!mayForward(event.origin)) {
         complete(event.origin, event.id, makeOutcome(issuerUnreachable()));
     } else {
         const uint64_t forward = addForward(event.origin, event.id, now + options_.forwardWait);
@@ -199,6 +198,15 @@
     }
 }
 
+// A forwarded request is not forwarded again, so that stale views cannot form a loop. Once the
+// ledger is handed over, nothing is left to wait for a reply.
+bool Dispatcher::Engine::mayForward(const Origin &origin) const
+{
+    const bool isLeaving =
+            state_ == DispatcherState::HandingOver || state_ == DispatcherState::Finished;
+    return std::holds_alternative<LocalCaller>(origin) && !isLeaving;
+}
+
 uint64_t Dispatcher::Engine::addForward(const Origin &origin, const SubmissionId &id, Time until)
 {
     const uint64_t forward = ++lastForward_;
--- a/src/dispatch/work.h
+++ b/src/dispatch/work.h
@@ -36,6 +36,15 @@
     bool stopWanted = false;
 };
 
+// What only borrowed tasks have.
+struct Loan
+{
+    std::string lender;
+    TaskId id;
+    SharedInput input;
+    Time startBy; // expiry of the lend message
+};
+
 // A submission of this VM, or one borrowed task.
 struct Submission
 {
@@ -55,14 +64,9 @@
     std::vector<Task> tasks;
     std::vector<std::string> outputs;
     std::vector<Origin> waiters;
+    std::unique_ptr<Loan> loan; // borrowed tasks only
 
-    // Borrowed tasks only.
-    std::string lender;
-    TaskId lentId;
-    SharedInput lentInput;
-    Time startBy = never; // expiry of the lend message
-
-    bool isBorrowed() const { return !lender.empty(); }
+    bool isBorrowed() const { return loan != nullptr; }
 };
 
 struct Server
@@ -87,7 +91,14 @@
     uint32_t openBatch = noServer; // index into the batches that are not flushed yet
 };
 
-// A start or lend message that is being filled, or whose reply is open.
+// A start or lend message whose reply is open.
+struct Exchange
+{
+    uint32_t server = noServer;
+    std::vector<TaskRef> refs;
+};
+
+// A start or lend message that is being filled.
 struct Batch
 {
     uint32_t server = noServer;
--- a/src/ledger/ledger.cpp
+++ b/src/ledger/ledger.cpp
@@ -251,7 +251,8 @@
     if (imported != imported_.end())
         return findImported(imported->second, id, owner);
     const auto successor = successors_.find(issuer);
-    if (successor != successors_.end() && successor->second.vm != options_.self.vm)
+    const bool hasSuccessor = successor != successors_.end() && !successor->second.vm.empty();
+    if (hasSuccessor && successor->second.vm != options_.self.vm)
         return ForwardTo {successor->second.vm};
     // Another incarnation of this VM issued it. Only the issuer may start it, and it is gone.
     const bool isOwnName = id.vm == options_.self.vm && id.dataCentre == options_.self.dataCentre;
--- a/src/ledger/record_store.cpp
+++ b/src/ledger/record_store.cpp
@@ -10,7 +10,7 @@
 // Bytes of one finished record beside its outcome: the slots of the hash table at its mean fill,
 // the entry of the finish order and the control block of the outcome. Measured by
 // bench/dispatch_bench.
-constexpr size_t recordBytes = 144;
+constexpr size_t recordBytes = 192;
 
 size_t bytesOf(const Outcome &outcome)
 {
--- a/tests/dispatch_vm_test.cpp
+++ b/tests/dispatch_vm_test.cpp
@@ -358,6 +358,8 @@
     BOOST_TEST((world.failure(cancelled)->verdict == Verdict::MayHaveRun));
     world.checkPromises();
     BOOST_TEST(world.startsOf(id).empty());
+    // The borrower refuses by itself and does not leave it to its backend server.
+    BOOST_TEST(world.count(Kind::Start) == 0u);
 }
 
 // Guards against "not run" for lent work whose borrower crashed.
