--- a/src/net/iothreads.h
+++ b/src/net/iothreads.h
@@ -13,11 +13,20 @@
 
 namespace lovage {
 
+// An event loop whose pending handlers can be dropped before it is destroyed. Handlers of one loop
+// may own sockets of another, so all loops drop their handlers before the first one is destroyed.
+class EventLoop : public boost::asio::io_context
+{
+public:
+    EventLoop() : io_context(1) { }
+    void dropHandlers() { shutdown(); }
+};
+
 struct IoThreads::Implementation
 {
     using WorkGuard = boost::asio::executor_work_guard<boost::asio::io_context::executor_type>;
 
-    std::vector<std::unique_ptr<boost::asio::io_context>> contexts;
+    std::vector<std::unique_ptr<EventLoop>> contexts;
     std::vector<WorkGuard> guards;
     std::vector<std::thread> threads;
 };
