--- a/tools/lovagefake/server.cpp
+++ b/tools/lovagefake/server.cpp
@@ -18,6 +18,8 @@
 constexpr Duration resultRetention = 60s;
 constexpr Duration usageLag = 1s;
 
+constexpr std::string_view instanceHeader = "Lovage-Instance";
+
 HttpResponse failure(int status, const Error &error)
 {
     return {status, "application/json", {}, backend::serializeFailure("", error)};
@@ -101,16 +103,15 @@
     ledger_.countMessage(std::string(path.substr(path.rfind('/') + 1)));
     if (path == "/v1/starts") {
         if (faults_.delayStartMs == 0) {
-            start(request.body, reply);
+            start(request, reply);
             return;
         }
         const Duration delay(static_cast<int64_t>(faults_.delayStartMs * 1000));
-        threads_.postAfter(thread_, delay,
-                           [this, reply, body = std::move(request.body), at = generation_] {
-                               const std::lock_guard delayedLock(mutex_);
-                               if (at == generation_)
-                                   start(body, reply);
-                           });
+        threads_.postAfter(thread_, delay, [this, reply, request = std::move(request)] {
+            const std::lock_guard delayedLock(mutex_);
+            if (faults_.crash == 0)
+                start(request, reply);
+        });
     } else if (path == "/v1/results") {
         results(request.body, reply);
     } else if (path == "/v1/inquiries" || path == "/v1/stops") {
@@ -137,7 +138,16 @@
         body.resize(body.size() / 2);
     if (faults_.oversize != 0)
         body.append(static_cast<size_t>(faults_.oversize), ' ');
-    reply({200, "application/json", {}, std::move(body)});
+    reply({200,
+           "application/json",
+           {{std::string(instanceHeader), std::to_string(instance())}},
+           std::move(body)});
+}
+
+// Grows with each crash, so that callers notice the loss of tasks and tombstones.
+uint64_t BackendServer::instance() const
+{
+    return firstInstance_ + generation_;
 }
 
 bool BackendServer::fits(const Demand &demand) const
@@ -163,9 +173,9 @@
         usage_.pop_front();
 }
 
-void BackendServer::start(const std::string &body, const HttpServer::Reply &reply)
+void BackendServer::start(const HttpRequest &message, const HttpServer::Reply &reply)
 {
-    const auto request = backend::parseStartRequest(body);
+    const auto request = backend::parseStartRequest(message.body);
     if (!request) {
         ledger_.countMessage("malformed");
         reply(failure(400, request.error()));
@@ -174,12 +184,17 @@
     const Time now = currentTime();
     if (config_.kind == BackendKind::Worker && request.value().lease > Duration::zero())
         setLease(request.value().holder, request.value().lease, now);
+    const std::string_view expected = message.header(instanceHeader);
+    const bool isForOther =
+            !expected.empty() && expected != "0" && expected != std::to_string(instance());
     auto batch = std::make_shared<Batch>();
     batch->reply = reply;
     batch->wait = request.value().wait;
     ledger_.countMessage("startedOrRefusedTasks", request.value().tasks.size());
     for (const backend::TaskStart &task : request.value().tasks) {
-        TaskResult result = startOne(task, request.value(), batch, now);
+        TaskResult result = isForOther
+                ? TaskResult {task.id, TaskStatus::Refused, "", "sent to another instance", {}}
+                : startOne(task, request.value(), batch, now);
         if (result.status == TaskStatus::Refused)
             ledger_.countMessage("refusedTasks");
         if (result.status == TaskStatus::Duplicate)
--- a/tools/lovagefake/server.h
+++ b/tools/lovagefake/server.h
@@ -94,7 +94,7 @@
 
     using Lock = std::unique_lock<std::mutex>;
 
-    void start(const std::string &body, const HttpServer::Reply &reply);
+    void start(const HttpRequest &message, const HttpServer::Reply &reply);
     backend::TaskResult startOne(const backend::TaskStart &task,
                                  const backend::StartRequest &request,
                                  const std::shared_ptr<Batch> &batch, Time now);
@@ -109,6 +109,7 @@
     void setLease(const std::string &holder, Duration lease, Time now);
     void checkLease(const std::string &holder);
     void crash();
+    uint64_t instance() const;
     void sendStartReply(Batch &batch);
     void send(const HttpServer::Reply &reply, std::string body);
     bool fits(const Demand &demand) const;
@@ -125,6 +126,7 @@
     std::optional<Time> leavingSince_;
     Random random_;
     uint64_t generation_ = 0; // counts crashes
+    const uint64_t firstInstance_ = static_cast<uint64_t>(currentTime().time_since_epoch().count());
     uint32_t running_ = 0;
     Demand used_ {0};
     std::map<std::string, Task> tasks_;
