--- a/include/lovage/catalogue.h
+++ b/include/lovage/catalogue.h
@@ -323,11 +323,11 @@
     Duration readTimeout = std::chrono::seconds(2);     // beyond the requested wait
     Duration retryMin = std::chrono::milliseconds(200);
     Duration retryMax = std::chrono::seconds(2); // bounds the time to notice that the log is back
-    // Start-up. The relay reads after a random delay up to startJitter; other VMs leave the relay
-    // time to pass on what it read, and read the log themselves after startFallback plus up to half
-    // of it.
+    // Start-up. The relay reads after a random delay up to startJitter. Other VMs leave it time to
+    // read and to show its offset in a heartbeat: they read the log themselves after startFallback
+    // plus up to a quarter of it, which is within the 2 s that a start may take.
     Duration startJitter = std::chrono::milliseconds(200);
-    Duration startFallback = std::chrono::milliseconds(1000);
+    Duration startFallback = std::chrono::milliseconds(1300);
     Duration peerTimeout = std::chrono::milliseconds(700);
     // Snapshots.
     Duration logRetention = std::chrono::hours(1);
--- a/src/catalogue/follower.cpp
+++ b/src/catalogue/follower.cpp
@@ -141,7 +141,7 @@
 
 CatalogueFollower::Impl::Impl(FollowerOptions followerOptions, uint64_t seed, Time now)
     : options(followerOptions), random(seed), history(options.historyRecords, options.historyBytes),
-      nextReadAt(now + options.startFallback + randomUpTo(options.startFallback / 2))
+      nextReadAt(now + options.startFallback + randomUpTo(options.startFallback / 4))
 { }
 
 Duration CatalogueFollower::Impl::randomUpTo(Duration bound)
@@ -333,6 +333,9 @@
     const bool isFull = page.records.size() >= options.pageRecords;
     const bool isScanning = scanFrom && !page.records.empty();
     const bool isOutdated = machine.state() == FollowerState::FollowingPeers;
+    // More records are known to follow, so a long poll would only return them twice.
+    if (isFull)
+        verifiedAt = Time {};
     if (isFull || isScanning || readAgain) {
         nextReadAt = now;
     } else if (isRelay && !scanFrom && !isOutdated) {
