--- a/tests/dispatch_start_test.cpp
+++ b/tests/dispatch_start_test.cpp
@@ -230,10 +230,9 @@
             return Fate {false, Duration(world.random.below(20'000)),
                          Duration(world.random.below(200'000))};
         };
-        std::vector<uint64_t> requests;
-        for (int i = 0; i < 50; ++i)
-            requests.push_back(
-                    world.submitNew(i % 2, {fmt::format("{}-a", i), fmt::format("{}-b", i)}));
+        std::vector<uint64_t> requests(50);
+        for (size_t i = 0; i < requests.size(); ++i)
+            requests[i] = world.submitNew(i % 2, {fmt::format("{}-a", i), fmt::format("{}-b", i)});
         world.run(5s);
         for (const uint64_t request : requests)
             BOOST_TEST(world.answer(request));
--- a/tests/dispatch_vm_test.cpp
+++ b/tests/dispatch_vm_test.cpp
@@ -277,9 +277,19 @@
     world.checkPromises();
 }
 
-// VM 1 has no servers, so its work is lent to VM 0.
 namespace {
 
+LendReceived lendOf(const SubmissionId &id, Time expiry)
+{
+    LentTask task {{id, 0, 0}, {}, std::make_shared<const std::string>("x")};
+    task.need.workClass = "screen";
+    task.need.owner = "team";
+    task.need.deadline = expiry;
+    return {"vm1", 1, 0, expiry, {task}};
+}
+
+// VM 1 has no servers, so its work is lent to VM 0.
+
 struct LendWorld : TwoCentres
 {
     LendWorld()
@@ -295,6 +305,48 @@
 
 } // namespace
 
+// Guards against a fenced VM that starts the work of others.
+BOOST_AUTO_TEST_CASE(fencedVmBorrowsNothing)
+{
+    LendWorld world;
+    const uint64_t incarnation = world.vms[0].self.incarnation;
+    const SubmissionId id {"dc1", "vm1", 9, 1};
+    world.deliver(0, incarnation, FenceRequested {});
+    world.deliver(0, incarnation, lendOf(id, world.now + 1s));
+    world.run(1s);
+    BOOST_TEST(world.startsOf(id).empty());
+    BOOST_TEST(world.count(Kind::Start) == 0u);
+}
+
+// Guards against a start message for a task that was stopped before the message was written.
+BOOST_AUTO_TEST_CASE(taskStoppedInTheSameBatchIsNotSent)
+{
+    LendWorld world;
+    const SubmissionId id {"dc1", "vm1", 9, 1};
+    Dispatcher &borrower = *world.vms[0].dispatcher;
+    borrower.handle(lendOf(id, world.now + 1s), world.now);
+    borrower.handle(LendInquiryReceived {"vm1", 2, {{id, 0, 0}}, true}, world.now);
+    world.deliver(0, world.vms[0].self.incarnation, Tick {});
+    world.run(1s);
+    BOOST_TEST(world.startsOf(id).empty());
+    BOOST_TEST(world.count(Kind::Start) == 0u);
+}
+
+// Guards against a start by the very first event after a pause, before the clock was checked: the
+// server may have begun to leave meanwhile.
+BOOST_AUTO_TEST_CASE(firstEventAfterPauseStartsNothing)
+{
+    LendWorld world;
+    const SubmissionId id {"dc1", "vm1", 9, 1};
+    world.pauseVm(0);
+    world.markLeaving(0);
+    world.run(5s);
+    world.vms[0].inbox.assign(1, lendOf(id, world.now + 1s));
+    world.resumeVm(0);
+    world.checkPromises();
+    BOOST_TEST(world.startsOf(id).empty());
+}
+
 // Guards against lent work that is lost, or done twice, on the plain path.
 BOOST_AUTO_TEST_CASE(workIsLentToAPeer)
 {
--- a/tests/ledger_submit_test.cpp
+++ b/tests/ledger_submit_test.cpp
@@ -55,7 +55,7 @@
     }
     SubmissionId finished(const std::string &output)
     {
-        const SubmissionId id = open();
+        SubmissionId id = open();
         submit(id);
         ledger.finish(id, outcomeOf(output), now);
         return id;
@@ -264,9 +264,9 @@
     LedgerOptions options = optionsOf("vm0", 5);
     options.handoverPartBytes = 1000;
     ledger = Ledger(options, begin);
-    std::vector<SubmissionId> ids;
-    for (int i = 0; i < 20; ++i)
-        ids.push_back(finished(std::string(300, 'x')));
+    std::vector<SubmissionId> ids(20);
+    for (SubmissionId &id : ids)
+        id = finished(std::string(300, 'x'));
     const SubmissionId unused = open();
     ledger.seal();
     const std::vector<LedgerPart> parts = ledger.handover();
