--- a/src/net/iothreads.cpp
+++ b/src/net/iothreads.cpp
@@ -97,7 +97,7 @@
     auto &contexts = implementation_->contexts;
     implementation_->threads.reserve(threadCount);
     for (size_t i = 0; i < threadCount; ++i) {
-        contexts.push_back(std::make_unique<asio::io_context>(1));
+        contexts.push_back(std::make_unique<EventLoop>());
         implementation_->guards.push_back(asio::make_work_guard(*contexts.back()));
         implementation_->threads.emplace_back([context = contexts.back().get()] {
             const RcuThread reader;
@@ -109,6 +109,8 @@
 IoThreads::~IoThreads()
 {
     stop();
+    for (auto &context : implementation_->contexts)
+        context->dropHandlers();
 }
 
 size_t IoThreads::count() const
