--- a/src/daemon/callerapi.cpp
+++ b/src/daemon/callerapi.cpp
@@ -80,7 +80,6 @@
     Call call;
     call.identity = identify(request);
     call.request = std::move(request);
-    call.path = call.request.path();
     call.reply = [this, reply = std::move(reply)](HttpResponse response) {
         if (response.status >= 400)
             shared_.counters.callerRefusals.add();
@@ -93,9 +92,8 @@
 void CallerApi::route(Call call)
 {
     const std::string &method = call.request.method;
-    // The strings below outlive the moves of the call.
-    const std::string path(call.path);
-    call.path = path;
+    // A copy, because the call is moved on while the path is still read.
+    const std::string path(call.request.path());
     if (path == "/v1/health")
         return health(call);
     if (path == "/metrics")
--- a/src/daemon/callerapi.h
+++ b/src/daemon/callerapi.h
@@ -34,7 +34,6 @@
         HttpRequest request;
         HttpServer::Reply reply;
         Identity identity;
-        std::string_view path; // of the request
     };
 
     Identity identify(const HttpRequest &request) const;
--- a/src/daemon/decision.cpp
+++ b/src/daemon/decision.cpp
@@ -136,7 +136,7 @@
         dispatcher_.handle(Tick {}, now);
     performActions();
     nextDispatcherTick_ = dispatcher_.nextWake(currentTime());
-    if (isDrainFinished_ && !hasFinished_ && publishes_.empty())
+    if (isDrainFinished_ && !hasFinished_ && publishes_.empty() && !hasKeyedForwards())
         lifeCycle_.drainFinished(wasOrderly_);
 }
 
@@ -159,6 +159,8 @@
 
 void Decision::on(CallerInput &input)
 {
+    if (forwardKeyed(input))
+        return;
     const uint64_t request = ++lastRequest_;
     const LocalCaller origin {request};
     WaitingCaller &caller = callers_[request];
@@ -258,18 +260,17 @@
         dispatch(std::move(event));
     refreshPeers();
     sendOwnStatus(now);
-    for (auto it = forwards_.begin(); it != forwards_.end();) {
-        Forwarded &forwarded = it->second;
+    std::vector<uint64_t> overdue;
+    for (auto &[number, forwarded] : forwards_) {
         if (now > forwarded.until) {
-            it = forwards_.erase(it);
-            continue;
-        }
-        if (now >= forwarded.nextSend) {
+            overdue.push_back(number);
+        } else if (now >= forwarded.nextSend) {
             forwarded.nextSend = now + forwardResend;
             sendTo(forwarded.vm, forwarded.message);
         }
-        ++it;
     }
+    for (const uint64_t number : overdue)
+        loseForward(number);
     std::vector<Event> lost;
     for (auto it = lends_.begin(); it != lends_.end();) {
         if (now < it->second.until) {
--- a/src/daemon/decision.h
+++ b/src/daemon/decision.h
@@ -41,6 +41,7 @@
         Time nextSend {};
         Time until {};
         std::optional<Span> span;
+        std::optional<WaitingCaller> caller; // of a keyed submission; the Dispatcher knows nothing
     };
     struct OpenLend
     {
@@ -107,7 +108,12 @@
     void answer(WaitingCaller caller, HttpResponse response);
     void forward(uint64_t number, const std::string &vm, WireMessage message, Time until,
                  std::optional<Span> span);
+    void loseForward(uint64_t number);
     void loseForwards(const std::string &vm);
+    // Sends a keyed submission to the home of its key. False if this VM is the home.
+    bool forwardKeyed(CallerInput &input);
+    std::string homeOf(const std::string &key) const;
+    bool hasKeyedForwards() const;
     const TraceMark *findTrace(const SubmissionId &id) const;
     std::optional<Span> startSpan(const SendStarts &action, Time now);
 
--- a/src/daemon/decision_actions.cpp
+++ b/src/daemon/decision_actions.cpp
@@ -3,6 +3,8 @@
 
 #include "lovage/backend.h"
 
+#include <algorithm>
+
 namespace lovage::daemon {
 
 namespace {
@@ -11,7 +13,6 @@
 constexpr size_t maxTasksEncodedHere = 8;
 constexpr Duration lendReplyWait = std::chrono::milliseconds(500);
 constexpr Duration forwardMargin = std::chrono::seconds(3);
-constexpr Duration traceLifetime = std::chrono::minutes(1);
 
 std::string joined(const std::vector<SubmissionId> &ids)
 {
@@ -143,8 +144,12 @@
         return;
     }
     const Time now = currentTime();
-    forwards_[number] = {vm, std::move(message), now + std::chrono::milliseconds(500),
-                         until + forwardMargin, std::move(span)};
+    forwards_[number] = {vm,
+                         std::move(message),
+                         now + std::chrono::milliseconds(500),
+                         until + forwardMargin,
+                         std::move(span),
+                         std::nullopt};
 }
 
 void Decision::perform(ForwardSubmission &action)
@@ -185,6 +190,25 @@
             currentTime(), {});
 }
 
+// Whatever the reason, the other VM may have received the request.
+void Decision::loseForward(uint64_t number)
+{
+    const auto found = forwards_.find(number);
+    if (found == forwards_.end())
+        return;
+    Forwarded lost = std::move(found->second);
+    forwards_.erase(found);
+    if (!lost.caller) {
+        dispatch(ForwardLost {number});
+        return;
+    }
+    const std::string id = lost.caller->id;
+    answer(std::move(*lost.caller),
+           failureResponse(id,
+                           mayHaveRun(ErrorCode::HomeUnreachable,
+                                      "the VM that decides about the key is unreachable")));
+}
+
 void Decision::loseForwards(const std::string &vm)
 {
     std::vector<uint64_t> lost;
@@ -192,10 +216,59 @@
         if (forwarded.vm == vm)
             lost.push_back(number);
     }
-    for (const uint64_t number : lost) {
-        forwards_.erase(number);
-        dispatch(ForwardLost {number});
-    }
+    for (const uint64_t number : lost)
+        loseForward(number);
+}
+
+std::string Decision::homeOf(const std::string &key) const
+{
+    std::vector<std::string> names;
+    for (const MemberSettings &member : shared_.settings.members)
+        names.push_back(member.name);
+    return names.empty() ? shared_.settings.name : keyHome(key, names);
+}
+
+bool Decision::hasKeyedForwards() const
+{
+    return std::any_of(forwards_.begin(), forwards_.end(),
+                       [](const auto &item) { return item.second.caller.has_value(); });
+}
+
+bool Decision::forwardKeyed(CallerInput &input)
+{
+    auto *submit = std::get_if<SubmitRequested>(&input.event);
+    if (!submit || submit->key.empty())
+        return false;
+    std::string home = homeOf(submit->key);
+    if (home == shared_.settings.name)
+        return false;
+    // Numbers of the Dispatcher do not reach the highest bit.
+    const uint64_t number = ++lastRequest_ | (uint64_t(1) << 63);
+    const Time now = currentTime();
+    std::optional<Span> span;
+    if (input.caller.span)
+        span = shared_.tracer.start("forward", input.caller.span->context, now);
+    Forwarded forwarded;
+    forwarded.message = wire::ForwardSubmit {number + numberBase_,
+                                             {},
+                                             submit->key,
+                                             submit->owner,
+                                             submit->entry,
+                                             submit->bodyDigest,
+                                             submit->deadline,
+                                             submit->repeatable,
+                                             std::move(submit->tasks),
+                                             span ? toTraceparent(span->context) : std::string()};
+    const bool isSent = sendTo(home, forwarded.message);
+    forwarded.vm = std::move(home);
+    forwarded.nextSend = now + std::chrono::milliseconds(500);
+    forwarded.until = std::max(submit->deadline, now) + forwardMargin;
+    forwarded.span = std::move(span);
+    forwarded.caller = std::move(input.caller);
+    forwards_.emplace(number, std::move(forwarded));
+    if (!isSent)
+        loseForward(number);
+    return true;
 }
 
 const Decision::TraceMark *Decision::findTrace(const SubmissionId &id) const
--- a/src/daemon/decision_peers.cpp
+++ b/src/daemon/decision_peers.cpp
@@ -86,6 +86,16 @@
     void operator()(CatalogueSnapshot &message) { toFollower(message); }
     void operator()(wire::ForwardSubmit &message)
     {
+        if (!message.key.empty() && self.homeOf(message.key) != self.shared_.settings.name) {
+            // The VMs differ in their lists of members.
+            self.sendTo(
+                    sender,
+                    wire::ForwardReply {message.request,
+                                        makeOutcome(mayHaveRun(ErrorCode::HomeUnreachable,
+                                                               "the VMs differ about the home")),
+                                        false});
+            return;
+        }
         const auto parent = parseTraceparent(message.traceparent);
         if (parent && message.key.empty())
             self.traces_[message.id] = {*parent, currentTime(), false,
@@ -102,7 +112,18 @@
             return;
         if (found->second.span)
             self.shared_.tracer.finish(std::move(*found->second.span), currentTime());
+        std::optional<WaitingCaller> caller = std::move(found->second.caller);
         self.forwards_.erase(found);
+        if (caller) {
+            const std::string id = caller->id;
+            const bool hasOutcome = message.outcome != nullptr;
+            self.answer(std::move(*caller),
+                        hasOutcome ? outcomeResponse(id, *message.outcome, {})
+                                   : failureResponse(id,
+                                                     mayHaveRun(ErrorCode::HomeUnreachable,
+                                                                "no outcome of the key")));
+            return;
+        }
         self.dispatch(ForwardReplied {own(message.request), message.outcome, message.isRunning});
     }
     void operator()(wire::ForwardCancel &message)
