Advertise free slots that the own queue does not need

Cause: EarliestFinish keeps tasks waiting for fast servers while slow ones are free, and a VM with any waiting task advertised nothing. Overloaded VMs therefore found no peer.

--- a/include/lovage/placement.h
+++ b/include/lovage/placement.h
@@ -166,7 +166,7 @@
     void lend(const std::string &vm, const TaskNeed &need, Time now);
     void lendEnded(const std::string &vm, const TaskNeed &need, AttemptEnd end, Time now);
 
-    // Capacity to advertise; nothing while tasks wait in the own queue.
+    // Capacity to advertise: free slots without those that the waiting tasks of the own queue need.
     PeerCapacity ownCapacity(uint32_t waiting, Time now) const;
 
     // Largest number of tasks to put into one start message. An executor answers a message when its
--- a/src/placement/state.cpp
+++ b/src/placement/state.cpp
@@ -259,8 +259,6 @@
 PeerCapacity Placement::State::ownCapacity(uint32_t waiting, Time now) const
 {
     PeerCapacity capacity;
-    if (waiting > 0)
-        return capacity;
     for (uint32_t i = 0; i < accounts.size(); ++i) {
         const Account &account = accounts[i];
         if (!account.isUsable() || health.allowance(i, now) <= account.outstanding
@@ -282,6 +280,15 @@
             largest.accelerators = std::max(largest.accelerators, left.accelerators);
         }
     }
+    // Queued tasks wait for the fastest servers, so these are not offered to others.
+    for (auto &slots : capacity.freeSlots) {
+        uint32_t needed = waiting;
+        for (uint32_t &free : slots) {
+            const uint32_t kept = std::min(free, needed);
+            free -= kept;
+            needed -= kept;
+        }
+    }
     return capacity;
 }
 
