--- a/tools/lovagebench/main.cpp
+++ b/tools/lovagebench/main.cpp
@@ -44,13 +44,17 @@
 int main(int argc, char **argv)
 {
     parseCommandLine("lovagebench", usage, argc, argv);
-    const auto profile = findProfile(absl::GetFlag(FLAGS_profile));
+    auto profile = findProfile(absl::GetFlag(FLAGS_profile));
     const auto rig = loadRig(absl::GetFlag(FLAGS_rig), absl::GetFlag(FLAGS_may_break));
     if (!profile || !rig) {
         fmt::print(stderr, "{}\n", profile ? rig.error().reason : "unknown profile");
         return exitUsage;
     }
     const std::string faults = absl::GetFlag(FLAGS_faults);
+    if (contains(faults, "wrong-sizes"))
+        declareWrongSizes(*profile);
+    if (contains(faults, "impossible-job"))
+        addImpossibleClass(*profile);
     WorkloadOptions options;
     options.seed = absl::GetFlag(FLAGS_seed);
     options.length = Duration(static_cast<int64_t>(1e6 * absl::GetFlag(FLAGS_seconds)));
--- a/tools/lovagebench/report.cpp
+++ b/tools/lovagebench/report.cpp
@@ -114,8 +114,8 @@
     }
     const double messages =
             messageCount(ledger, {"starts", "results", "inquiries", "stops", "leases"});
-    const double wasted =
-            messageCount(ledger, {"inquiries", "stops", "refusedTasks", "duplicateTasks"});
+    const double wasted = messageCount(
+            ledger, {"inquiries", "stops", "refusedTasks", "duplicateTasks", "unfinishedTasks"});
     const uint64_t mustBeZero = ledger.startedTwice + partial + mismatched + falseNotRun + runTwice
             + unanswered + ledger.startedOnLeaving + cut + input.reverts;
     const json::object report {
--- a/tools/lovagebench/workload.cpp
+++ b/tools/lovagebench/workload.cpp
@@ -86,6 +86,20 @@
     return std::nullopt;
 }
 
+void declareWrongSizes(Profile &profile)
+{
+    constexpr double factor = 4;
+    for (size_t i = 0; i < profile.classes.size(); ++i)
+        profile.classes[i].declaredFactor = i % 2 == 0 ? factor : 1 / factor;
+}
+
+void addImpossibleClass(Profile &profile)
+{
+    ClassProfile impossible {"impossible", BackendKind::Worker, true, 300, 20, 20, 0.01};
+    impossible.isImpossible = true;
+    profile.classes.push_back(impossible);
+}
+
 std::vector<Planned> planWorkload(const Profile &profile, const std::vector<Server> &servers,
                                   const WorkloadOptions &options)
 {
@@ -111,6 +125,10 @@
     std::vector<Duration> responses;
     for (const Planned &planned : work) {
         const BackendKind kind = profile.classes[planned.workClass].kind;
+        if (profile.classes[planned.workClass].isImpossible) {
+            responses.push_back(Duration::zero());
+            continue;
+        }
         Duration last = planned.at;
         for (const Duration runTime : planned.runTimes) {
             std::optional<size_t> best;
--- a/tools/lovagebench/workload.h
+++ b/tools/lovagebench/workload.h
@@ -17,7 +17,9 @@
     double meanMs = 0; // run time on a server of speed 1; exponential above a tenth of it
     uint32_t minTasks = 1;
     uint32_t maxTasks = 1;
-    double workShare = 0; // of the work on its kind of server
+    double workShare = 0;      // of the work on its kind of server
+    double declaredFactor = 1; // declared run time / mean run time
+    bool isImpossible = false; // demands more than any server has
 };
 
 struct Profile
@@ -58,6 +60,11 @@
     std::optional<Duration> burstAt; // ten times the rate for 2 s
 };
 
+// Makes declared sizes wrong by a factor of four in either direction.
+void declareWrongSizes(Profile &profile);
+// Adds a class of jobs that fit no server.
+void addImpossibleClass(Profile &profile);
+
 // Poisson arrivals of every class, in order of arrival.
 std::vector<Planned> planWorkload(const Profile &profile, const std::vector<Server> &servers,
                                   const WorkloadOptions &options);
--- a/tools/lovagefake/server.cpp
+++ b/tools/lovagefake/server.cpp
@@ -294,6 +294,8 @@
     used_.accelerators -= task.demand.accelerators;
     addUsage(now);
     ledger_.ended(id, status == TaskStatus::Done, now);
+    if (status != TaskStatus::Done)
+        ledger_.countMessage("unfinishedTasks");
     threads_.postAfter(thread_, resultRetention, [this, id, generation] {
         const std::lock_guard removalLock(mutex_);
         if (generation == generation_)
