--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -1,5 +1,8 @@
-// Cost of the catalogue: fold, lookup and snapshot size, each as points with a fitted line.
+// Cost of the control libraries: fold, lookup and snapshot size of the catalogue, processor time,
+// bytes and state of membership, each as points with a fitted line. Bytes of messages are sums of
+// field sizes plus an assumed envelope.
 #include "lovage/catalogue.h"
+#include "lovage/membership.h"
 
 #include <fmt/format.h>
 
@@ -78,10 +81,122 @@
     printFit("snapshot", "bytes", bytes);
 }
 
+// Authenticated envelope, and UDP and IP headers.
+constexpr size_t envelopeBytes = 65 + 28;
+constexpr size_t lengthBytes = 8; // of a string or vector in the cereal portable format
+
+size_t bytesOf(const Heartbeat &heartbeat)
+{
+    constexpr size_t numbers = 4 * sizeof(uint64_t) + sizeof(uint16_t) + 2;
+    return numbers + 4 * lengthBytes + heartbeat.vm.size() + heartbeat.dataCentre.size()
+            + sizeof(uint32_t) * (heartbeat.hears.size() + heartbeat.capacity.size());
+}
+
+size_t bytesOf(const MembershipMessage &message)
+{
+    if (const auto *heartbeat = std::get_if<Heartbeat>(&message))
+        return envelopeBytes + bytesOf(*heartbeat);
+    const auto *summary = std::get_if<Summary>(&message);
+    if (summary == nullptr)
+        return 0;
+    size_t bytes = envelopeBytes + lengthBytes + bytesOf(summary->sender);
+    for (const SummaryMember &member : summary->members)
+        bytes += lengthBytes + member.vm.size() + sizeof(uint64_t) + 1 + sizeof(uint32_t);
+    return bytes;
+}
+
+struct Traffic
+{
+    double bytesPerSecond = 0; // of one VM, sent and received
+    double microseconds = 0;   // processor time per message sent and received
+    double stateBytes = 0;
+};
+
+// All VMs run in one process; messages arrive in the step after they were sent.
+Traffic measureMembership(size_t dataCentres, size_t vmsEach)
+{
+    constexpr int seconds = 20;
+    constexpr int warmUp = 5;
+    constexpr size_t capacityNumbers = 15;
+    Time now {std::chrono::seconds(1'800'000'000)};
+    std::vector<std::unique_ptr<Membership>> vms;
+    std::vector<Member> seeds;
+    for (size_t i = 0; i < dataCentres * vmsEach; ++i) {
+        Member &member = seeds.emplace_back();
+        member.dataCentre = fmt::format("dc{}", i / vmsEach);
+        member.name = fmt::format("{}-entry-{}", member.dataCentre, i % vmsEach);
+        member.address = {"127.0.0.1", static_cast<uint16_t>(i)};
+    }
+    for (size_t i = 0; i < seeds.size(); ++i) {
+        MembershipOptions options;
+        options.vm = seeds[i].name;
+        options.dataCentre = seeds[i].dataCentre;
+        options.address = seeds[i].address;
+        options.incarnation = i + 1;
+        options.seeds = seeds;
+        vms.push_back(std::make_unique<Membership>(options, i, now));
+        vms.back()->handle(OwnStatus {7, true, std::vector<uint32_t>(capacityNumbers, 3)}, now);
+    }
+    std::vector<std::pair<size_t, MessageReceived>> inFlight;
+    size_t bytes = 0;
+    size_t messages = 0;
+    double busy = 0;
+    const Time begin = now + std::chrono::seconds(warmUp);
+    const Time end = begin + std::chrono::seconds(seconds);
+    for (; now < end; now += std::chrono::milliseconds(100)) {
+        std::vector<std::pair<size_t, MessageReceived>> sent;
+        const auto collect = [&](size_t from, const std::vector<MembershipAction> &actions) {
+            for (const MembershipAction &action : actions) {
+                if (const auto *send = std::get_if<SendMembership>(&action))
+                    sent.emplace_back(send->address.port,
+                                      MessageReceived {seeds[from].address, send->message});
+            }
+        };
+        const double taken = secondsOf([&] {
+            for (const auto &[to, message] : inFlight)
+                collect(to, vms[to]->handle(message, now));
+            for (size_t i = 0; i < vms.size(); ++i)
+                collect(i, vms[i]->handle(MembershipTick {}, now));
+        });
+        inFlight = std::move(sent);
+        if (now < begin)
+            continue;
+        busy += taken;
+        messages += inFlight.size();
+        for (const auto &[to, message] : inFlight)
+            bytes += bytesOf(message.message);
+    }
+    const auto count = static_cast<double>(vms.size());
+    return {2 * static_cast<double>(bytes) / seconds / count,
+            1e6 * busy / static_cast<double>(messages),
+            static_cast<double>(vms.front()->stateBytes())};
+}
+
+void measureMembers()
+{
+    std::vector<Point> times;
+    std::vector<Point> bytes;
+    std::vector<Point> state;
+    for (const size_t size : {2, 5, 10, 20, 50, 100}) {
+        const Traffic traffic = measureMembership(1, size);
+        const auto members = static_cast<double>(size);
+        times.push_back({members, traffic.microseconds});
+        bytes.push_back({members, traffic.bytesPerSecond});
+        state.push_back({members, traffic.stateBytes});
+    }
+    printFit("processor time per heartbeat", "us", times);
+    printFit("heartbeats of one data centre", "bytes/s per VM", bytes);
+    printFit("state", "bytes", state);
+    const Traffic largest = measureMembership(9, 8);
+    fmt::print("9 data centres of 8 VMs: {:.0f} bytes/s per VM, {:.2f} us per message\n",
+               largest.bytesPerSecond, largest.microseconds);
+}
+
 } // namespace
 
 int main()
 {
     measureCatalogue();
+    measureMembers();
     return 0;
 }
