Compare catching up by offset with range reconciliation

Cause: choice of the message that brings a VM up to date. Conclusion: by offset is kept. Records are applied in offset order, so a VM never holds scattered gaps: its missing records are always the last ones.

--- a/bench/control_bench.cpp
+++ b/bench/control_bench.cpp
@@ -192,11 +192,59 @@
                largest.bytesPerSecond, largest.microseconds);
 }
 
+// Compares two ways to catch up a VM that missed records. By offset: one request with offset and
+// digest, and every record after the last one applied in order. By ranges: both sides exchange the
+// ranges of sequence numbers that they hold of each publishing process, then the missing records
+// are asked for by range and sent.
+void compareCatchUp(uint64_t records, uint64_t missed, bool isScattered)
+{
+    constexpr uint64_t processes = 72;
+    ChangeRecord sample {"request-1000", ChangeOperation::Change, 999, {}};
+    sample.entry.name = "entry-1000";
+    sample.entry.owner = sample.entry.workClass = "team-a";
+    const uint64_t recordBytes = serializeLogRecord(sample).size();
+    constexpr uint64_t offsetRequestBytes = 2 * sizeof(uint64_t);
+    constexpr uint64_t processBytes = 2 * sizeof(uint64_t); // name tag and incarnation
+    constexpr uint64_t rangeBytes = 2 * sizeof(uint64_t);
+    Random random(records + missed);
+    std::vector<bool> isHeld(records, true);
+    for (uint64_t i = 0; i < missed; ++i)
+        isHeld[isScattered ? random.below(records) : records - 1 - i] = false;
+    uint64_t firstMissing = records;
+    uint64_t missing = 0;
+    uint64_t ownRanges = 0;
+    uint64_t missingRanges = 0;
+    std::vector<int> last(processes, -1); // whether the previous record of the process is held
+    for (uint64_t i = 0; i < records; ++i) {
+        const uint64_t process = random.below(processes);
+        const int held = isHeld[i] ? 1 : 0;
+        if (held == 0) {
+            ++missing;
+            firstMissing = std::min(firstMissing, i);
+        }
+        if (last[process] != held)
+            ++(held == 1 ? ownRanges : missingRanges);
+        last[process] = held;
+    }
+    const uint64_t byOffset =
+            envelopeBytes * 2 + offsetRequestBytes + (records - firstMissing) * recordBytes;
+    const uint64_t summaries = 2 * processes * processBytes + (ownRanges + processes) * rangeBytes;
+    const uint64_t byRange = envelopeBytes * 4 + summaries
+            + missingRanges * (processBytes + rangeBytes) + missing * recordBytes;
+    fmt::print("catch up, {} records, {} {} missing: by offset {} bytes in 1 round trip; by ranges "
+               "{} bytes in 2 round trips\n",
+               records, missing, isScattered ? "scattered" : "last", byOffset, byRange);
+}
+
 } // namespace
 
 int main()
 {
     measureCatalogue();
     measureMembers();
+    for (const bool isScattered : {false, true}) {
+        for (const uint64_t missed : {1, 10, 100, 500})
+            compareCatchUp(1000, missed, isScattered);
+    }
     return 0;
 }
