Contact a server before the first start and check refusals of restarted servers

Nothing starts at a server before it has replied to an empty inquiry, which is sent when the server joins the own share. A refusal by another instance than the one the start was sent to leads to an inquiry instead of NotRun.

The test of an unknown answer from an unseen server now uses a server that reports no instance, because an unseen server gets no start any more; a new test guards that.

--- a/bench/dispatch_bench.cpp
+++ b/bench/dispatch_bench.cpp
@@ -75,7 +75,9 @@
                 view.ownShare.insert(info.name);
         }
         dispatcher_.handle(std::move(view), now_);
-        take();
+        std::vector<Action> contacts = take();
+        for (Event &event : replies(contacts, 0))
+            handle(std::move(event));
     }
 
     std::vector<SubmissionId> open(uint32_t count)
@@ -112,6 +114,9 @@
         for (Action &action : actions) {
             if (auto *starts = std::get_if<SendStarts>(&action))
                 addReplies(*starts, outputBytes, events);
+            else if (const auto *inquiry = std::get_if<SendInquiry>(&action))
+                events.push_back(
+                        InquiryReplied {inquiry->backend, inquiry->exchange, instance, {}});
         }
         return events;
     }
--- a/include/lovage/dispatch.h
+++ b/include/lovage/dispatch.h
@@ -351,6 +351,7 @@
     TaskNeed need;
     std::vector<TaskStart> tasks;
 };
+// Without ids the reply only tells the instance of the server.
 struct SendInquiry
 {
     uint32_t backend = 0;
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -164,6 +164,11 @@
 void Dispatcher::Engine::on(BackendsChanged &event, Time now)
 {
     placement_.setBackends(std::move(event.backends), event.ownShare, now);
+    for (const std::string &name : event.ownShare) {
+        const std::optional<uint32_t> backend = placement_.indexOf(name);
+        if (backend)
+            contact(serverOfBackend(*backend), now);
+    }
     confirmView(event.asOf);
 }
 
--- a/src/dispatch/engine.h
+++ b/src/dispatch/engine.h
@@ -141,6 +141,7 @@
     bool closeInquiry(Server &server, uint64_t exchange);
     void backOff(Server &server, Time now);
     void checkLent(Server &server, Time now);
+    void contact(uint32_t server, Time now);
     void noteInstance(uint32_t server, uint64_t instance, Time now);
     void loseAll(uint32_t server, uint64_t keepInstance, Time now);
     uint32_t serverOfBackend(uint32_t backend);
--- a/src/dispatch/engine_borrow.cpp
+++ b/src/dispatch/engine_borrow.cpp
@@ -47,7 +47,7 @@
     }
     const Choice choice = placement_.choose(lent.need, now);
     const auto *backend = std::get_if<ToBackend>(&choice);
-    if (!backend) {
+    if (!backend || !servers_[serverOfBackend(backend->backend)].isContacted) {
         remember(lent.id, {}, now);
         return {lent.id, TaskStatus::Refused};
     }
--- a/src/dispatch/engine_inquiry.cpp
+++ b/src/dispatch/engine_inquiry.cpp
@@ -130,7 +130,8 @@
         return false;
     });
     (stops ? server.nextStop : server.nextInquiry) = never;
-    if (ids.empty())
+    const bool isFirstContact = !stops && !server.isContacted && !server.isPeer;
+    if (ids.empty() && !isFirstContact)
         return;
     const uint64_t exchange = ++lastExchange_;
     (stops ? server.stop : server.inquiry) = exchange;
@@ -162,7 +163,7 @@
 // everything.
 void Dispatcher::Engine::backOff(Server &server, Time now)
 {
-    bool hasInquiries = false;
+    bool hasInquiries = !server.isContacted && !server.isPeer;
     bool hasStops = false;
     std::erase_if(server.asking, [&](const TaskRef &ref) {
         const Located found = locate(ref);
@@ -171,7 +172,7 @@
         (found.task().stopWanted ? hasStops : hasInquiries) = true;
         return false;
     });
-    if (server.asking.empty()) {
+    if (server.asking.empty() && !hasInquiries) {
         server.delay = options_.firstInquiryDelay;
         return;
     }
@@ -206,10 +207,23 @@
         server.nextInquiry = now;
 }
 
+// An empty inquiry tells the instance of a server. Nothing starts there before, because a start
+// message without an instance could be accepted a second time after a restart.
+void Dispatcher::Engine::contact(uint32_t index, Time now)
+{
+    Server &server = servers_[index];
+    if (server.isContacted || server.inquiry != 0 || server.nextInquiry != never)
+        return;
+    server.nextInquiry = now;
+    wakeServersAt(now);
+}
+
 // A server with a new instance has forgotten what it ran; the inquiries tell.
 void Dispatcher::Engine::noteInstance(uint32_t index, uint64_t instance, Time now)
 {
     Server &server = servers_[index];
+    isStartable_ = isStartable_ || !server.isContacted;
+    server.isContacted = true;
     if (instance <= server.instance)
         return;
     const bool hasRestarted = server.instance != 0;
--- a/src/dispatch/engine_reply.cpp
+++ b/src/dispatch/engine_reply.cpp
@@ -222,6 +222,11 @@
             break;
         }
         ++counters_.refusedStarts;
+        // A restarted server refuses a copy of a message that its predecessor may have accepted.
+        if (task.instance != 0 && instance != task.instance) {
+            lose(submission, found.index, now);
+            break;
+        }
         onNotRun(submission, found.index, AttemptEnd::Refused, now);
         break;
     case TaskStatus::Done:
--- a/src/dispatch/engine_start.cpp
+++ b/src/dispatch/engine_start.cpp
@@ -54,8 +54,16 @@
     need.lastOfJob = taskCount > 1 && need.jobWaiting * lastTasksDivisor <= taskCount;
     const Choice choice = placement_.choose(need, now);
     if (const auto *backend = std::get_if<ToBackend>(&choice)) {
+        const uint32_t server = serverOfBackend(backend->backend);
         placement_.reserve(backend->backend, submission.need, now);
-        send(submission, queued.index, serverOfBackend(backend->backend), now);
+        if (!servers_[server].isContacted) {
+            // Counts as a refusal, so that placement skips the server for a while.
+            placement_.release(backend->backend, submission.need, AttemptEnd::Refused, {}, now);
+            admission_.undoStart(queued.need.owner, now);
+            contact(server, now);
+            return Progress::ClassWaits;
+        }
+        send(submission, queued.index, server, now);
         return Progress::Ended;
     }
     if (const auto *peer = std::get_if<ToPeer>(&choice)) {
--- a/src/dispatch/work.h
+++ b/src/dispatch/work.h
@@ -75,7 +75,8 @@
     bool isPeer = false;
     uint32_t backend = noServer;
     BackendKind kind = BackendKind::Executor;
-    uint64_t instance = 0; // latest one reported
+    uint64_t instance = 0;    // latest one reported
+    bool isContacted = false; // the server has replied to something
     ServerFaults faults;
 
     std::vector<TaskRef> asking; // may hold stale references
--- a/tests/dispatch_start_test.cpp
+++ b/tests/dispatch_start_test.cpp
@@ -122,17 +122,36 @@
     world.checkPromises();
 }
 
-// Guards against trusting "unknown" of a server that was never heard before: it may have lost its
-// memory.
-BOOST_AUTO_TEST_CASE(unknownFromUnseenServerIsMayHaveRun)
+// Guards against a start at a server whose instance is not known yet: after a restart it could
+// accept a second copy of the message.
+BOOST_AUTO_TEST_CASE(nothingStartsBeforeFirstContact)
+{
+    SmallWorld world;
+    world.servers[0].isUp = false;
+    world.partition("vm0", "vm1");
+    world.run(3s); // the capacity of vm1 is forgotten
+    world.addServer("s2", "dc1", BackendKind::Executor, 64);
+    world.next(Kind::InquiryReply, lost, 1000);
+    const uint64_t request = world.submitNew(0, {"a"}, false, 2s);
+    world.run(3s);
+    BOOST_REQUIRE(world.failure(request));
+    BOOST_TEST((world.failure(request)->verdict == Verdict::NotRun));
+    BOOST_TEST(world.count(Kind::Start) == 0u);
+    world.checkPromises();
+}
+
+// Guards against trusting "unknown" of a server that does not report its instance: it may have
+// lost its memory.
+BOOST_AUTO_TEST_CASE(unknownWithoutInstanceIsMayHaveRun)
 {
     SmallWorld world;
     world.addServer("s2", "dc1", BackendKind::Executor, 64);
+    world.servers[2].instance = 0;
     world.servers[0].isUp = false;
     world.next(Kind::Start, lost, 1);
     world.run(500ms);
     uint64_t request = 0;
-    for (int i = 0; i < 5 && world.messages.empty(); ++i)
+    for (int i = 0; i < 5 && world.count(Kind::Start) == 0; ++i)
         request = world.submitNew(0, {"a"}, false, 2s);
     world.run(3s);
     BOOST_REQUIRE(world.failure(request));
--- a/tests/support/dispatch_world.h
+++ b/tests/support/dispatch_world.h
@@ -43,7 +43,7 @@
 {
     bool isDropped = false;
     Duration delay = 1ms;
-    std::optional<Duration> copyDelay; // set: a second copy arrives after this time
+    std::optional<Duration> copyDelay {}; // set: a second copy arrives after this time
 };
 
 enum class RunEnd { Running, Succeeded, Failed, Stopped, Died };
