Lend between VMs by kind of server, share servers evenly, compare speeds across VMs

A VM refused every lend while any task waited in its queue, of either kind, and the earliest-finish policy always keeps some waiting for a fast server. Rendezvous hashing without a bound gave the two VMs of a data centre 22 and 12 of 34 servers. Advertised speed bands referred to the average server of the sender only. Change: waiting tasks are counted by kind of server; a lent task is accepted if a free server suits it behind the own queue; shares are bounded by the rounded-up average; advertisements carry the learned run time scale; lend replies and results carry fresh capacity.

--- a/bench/placement_sim_run.h
+++ b/bench/placement_sim_run.h
@@ -284,7 +284,7 @@
     }
     // A lend reply carries the free slots of the lender.
     PeerCapacity capacity = instances_[parcel.from].placement->ownCapacity(
-            static_cast<uint32_t>(instances_[parcel.from].queue.size()), at(now_));
+            {static_cast<uint32_t>(instances_[parcel.from].queue.size()), 0}, at(now_));
     capacity.vm = std::to_string(parcel.from);
     instances_[parcel.to].placement->setPeerCapacity(capacity, at(now_));
     drain(parcel.to);
@@ -310,7 +310,7 @@
 {
     for (uint32_t from = 0; from < instances_.size(); ++from) {
         PeerCapacity capacity = instances_[from].placement->ownCapacity(
-                static_cast<uint32_t>(instances_[from].queue.size()), at(now_));
+                {static_cast<uint32_t>(instances_[from].queue.size()), 0}, at(now_));
         capacity.vm = std::to_string(from);
         for (uint32_t to = 0; to < instances_.size(); ++to) {
             if (to != from)
--- a/include/lovage/admission.h
+++ b/include/lovage/admission.h
@@ -79,6 +79,8 @@
     size_t cancel(uint64_t submission);
 
     size_t size() const;
+    // Queued tasks for one kind of backend server. All tasks of a submission have the same kind.
+    size_t size(BackendKind kind) const;
     size_t size(const std::string &owner) const;
     // Queued tasks of a submission that are not cancelled.
     size_t queuedOf(uint64_t submission) const;
--- a/include/lovage/placement.h
+++ b/include/lovage/placement.h
@@ -76,6 +76,9 @@
     std::string vm;
     std::array<std::array<uint32_t, bands>, 2> freeSlots {}; // by kind, then band
     Demand freeOnWorkers {0, 0, 0}; // largest free amount of each resource on one worker
+    // Learned run time on the average server of that VM over the declared one. The ratio of two
+    // VMs tells how their average servers compare; 0 while nothing is learned.
+    double runTimeScale = 0;
 
     auto operator<=>(const PeerCapacity &) const = default;
 };
@@ -124,6 +127,9 @@
     Duration refusalPause = std::chrono::milliseconds(50);
 };
 
+// Queued tasks of this VM by kind of backend server.
+using WaitingTasks = std::array<uint32_t, 2>;
+
 struct BackendHealth
 {
     bool ejected = false;
@@ -167,7 +173,7 @@
     void lendEnded(const std::string &vm, const TaskNeed &need, AttemptEnd end, Time now);
 
     // Capacity to advertise: free slots without those that the waiting tasks of the own queue need.
-    PeerCapacity ownCapacity(uint32_t waiting, Time now) const;
+    PeerCapacity ownCapacity(const WaitingTasks &waiting, Time now) const;
 
     // Largest number of tasks to put into one start message. An executor answers a message when its
     // last task has ended, so a large batch saves messages and holds slots longer.
--- a/include/lovage/protocol.h
+++ b/include/lovage/protocol.h
@@ -67,10 +67,12 @@
 {
     uint64_t exchange = 0;
     std::vector<TaskReply> results;
+    std::vector<uint32_t> capacity {}; // of the borrower, as in heartbeats
 };
 struct LendResult
 {
     std::vector<TaskReply> results;
+    std::vector<uint32_t> capacity {};
 };
 struct LendInquiry
 {
--- a/src/admission/fair_queue.cpp
+++ b/src/admission/fair_queue.cpp
@@ -62,6 +62,7 @@
 struct Submission
 {
     uint32_t owner = 0;
+    BackendKind kind = BackendKind::Executor;
     size_t queued = 0; // tasks in the slab
     bool isCancelled = false;
 };
@@ -92,6 +93,7 @@
     std::vector<bool> heldClasses;
     std::unordered_map<uint64_t, Submission> submissions;
     size_t live = 0;
+    std::array<size_t, 2> liveByKind {};
     uint64_t nextOrder = 1;
     double hintedRate = 0;
 
@@ -198,7 +200,9 @@
     }
     Submission &submission = submissions[task.submission];
     submission.owner = index;
+    submission.kind = task.need.kind;
     ++submission.queued;
+    ++liveByKind[static_cast<size_t>(task.need.kind)];
     lane->heap.push_back({task.need.deadline, task.order, slot});
     std::push_heap(lane->heap.begin(), lane->heap.end(), isLater);
     slab_[slot] = std::move(task);
@@ -266,7 +270,9 @@
             --owner.live;
             --live;
             noteStart(now);
-            return takeTop(owner, *lane);
+            QueuedTask task = takeTop(owner, *lane);
+            --liveByKind[static_cast<size_t>(task.need.kind)];
+            return task;
         }
         blocked = lane == nullptr ? blocked + 1 : 0;
         owner.isInTurn = false;
@@ -285,6 +291,7 @@
     const size_t dropped = found->second.queued;
     owners[found->second.owner].live -= dropped;
     live -= dropped;
+    liveByKind[static_cast<size_t>(found->second.kind)] -= dropped;
     return dropped;
 }
 
@@ -438,6 +445,11 @@
     return state_->live;
 }
 
+size_t FairQueue::size(BackendKind kind) const
+{
+    return state_->liveByKind[static_cast<size_t>(kind)];
+}
+
 size_t FairQueue::size(const std::string &name) const
 {
     const OwnerQueue *owner = state_->findOwner(name);
--- a/src/daemon/decision.h
+++ b/src/daemon/decision.h
@@ -145,6 +145,7 @@
     void feed(const FollowerEvent &event);
     void feed(const PublisherEvent &event);
     void refreshPeers();
+    std::vector<uint32_t> ownCapacityWords() const;
     void sendOwnStatus(Time now);
     void sendLoanRequests(Time now);
     // False if the VM is unknown or dead.
--- a/src/daemon/decision_actions.cpp
+++ b/src/daemon/decision_actions.cpp
@@ -352,12 +352,13 @@
 
 void Decision::perform(SendLendReply &action)
 {
-    sendTo(action.vm, wire::LendReply {action.exchange, std::move(action.results)});
+    sendTo(action.vm,
+           wire::LendReply {action.exchange, std::move(action.results), ownCapacityWords()});
 }
 
 void Decision::perform(SendLendResult &action)
 {
-    sendTo(action.vm, wire::LendResult {std::move(action.results)});
+    sendTo(action.vm, wire::LendResult {std::move(action.results), ownCapacityWords()});
 }
 
 void Decision::perform(SendLendInquiryReply &action)
--- a/src/daemon/decision_peers.cpp
+++ b/src/daemon/decision_peers.cpp
@@ -9,6 +9,9 @@
 
 // Capacity as carried by heartbeats: the slots by kind and band, then the largest free amounts on
 // one worker. Empty without any free capacity.
+// Run time scales are sent as whole numbers.
+constexpr double scaleUnit = 1000;
+
 std::vector<uint32_t> encodeCapacity(const PeerCapacity &capacity)
 {
     std::vector<uint32_t> words;
@@ -20,7 +23,9 @@
         }
     }
     const Demand &free = capacity.freeOnWorkers;
-    words.insert(words.end(), {free.milliCores, free.memoryMb, free.accelerators});
+    words.insert(words.end(),
+                 {free.milliCores, free.memoryMb, free.accelerators,
+                  static_cast<uint32_t>(capacity.runTimeScale * scaleUnit)});
     return isFree ? words : std::vector<uint32_t>();
 }
 
@@ -28,7 +33,7 @@
 {
     PeerCapacity capacity;
     capacity.vm = vm;
-    constexpr size_t length = 2 * PeerCapacity::bands + 3;
+    constexpr size_t length = 2 * PeerCapacity::bands + 4;
     if (words.size() != length)
         return capacity;
     size_t next = 0;
@@ -37,6 +42,7 @@
             slots = words[next++];
     }
     capacity.freeOnWorkers = {words[next], words[next + 1], words[next + 2]};
+    capacity.runTimeScale = words[next + 3] / scaleUnit;
     return capacity;
 }
 
@@ -156,10 +162,12 @@
         self.lends_.erase(found);
         self.dispatch(LendReplied {sender, incarnation, own(message.exchange),
                                    std::move(message.results)});
+        self.dispatch(PeerCapacityChanged {decodeCapacity(sender, message.capacity)});
     }
     void operator()(wire::LendResult &message)
     {
         self.dispatch(LendFinished {sender, incarnation, std::move(message.results)});
+        self.dispatch(PeerCapacityChanged {decodeCapacity(sender, message.capacity)});
     }
     void operator()(wire::LendInquiry &message)
     {
@@ -260,12 +268,17 @@
     return remote;
 }
 
+std::vector<uint32_t> Decision::ownCapacityWords() const
+{
+    return encodeCapacity(dispatcher_.advertisedCapacity(currentTime()));
+}
+
 void Decision::sendOwnStatus(Time now)
 {
     OwnStatus status;
     status.catalogueOffset = follower_.catalogue().offset();
     status.followsLog = follower_.state() == FollowerState::FollowingLog;
-    status.capacity = encodeCapacity(dispatcher_.advertisedCapacity(now));
+    status.capacity = ownCapacityWords();
     feed(MembershipEvent(std::move(status)));
 }
 
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -148,8 +148,10 @@
 {
     if (state_ != DispatcherState::Serving || !mayStart(now))
         return {.vm = options_.self.vm};
-    const size_t waiting = admission_.queue().size();
-    PeerCapacity capacity = placement_.ownCapacity(uint32_t(waiting), now);
+    const FairQueue &queue = admission_.queue();
+    PeerCapacity capacity = placement_.ownCapacity({uint32_t(queue.size(BackendKind::Executor)),
+                                                    uint32_t(queue.size(BackendKind::Worker))},
+                                                   now);
     capacity.vm = options_.self.vm;
     return capacity;
 }
--- a/src/dispatch/engine_borrow.cpp
+++ b/src/dispatch/engine_borrow.cpp
@@ -21,8 +21,7 @@
     const bool isForOther = event.expectedIncarnation != 0
             && event.expectedIncarnation != options_.self.incarnation;
     const bool isExpired = now > event.expiry;
-    const bool isBusy = admission_.queue().size() > 0;
-    const bool isRefused = isForOther || isExpired || isBusy || !mayStart(now)
+    const bool isRefused = isForOther || isExpired || !mayStart(now)
             || state_ != DispatcherState::Serving || borrowedRecords_.size() >= maxBorrowedRecords;
     SendLendReply reply {event.vm, event.exchange, {}};
     reply.results.reserve(event.tasks.size());
@@ -45,6 +44,8 @@
         remember(lent.id, {}, now);
         return {lent.id, TaskStatus::Refused};
     }
+    // Own tasks that wait have declined the free servers; the lent task must want them more.
+    lent.need.waiting = uint32_t(admission_.queue().size(lent.need.kind) + 1);
     const Choice choice = placement_.choose(lent.need, now);
     const auto *backend = std::get_if<ToBackend>(&choice);
     if (!backend || !servers_[serverOfBackend(backend->backend)].isContacted) {
--- a/src/dispatch/engine_start.cpp
+++ b/src/dispatch/engine_start.cpp
@@ -48,7 +48,7 @@
         return Progress::OwnerWaits;
     FairQueue &queue = admission_.queue();
     TaskNeed need = queued.need;
-    need.waiting = uint32_t(queue.size() + 1);
+    need.waiting = uint32_t(queue.size(need.kind) + 1);
     need.jobWaiting = uint32_t(queue.queuedOf(queued.submission) + 1);
     const size_t taskCount = submission.tasks.size();
     need.lastOfJob = taskCount > 1 && need.jobWaiting * lastTasksDivisor <= taskCount;
--- a/src/membership/conclusions.cpp
+++ b/src/membership/conclusions.cpp
@@ -241,6 +241,41 @@
     actions.push_back(std::move(next));
 }
 
+namespace {
+
+// Rendezvous hashing with a bound: no VM gets more servers of a role than the rounded-up average.
+// Without the bound one VM of a pair had 22 of 34 servers and the other 12, and the smaller share
+// was overloaded at 70% of the total load.
+std::set<std::string> shareOf(const std::string &vm, const std::vector<std::string> &names,
+                              std::vector<const VmListEntry *> servers)
+{
+    std::sort(servers.begin(), servers.end(), [](const auto *left, const auto *right) {
+        return std::pair(stableHash(left->name), std::string_view(left->name))
+                < std::pair(stableHash(right->name), std::string_view(right->name));
+    });
+    std::map<VmRole, size_t> total;
+    for (const VmListEntry *server : servers)
+        ++total[server->role];
+    std::map<VmRole, std::map<std::string, size_t>> counts;
+    std::set<std::string> share;
+    for (const VmListEntry *server : servers) {
+        const size_t limit = (total[server->role] + names.size() - 1) / names.size();
+        auto &count = counts[server->role];
+        std::vector<std::string> open;
+        for (const std::string &name : names) {
+            if (count[name] < limit)
+                open.push_back(name);
+        }
+        const std::string &owner = open[*rendezvousIndex(server->name, open)];
+        ++count[owner];
+        if (owner == vm)
+            share.insert(server->name);
+    }
+    return share;
+}
+
+} // namespace
+
 void Membership::Impl::assignShares()
 {
     std::set<std::string> owners;
@@ -258,13 +293,12 @@
     const std::vector<std::string> names(owners.begin(), owners.end());
     BackendShares next;
     next.backends = vmList.backends();
+    std::vector<const VmListEntry *> local;
     for (const VmListEntry &backend : next.backends) {
-        if (backend.dataCentre != options.dataCentre)
-            continue;
-        const auto owner = rendezvousIndex(backend.name, names);
-        if (owner && names[*owner] == options.vm)
-            next.ownShare.insert(backend.name);
+        if (backend.dataCentre == options.dataCentre)
+            local.push_back(&backend);
     }
+    next.ownShare = shareOf(options.vm, names, std::move(local));
     if (next.backends == shares.backends && next.ownShare == shares.ownShare)
         return;
     shares = next;
--- a/src/placement/estimates.cpp
+++ b/src/placement/estimates.cpp
@@ -51,6 +51,7 @@
         return;
     classes_.resize(workClass + 1);
     Class &added = classes_.back();
+    added.published = static_cast<double>(std::max<int64_t>(1, declared.count()));
     added.declared = static_cast<double>(std::max<int64_t>(1, declared.count()));
     added.byServer.resize(servers_.size());
 }
@@ -62,6 +63,20 @@
     return (pair.sum + pairPrior * server) / (pair.weight + pairPrior);
 }
 
+// Geometric mean over the settled classes of learned to published run time.
+double Estimates::runTimeScale() const
+{
+    double logSum = 0;
+    size_t count = 0;
+    for (const Class &known : classes_) {
+        if (known.samples.weight < settledClass)
+            continue;
+        logSum += std::log(known.mean() / known.published);
+        ++count;
+    }
+    return count == 0 ? 0 : std::exp(logSum / static_cast<double>(count));
+}
+
 void Estimates::updateServer(Server &server, double sample)
 {
     server.slow.add(sample, serverDecay);
--- a/src/placement/estimates.h
+++ b/src/placement/estimates.h
@@ -32,6 +32,8 @@
     size_t classCount() const { return classes_.size(); }
     // Duration of recent tasks on the average server; 0 before the first observation.
     double recentMean() const { return recentMean_; }
+    // Learned over declared run time on the average server; 0 before a class is learned.
+    double runTimeScale() const;
 
 private:
     // Mean over a window of samples with exponential weights.
@@ -55,6 +57,7 @@
     };
     struct Class
     {
+        double published = 0; // as declared, never adjusted
         double declared = 0;
         Window samples;
         std::vector<Window> byServer;
--- a/src/placement/peers.cpp
+++ b/src/placement/peers.cpp
@@ -1,5 +1,8 @@
 #include "peers.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace lovage::placement {
 
 namespace {
@@ -37,10 +40,10 @@
 }
 
 std::optional<Peers::Offer> Peers::best(const TaskNeed &need, Time now, Duration lifetime,
-                                        Random &random) const
+                                        double ownScale, Random &random) const
 {
     std::optional<Offer> offer;
-    size_t bestBand = PeerCapacity::bands;
+    double bestRelative = std::numeric_limits<double>::max();
     uint64_t equal = 0;
     for (const auto &[vm, peer] : peers_) {
         if (now - peer.at > lifetime)
@@ -49,15 +52,20 @@
             && !fitsWorker(need.demand, peer.capacity.freeOnWorkers))
             continue;
         const auto &slots = peer.capacity.freeSlots[static_cast<size_t>(need.kind)];
-        for (size_t band = 0; band < slots.size() && band <= bestBand; ++band) {
-            if (slots[band] == 0)
-                continue;
-            equal = band < bestBand ? 1 : equal + 1;
-            bestBand = band;
-            if (random.below(equal) == 0)
-                offer = Offer {&vm, bandRelative[band]};
-            break;
-        }
+        const auto band =
+                std::find_if(slots.begin(), slots.end(), [](uint32_t free) { return free > 0; });
+        if (band == slots.end())
+            continue;
+        // Relative run times refer to the average server of each VM, and these differ.
+        const bool isScaleKnown = ownScale > 0 && peer.capacity.runTimeScale > 0;
+        const double scale = isScaleKnown ? peer.capacity.runTimeScale / ownScale : 1;
+        const double relative = bandRelative[static_cast<size_t>(band - slots.begin())] * scale;
+        if (relative > bestRelative)
+            continue;
+        equal = relative < bestRelative ? 1 : equal + 1;
+        bestRelative = relative;
+        if (random.below(equal) == 0)
+            offer = Offer {&vm, relative};
     }
     return offer;
 }
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -65,7 +65,7 @@
     state_->peers.ended(vm, need, end);
 }
 
-PeerCapacity Placement::ownCapacity(uint32_t waiting, Time now) const
+PeerCapacity Placement::ownCapacity(const WaitingTasks &waiting, Time now) const
 {
     return state_->ownCapacity(waiting, now);
 }
--- a/src/placement/policies.cpp
+++ b/src/placement/policies.cpp
@@ -94,7 +94,8 @@
                            options.policy);
     const double mean = estimates.classMean(workClass);
     if (!local.backend || local.finish > mean) {
-        const auto offer = peers.best(need, now, options.peerCapacityLifetime, random);
+        const auto offer = peers.best(need, now, options.peerCapacityLifetime,
+                                      estimates.runTimeScale(), random);
         const double gain = (lendGain + weightedLendGain * need.wasteWeight) * mean;
         if (offer
             && offer->relative * mean + static_cast<double>(options.lendOverhead.count()) + gain
--- a/src/placement/state.cpp
+++ b/src/placement/state.cpp
@@ -256,9 +256,10 @@
     }
 }
 
-PeerCapacity Placement::State::ownCapacity(uint32_t waiting, Time now) const
+PeerCapacity Placement::State::ownCapacity(const WaitingTasks &waiting, Time now) const
 {
     PeerCapacity capacity;
+    capacity.runTimeScale = estimates.runTimeScale();
     for (uint32_t i = 0; i < accounts.size(); ++i) {
         const Account &account = accounts[i];
         if (!account.isUsable() || health.allowance(i, now) <= account.outstanding
@@ -281,8 +282,9 @@
         }
     }
     // Queued tasks wait for the fastest servers, so these are not offered to others.
-    for (auto &slots : capacity.freeSlots) {
-        uint32_t needed = waiting;
+    for (size_t kind = 0; kind < waiting.size(); ++kind) {
+        auto &slots = capacity.freeSlots[kind];
+        uint32_t needed = waiting[kind];
         for (uint32_t &free : slots) {
             const uint32_t kept = std::min(free, needed);
             free -= kept;
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -52,7 +52,7 @@
     void reserve(uint32_t backend, const TaskNeed &need, Time now);
     void release(uint32_t backend, const TaskNeed &need, AttemptEnd end, Duration ran, Time now);
     void reportFree(uint32_t backend, uint32_t freeSlots, Time now);
-    PeerCapacity ownCapacity(uint32_t waiting, Time now) const;
+    PeerCapacity ownCapacity(const WaitingTasks &waiting, Time now) const;
     double startsPerSecond() const;
 
     PlacementOptions options;
--- a/src/protocol/messages.h
+++ b/src/protocol/messages.h
@@ -373,13 +373,13 @@
 template<class Archive>
 void serialize(Archive &archive, LendReply &value)
 {
-    archive(value.exchange, value.results);
+    archive(value.exchange, value.results, value.capacity);
 }
 
 template<class Archive>
 void serialize(Archive &archive, LendResult &value)
 {
-    archive(value.results);
+    archive(value.results, value.capacity);
 }
 
 template<class Archive>
--- a/tests/placement_choice_test.cpp
+++ b/tests/placement_choice_test.cpp
@@ -239,11 +239,11 @@
             sum += slots;
         return sum;
     };
-    BOOST_TEST(total(rig.placement.ownCapacity(0, rig.now)) == 16U);
-    BOOST_TEST(total(rig.placement.ownCapacity(1, rig.now)) == 15U);
-    BOOST_TEST(total(rig.placement.ownCapacity(100, rig.now)) == 0U);
+    BOOST_TEST(total(rig.placement.ownCapacity({0, 0}, rig.now)) == 16U);
+    BOOST_TEST(total(rig.placement.ownCapacity({1, 0}, rig.now)) == 15U);
+    BOOST_TEST(total(rig.placement.ownCapacity({100, 0}, rig.now)) == 0U);
     startMany(rig, screen);
-    BOOST_TEST(total(rig.placement.ownCapacity(0, rig.now)) == 0U);
+    BOOST_TEST(total(rig.placement.ownCapacity({0, 0}, rig.now)) == 0U);
 }
 
 // Guards against negative accounts and overbooked servers under random events and every policy.
