--- a/tools/lovagefake/relay.cpp
+++ b/tools/lovagefake/relay.cpp
@@ -37,7 +37,7 @@
             client_.send(link->target, std::move(frame));
         });
     };
-    const auto onDatagram = [this, link](std::string_view bytes) {
+    const auto onDatagram = [this, link](const Endpoint &, std::string_view bytes) {
         const auto delay = delayOf(*link);
         if (!delay)
             return;
