--- a/tools/lovagebench/runner.cpp
+++ b/tools/lovagebench/runner.cpp
@@ -174,7 +174,12 @@
                     && !options_.vms[vm].mayBreak && currentTime() < deadlines_[submission];
             records_[submission].inflightCut += isCut ? 1 : 0;
         }
-        if (tries + 1 < maxTries)
+        // Nothing was sent under this id, and its issuer is gone: only a new id can still run.
+        const bool isUnsent = response.error().verdict == Verdict::NotRun && tries == 0
+                && !work_[submission].isResent;
+        if (isUnsent)
+            threads_.postAfter(vm, retryDelay, [=, this] { open(submission, other, tries + 1); });
+        else if (tries + 1 < maxTries)
             threads_.postAfter(vm, retryDelay,
                                [=, this] { put(submission, id, other, tries + 1); });
         else
