Send the expected instance of the server with each start

A restarted server has forgotten what it ran; with the header Lovage-Instance it refuses a start that was meant for the earlier instance.

--- a/src/daemon/backendlink.cpp
+++ b/src/daemon/backendlink.cpp
@@ -180,6 +180,9 @@
             server % clients_.size(),
             [this, server, endpoint, timeout, starts = std::move(starts), span = std::move(span)] {
                 HttpRequest request = post("/v1/starts", encode(starts, shared_.holder));
+                if (starts.instance != 0)
+                    request.headers.push_back(
+                            {std::string(instanceHeader), fmt::format("{}", starts.instance)});
                 if (span)
                     request.headers.push_back({"traceparent", toTraceparent(span->context)});
                 clientOf(server).send(endpoint, std::move(request), timeout,
