Trust few samples of a server less; show servers in the status

Cause: in the rig at load 0.7 several fast executors stayed idle while hundreds of tasks waited. Their learned run time was 3.0 to 3.3 times the average although they were among the fastest (seen in the new status list of servers): the class duration was settled from the first 10 results, which are the short tasks, so the next samples looked long, and an idle server gives no samples that correct this. Ruled out: missing first contact (every server had been asked), shares (their sum was right), quotas. Change: a class settles after 30 results, the weight of the average server falls from 20 to 3 with the samples of a server, stale servers are tried after 3 s, at most one each 500 ms.

--- a/include/lovage/dispatch.h
+++ b/include/lovage/dispatch.h
@@ -521,6 +521,7 @@
     ServerFaults faultsOf(const std::string &server) const;
     const Ledger &ledger() const;
     Placement &placement();
+    const Placement &placement() const;
     Admission &admission();
     // Capacity to advertise to peers; nothing while draining, fenced or holding after a pause.
     PeerCapacity advertisedCapacity(Time now) const;
--- a/include/lovage/placement.h
+++ b/include/lovage/placement.h
@@ -137,6 +137,7 @@
     uint32_t outstanding = 0;
     uint32_t consecutiveFailures = 0;
     double relativeRunTime = 1; // learned; 1 is the average server, larger is slower
+    bool own = false;           // in the share of this VM
 };
 
 // Slot accounts, learned speeds, health and choice of a server.
@@ -189,6 +190,8 @@
     const BackendInfo &info(uint32_t backend) const;
     std::optional<uint32_t> indexOf(const std::string &name) const;
     BackendHealth health(uint32_t backend) const;
+    // Number of servers ever known; indexes are below it.
+    uint32_t serverCount() const;
     size_t ejectedCount() const;
 
 private:
--- a/src/daemon/status.cpp
+++ b/src/daemon/status.cpp
@@ -51,6 +51,20 @@
         if (violations > 0)
             addAlarm("invariant-violated", std::string(toString(promise)));
     }
+    json::array servers;
+    const Placement &placement = dispatcher_.placement();
+    for (uint32_t i = 0; i < placement.serverCount(); ++i) {
+        const BackendHealth health = placement.health(i);
+        if (!health.own)
+            continue;
+        servers.push_back({{"name", placement.info(i).name},
+                           {"kind", toString(placement.info(i).kind)},
+                           {"outstanding", health.outstanding},
+                           {"ejected", health.ejected},
+                           {"leaving", health.leaving},
+                           {"consecutiveFailures", health.consecutiveFailures},
+                           {"relativeRunTime", health.relativeRunTime}});
+    }
     const Ledger &ledger = dispatcher_.ledger();
     const json::object status = {{"vm", settings.name},
                                  {"dataCentre", settings.dataCentre},
@@ -63,6 +77,7 @@
                                  {"lagging", std::move(lagging)},
                                  {"alarms", std::move(alarms)},
                                  {"invariants", std::move(invariants)},
+                                 {"servers", std::move(servers)},
                                  {"inFlight", dispatcher_.inFlight()},
                                  {"ledger",
                                   {{"records", ledger.records()},
--- a/src/dispatch/engine.cpp
+++ b/src/dispatch/engine.cpp
@@ -271,6 +271,11 @@
     return engine_->placement();
 }
 
+const Placement &Dispatcher::placement() const
+{
+    return engine_->placement();
+}
+
 Admission &Dispatcher::admission()
 {
     return engine_->admission();
--- a/src/placement/estimates.cpp
+++ b/src/placement/estimates.cpp
@@ -13,8 +13,12 @@
 constexpr double serverDecay = 1 - 1.0 / 100;
 constexpr double fastDecay = 1 - 1.0 / 8;
 constexpr double pairDecay = 1 - 1.0 / 64;
-// Weight, in samples, of the average server in the estimate of a server.
-constexpr double serverPrior = 3;
+// Weight, in samples, of the average server in the estimate of a server. It falls from the first to
+// the last value with the samples of the server: run times inside a class vary by about their mean,
+// and with a weight of 3 from the start, eight samples marked fast servers as three times too slow.
+// Such servers stay idle and give no samples that correct this.
+constexpr double firstServerPrior = 20;
+constexpr double lastServerPrior = 3;
 // Weight, in samples, of the server in the estimate of a pair of server and class.
 constexpr double pairPrior = 30;
 // The long window starts again from the short one when both differ by more than this factor, more
@@ -26,8 +30,9 @@
 // A sample counts at most this many times its expectation, so that one stuck task does not mark a
 // server as slow.
 constexpr double largestSample = 8;
-// Class durations settle before server speeds are learned from them.
-constexpr double settledClass = 10;
+// Class durations settle before server speeds are learned from them. Of tasks that start together
+// the short ones end first, so the first results of a class are too small.
+constexpr double settledClass = 30;
 constexpr uint64_t normaliseEvery = 64;
 
 } // namespace
@@ -87,7 +92,15 @@
         if (recent > known * changeFactor || known > recent * changeFactor)
             server.slow = {recent * restartWeight, restartWeight};
     }
-    server.relative = (server.slow.sum + serverPrior) / (server.slow.weight + serverPrior);
+    ++server.samples;
+    server.relative = relativeOf(server);
+}
+
+double Estimates::relativeOf(const Server &server)
+{
+    const double prior =
+            std::max(lastServerPrior, firstServerPrior - static_cast<double>(server.samples));
+    return (server.slow.sum + prior) / (server.slow.weight + prior);
 }
 
 void Estimates::observe(uint32_t backend, uint32_t workClass, Duration ran, Time now)
@@ -129,7 +142,7 @@
     for (Server &server : servers_) {
         server.slow.sum /= factor;
         server.fast.sum /= factor;
-        server.relative = (server.slow.sum + serverPrior) / (server.slow.weight + serverPrior);
+        server.relative = relativeOf(server);
     }
     for (Class &known : classes_) {
         known.declared *= factor;
--- a/src/placement/estimates.h
+++ b/src/placement/estimates.h
@@ -51,6 +51,7 @@
     {
         Window slow;
         Window fast;
+        uint64_t samples = 0;
         double relative = 1;
         double variability = 0.5;
         Time lastObserved {};
@@ -64,6 +65,7 @@
         double mean() const;
     };
 
+    static double relativeOf(const Server &server);
     void updateServer(Server &server, double sample);
     void normalise();
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -106,9 +106,17 @@
 BackendHealth Placement::health(uint32_t backend) const
 {
     const placement::Account &account = state_->accounts.at(backend);
-    return {state_->health.isEjected(backend), account.saidLeaving || account.info.leaving,
-            account.outstanding, state_->health.streak(backend),
-            state_->estimates.relative(backend)};
+    return {state_->health.isEjected(backend),
+            account.saidLeaving || account.info.leaving,
+            account.outstanding,
+            state_->health.streak(backend),
+            state_->estimates.relative(backend),
+            account.own && account.known};
+}
+
+uint32_t Placement::serverCount() const
+{
+    return static_cast<uint32_t>(state_->accounts.size());
 }
 
 size_t Placement::ejectedCount() const
--- a/src/placement/policies.cpp
+++ b/src/placement/policies.cpp
@@ -13,8 +13,8 @@
 // Orders are sorted again after this many observations, at least.
 constexpr uint64_t observationsPerOrder = 32;
 // A server without a result for this long is tried with one task, at most one per interval.
-constexpr Duration staleEstimate = std::chrono::seconds(10);
-constexpr Duration explorationInterval = std::chrono::seconds(1);
+constexpr Duration staleEstimate = std::chrono::seconds(3);
+constexpr Duration explorationInterval = std::chrono::milliseconds(500);
 // Above this waste weight no task is moved for learning.
 constexpr double largestSpeculativeWeight = 0.5;
 // Slots a server must have free before a job starts a new batch on it, at waste weight 1.
--- a/tools/lovagebench/main.cpp
+++ b/tools/lovagebench/main.cpp
@@ -87,8 +87,11 @@
     input.inForce = operators.inForce();
     input.reverts = operators.reverts();
     input.ideal = idealResponses(*profile, work, rig.value().servers);
+    for (const ClassProfile &workClass : profile->classes)
+        input.classNames.push_back(workClass.name);
     const Report report = makeReport(input, work, runner.records(), readLedgers(rig.value()));
     threads.stop();
+    fmt::print(stderr, "response ratio by class: {}\n", report.ratiosByClass);
     const std::string file = absl::GetFlag(FLAGS_report);
     if (file.empty())
         fmt::print("{}\n", report.json);
--- a/tools/lovagebench/report.cpp
+++ b/tools/lovagebench/report.cpp
@@ -86,6 +86,7 @@
     uint64_t failed = 0;
     std::array<uint64_t, 3> verdicts {};
     std::vector<double> ratios;
+    std::map<size_t, std::vector<double>> ratiosByClass;
     for (size_t i = 0; i < work.size(); ++i) {
         const Record &record = records[i];
         tasks += work[i].runTimes.size();
@@ -101,9 +102,11 @@
             ++unanswered;
         } else if (record.outcome == Outcome::Complete) {
             ++complete;
-            if (input.ideal[i] > Duration::zero())
+            if (input.ideal[i] > Duration::zero()) {
                 ratios.push_back(std::chrono::duration<double>(record.response)
                                  / std::chrono::duration<double>(input.ideal[i]));
+                ratiosByClass[work[i].workClass].push_back(ratios.back());
+            }
         } else {
             ++failed;
             ++verdicts.at(static_cast<size_t>(record.error.verdict));
@@ -150,7 +153,10 @@
              {{"cpu_share", input.control.cpuShare},
               {"rss_mb", input.control.rssMb},
               {"bytes_per_s", input.control.bytesPerSecond}}}};
-    return {json::serialize(report), mustBeZero == 0};
+    json::object byClass;
+    for (const auto &[workClass, values] : ratiosByClass)
+        byClass[input.classNames.at(workClass)] = distribution(values);
+    return {json::serialize(report), json::serialize(byClass), mustBeZero == 0};
 }
 
 } // namespace lovage::bench
--- a/tools/lovagebench/report.h
+++ b/tools/lovagebench/report.h
@@ -36,6 +36,7 @@
     double load = 0;
     std::string policy;
     std::string faults;
+    std::vector<std::string> classNames;
     std::vector<Duration> ideal;
     std::vector<double> addedLatency; // us
     std::vector<double> inForce;      // ms
@@ -46,7 +47,8 @@
 struct Report
 {
     std::string json;
-    bool isClean = false; // every count that must be zero is zero
+    std::string ratiosByClass; // JSON: class to distribution of the response ratio
+    bool isClean = false;      // every count that must be zero is zero
 };
 
 Report makeReport(const ReportInput &input, const std::vector<Planned> &work,
