Count work between VMs apart from control traffic

Cause: the control figure of a daemon read 9 to 570 KB/s at load 0.7, because lent tasks and forwarded submissions were counted as control messages; their number grows with the load. Change: lovage_work_bytes_total counts messages that carry submissions or tasks, and lovage_control_bytes_total the rest.

--- a/include/lovage/protocol.h
+++ b/include/lovage/protocol.h
@@ -126,6 +126,9 @@
 std::string_view messageName(const WireMessage &message);
 // True for messages that are sent as datagrams.
 bool isDatagram(const WireMessage &message);
+// True for messages that carry submissions or tasks. Their number grows with the load; all others
+// are control traffic.
+bool carriesWork(const WireMessage &message);
 
 // TCP and UDP have separate message numbers, because one may overtake the other by far.
 enum class Channel : uint8_t { Datagram, Stream };
--- a/src/daemon/counters.cpp
+++ b/src/daemon/counters.cpp
@@ -55,15 +55,16 @@
     return httpOverheadBytes + headerBytes(response.headers) + response.body.size();
 }
 
-TrafficCounters::TrafficCounters(Metrics &metrics, const std::string &kind)
-    : sentBytes(directed(metrics, "lovage_control_bytes_total", "Control traffic in bytes", kind,
-                         "sent")),
-      receivedBytes(directed(metrics, "lovage_control_bytes_total", "Control traffic in bytes",
-                             kind, "received")),
-      sentMessages(
-              directed(metrics, "lovage_control_messages_total", "Control messages", kind, "sent")),
-      receivedMessages(directed(metrics, "lovage_control_messages_total", "Control messages", kind,
-                                "received"))
+TrafficCounters::TrafficCounters(Metrics &metrics, const std::string &traffic,
+                                 const std::string &kind)
+    : sentBytes(directed(metrics, "lovage_" + traffic + "_bytes_total",
+                         "Traffic of this kind in bytes", kind, "sent")),
+      receivedBytes(directed(metrics, "lovage_" + traffic + "_bytes_total",
+                             "Traffic of this kind in bytes", kind, "received")),
+      sentMessages(directed(metrics, "lovage_" + traffic + "_messages_total",
+                            "Messages of this kind", kind, "sent")),
+      receivedMessages(directed(metrics, "lovage_" + traffic + "_messages_total",
+                                "Messages of this kind", kind, "received"))
 { }
 
 void TrafficCounters::sent(size_t bytes)
@@ -79,8 +80,9 @@
 }
 
 DaemonCounters::DaemonCounters(Metrics &metrics)
-    : peerTraffic(metrics, "peer"), logTraffic(metrics, "log"), vmListTraffic(metrics, "vm-list"),
-      leaseTraffic(metrics, "lease"),
+    : peerTraffic(metrics, "control", "peer"), workTraffic(metrics, "work", "peer"),
+      logTraffic(metrics, "control", "log"), vmListTraffic(metrics, "control", "vm-list"),
+      leaseTraffic(metrics, "control", "lease"),
       callerRequests(metrics.counter("lovage_caller_requests_total", "Requests of callers")),
       callerRefusals(metrics.counter("lovage_caller_failures_total",
                                      "Requests answered with a 4xx or 5xx status")),
--- a/src/daemon/counters.h
+++ b/src/daemon/counters.h
@@ -12,7 +12,7 @@
 // Bytes and messages of one kind of control traffic.
 struct TrafficCounters
 {
-    TrafficCounters(Metrics &metrics, const std::string &kind);
+    TrafficCounters(Metrics &metrics, const std::string &traffic, const std::string &kind);
 
     void sent(size_t bytes);
     void received(size_t bytes);
@@ -34,7 +34,8 @@
     // Carries the counts of the decision libraries over. Called by the decision thread.
     void sync(const DispatchCounters &counters);
 
-    TrafficCounters peerTraffic;
+    TrafficCounters peerTraffic; // control messages only
+    TrafficCounters workTraffic; // submissions and tasks between VMs
     TrafficCounters logTraffic;
     TrafficCounters vmListTraffic;
     TrafficCounters leaseTraffic;
--- a/src/daemon/peerlink.cpp
+++ b/src/daemon/peerlink.cpp
@@ -71,7 +71,7 @@
     }
     const Endpoint to {address.host, address.port};
     const bool asDatagram = isDatagram(message);
-    shared_.counters.peerTraffic.sent(bytes.value().size() + (asDatagram ? 0 : frameHeaderBytes));
+    trafficOf(message).sent(bytes.value().size() + (asDatagram ? 0 : frameHeaderBytes));
     if (!faults_) {
         deliver(to, asDatagram, std::move(bytes.value()));
         return;
@@ -87,6 +87,12 @@
     }
 }
 
+TrafficCounters &PeerLink::trafficOf(const WireMessage &message)
+{
+    DaemonCounters &counters = shared_.counters;
+    return carriesWork(message) ? counters.workTraffic : counters.peerTraffic;
+}
+
 void PeerLink::deliver(const Endpoint &to, bool asDatagram, std::string bytes)
 {
     if (asDatagram)
@@ -97,15 +103,17 @@
 
 void PeerLink::receive(const Endpoint &from, std::string_view bytes)
 {
-    shared_.counters.peerTraffic.received(bytes.size() + (from.port == 0 ? frameHeaderBytes : 0));
+    const size_t received = bytes.size() + (from.port == 0 ? frameHeaderBytes : 0);
     Result<Envelope> envelope = codec_.decode(bytes);
     if (!envelope.has_value()) {
+        shared_.counters.peerTraffic.received(received);
         const bool isUnauthorized = envelope.error().code == ErrorCode::Unauthorized;
         (isUnauthorized ? shared_.counters.unauthorizedPeerMessages
                         : shared_.counters.malformedPeerMessages)
                 .add();
         return;
     }
+    trafficOf(envelope.value().message).received(received);
     switch (replayGuard_.check(envelope.value())) {
     case ReplayCheck::Fresh:
         shared_.queue.push(PeerInput {from, std::move(envelope.value())});
--- a/src/daemon/peerlink.h
+++ b/src/daemon/peerlink.h
@@ -22,6 +22,7 @@
 private:
     PeerLink(IoThreads &threads, Shared &shared, std::shared_ptr<FaultInjector> faults);
     void receive(const Endpoint &from, std::string_view bytes);
+    TrafficCounters &trafficOf(const WireMessage &message);
     void deliver(const Endpoint &to, bool asDatagram, std::string bytes);
 
     IoThreads &threads_;
