Try servers with few samples by the lower bound of their run time

Change: order and choice use the run time less one standard error; stale servers are tried at every waste weight, because a trial costs no additional message.

--- a/src/placement/estimates.cpp
+++ b/src/placement/estimates.cpp
@@ -19,6 +19,8 @@
 // Such servers stay idle and give no samples that correct this.
 constexpr double firstServerPrior = 20;
 constexpr double lastServerPrior = 3;
+// Bounds the advantage of a server without samples.
+constexpr double largestOptimism = 0.5;
 // Weight, in samples, of the server in the estimate of a pair of server and class.
 constexpr double pairPrior = 30;
 // The long window starts again from the short one when both differ by more than this factor, more
@@ -96,6 +98,12 @@
     server.relative = relativeOf(server);
 }
 
+double Estimates::optimism(uint32_t backend) const
+{
+    const double error = 1 / std::sqrt(1 + static_cast<double>(servers_[backend].samples));
+    return 1 - std::min(largestOptimism, error);
+}
+
 double Estimates::relativeOf(const Server &server)
 {
     const double prior =
--- a/src/placement/estimates.h
+++ b/src/placement/estimates.h
@@ -25,6 +25,9 @@
     {
         return classMean(workClass) * relative(backend, workClass);
     }
+    // Factor on the run time of a server that gives its lower bound of one standard error. Choices
+    // by it try a server with few samples rather than avoid it.
+    double optimism(uint32_t backend) const;
     // Mean absolute deviation of the run times of a server from their expectation, as a ratio.
     double variability(uint32_t backend) const { return servers_[backend].variability; }
     Time lastObserved(uint32_t backend) const { return servers_[backend].lastObserved; }
--- a/src/placement/policies.cpp
+++ b/src/placement/policies.cpp
@@ -15,8 +15,6 @@
 // A server without a result for this long is tried with one task, at most one per interval.
 constexpr Duration staleEstimate = std::chrono::seconds(3);
 constexpr Duration explorationInterval = std::chrono::milliseconds(500);
-// Above this waste weight no task is moved for learning.
-constexpr double largestSpeculativeWeight = 0.5;
 // Slots a server must have free before a job starts a new batch on it, at waste weight 1.
 constexpr uint32_t fullWeightBatch = 2;
 constexpr uint32_t fewestForBatch = 16;
@@ -49,7 +47,8 @@
     std::vector<std::pair<double, uint32_t>> keys;
     keys.reserve(order.servers.size());
     for (const uint32_t server : order.servers)
-        keys.emplace_back(estimates.relative(server, workClass), server);
+        keys.emplace_back(estimates.relative(server, workClass) * estimates.optimism(server),
+                          server);
     std::sort(keys.begin(), keys.end());
     std::transform(keys.begin(), keys.end(), order.servers.begin(),
                    [](const auto &key) { return key.second; });
@@ -186,7 +185,7 @@
 std::optional<uint32_t> Placement::State::explore(uint32_t workClass, const TaskNeed &need,
                                                   Time now)
 {
-    if (need.wasteWeight > largestSpeculativeWeight || need.lastOfJob || now < nextExploration_)
+    if (need.lastOfJob || now < nextExploration_)
         return std::nullopt;
     nextExploration_ = now + explorationInterval;
     std::optional<uint32_t> stalest;
@@ -247,7 +246,7 @@
         }
         if (rate > 0) {
             const double finish = (need.waiting + weighted) / rate;
-            if (finish * policy.patience < run)
+            if (finish * policy.patience < run * estimates.optimism(server))
                 return {std::nullopt, finish};
         }
         if (const auto filled = continueBatch(workClass, need, run, now))
