Stop a drained VM only when its connections are closed

After the drain the VM stopped within 2 s although callers still used kept-alive connections; requests that were open then, such as a keyed submission forwarded to its home, lost their answer. Change: after the drain new connections are refused and each answer closes its connection; the VM stops when no request is open and no connection is left or used, at the latest at the drain deadline, or within 2 s after a second stop signal.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -10,9 +10,12 @@
 
 namespace {
 
-// After the drain, requests that are already on the way are still answered: the VM stops when none
-// was open for quietTime, at the latest after lastCallTime.
+// After the drain, requests that are already on the way are still answered. New connections are
+// refused and each answer closes its connection, so their number falls. The VM stops when no
+// request is open and either no connection is left for quietTime or none was used for idleTime, at
+// the latest at the drain deadline. After a second stop signal it stops within lastCallTime.
 constexpr Duration quietTime = std::chrono::milliseconds(100);
+constexpr Duration idleTime = std::chrono::seconds(1);
 constexpr Duration lastCallTime = std::chrono::seconds(2);
 
 uint64_t seedOf(const DaemonOptions &options)
@@ -82,6 +85,11 @@
     }
 
     Shared &shared() { return shared_; }
+    void requestStop()
+    {
+        ++stopRequests_;
+        shared_.queue.push(StopInput {});
+    }
     uint16_t httpPort() const { return server_->port(); }
     uint16_t peerPort() const { return peers_->port(); }
 
@@ -93,13 +101,18 @@
         while (!isAborted_ && !decision_->hasFinished())
             step(batch);
         server_->stopAccepting();
-        const Time last = currentTime() + lastCallTime;
-        Time quietSince = currentTime();
-        while (!isAborted_ && currentTime() < last) {
+        const Time begun = currentTime();
+        Time quietSince = begun;
+        while (!isAborted_) {
             step(batch);
+            const Time now = currentTime();
+            const bool isHurried = stopRequests_ > 1;
+            if (now - begun >= (isHurried ? lastCallTime : shared_.settings.drainDeadline))
+                break;
+            const bool isConnected = server_->stats().connections > 0;
             if (shared_.openRequests > 0)
-                quietSince = currentTime();
-            else if (currentTime() - quietSince >= quietTime)
+                quietSince = now;
+            else if (now - quietSince >= (isConnected ? idleTime : quietTime))
                 break;
         }
         shared_.setState(DaemonState::Stopped);
@@ -121,6 +134,7 @@
     std::unique_ptr<Decision> decision_;
     std::unique_ptr<HttpServer> server_;
     std::atomic<bool> isAborted_ = false;
+    std::atomic<int> stopRequests_ = 0;
     std::thread thread_;
 };
 
@@ -161,7 +175,7 @@
 
 void Daemon::requestStop()
 {
-    implementation_->shared().queue.push(StopInput {});
+    implementation_->requestStop();
 }
 
 bool Daemon::waitStopped(Duration timeout)
--- a/tests/daemon_fault_test.cpp
+++ b/tests/daemon_fault_test.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon_fixture.h"
 
+#include "lovage/ledger.h"
+
 #include <future>
 
 using namespace lovage;
@@ -36,6 +38,48 @@
     cluster.checkGroundTruth();
 }
 
+// Guards against a drain that cuts a request which another VM answers for longer than the last
+// call.
+BOOST_AUTO_TEST_CASE(drain_waits_for_forwarded_requests)
+{
+    Cluster cluster(2);
+    cluster.startServing(0);
+    cluster.startServing(1);
+    cluster.publish(1, "long", BackendKind::Executor);
+    BOOST_REQUIRE(eventually([&] { return cluster.hasEntry(0, "long"); }));
+    // Not older than the start of the home plus the skew margin of 2 s.
+    const Time issued = currentTime() + std::chrono::milliseconds(1900);
+    const std::string prefix = std::to_string(toUnixMillis(issued)) + "-k";
+    std::string key = prefix;
+    while (keyHome(key, {"vm-0", "vm-1"}) != "vm-1")
+        key += "k";
+    IoThreads threads(1);
+    HttpClient client(threads, 0, {});
+    const auto send = [&](const std::string &method, const std::string &target, std::string body) {
+        auto promise = std::make_shared<std::promise<Result<HttpResponse>>>();
+        client.send({"127.0.0.1", cluster.daemons[0]->httpPort()},
+                    {method, target, {{"Authorization", "Bearer " + ownerToken}}, std::move(body)},
+                    longWait, [promise](Result<HttpResponse> result) {
+                        promise->set_value(std::move(result));
+                    });
+        return promise->get_future();
+    };
+    BOOST_REQUIRE(send("GET", "/v1/catalogue/long", {}).get().has_value());
+    cluster.daemons[0]->requestStop();
+    // The drain has ended when new connections are refused.
+    const Endpoint endpoint {"127.0.0.1", cluster.daemons[0]->httpPort()};
+    BOOST_REQUIRE(eventually([&] {
+        return !sendHttp(endpoint, {"GET", "/v1/health", {}, {}}, longWait);
+    }));
+    const auto result = send("POST", "/v1/keyed/" + key,
+                             requestBody("long", R"({"durationUs":3000000,"output":"done"})"))
+                                .get();
+    BOOST_REQUIRE(result.has_value());
+    BOOST_TEST(result.value().status == 200, result.value().body);
+    BOOST_TEST(cluster.daemons[0]->waitStopped(longWait));
+    threads.stop();
+}
+
 // Guards against a resubmission through another VM that starts the tasks again, while they run and
 // after they ended.
 BOOST_AUTO_TEST_CASE(resubmission_through_another_vm_starts_nothing_twice)
