--- a/src/protocol/envelope.cpp
+++ b/src/protocol/envelope.cpp
@@ -120,18 +120,10 @@
     return std::visit(
             [](const auto &typed) {
                 using Message = std::decay_t<decltype(typed)>;
-                return std::is_same_v<Message, wire::ForwardSubmit>
-                        || std::is_same_v<Message, wire::ForwardReply>
-                        || std::is_same_v<Message, wire::ForwardCancel>
-                        || std::is_same_v<Message, wire::ForwardQuery>
-                        || std::is_same_v<Message, wire::Lend>
-                        || std::is_same_v<Message, wire::LendReply>
-                        || std::is_same_v<Message, wire::LendResult>
-                        || std::is_same_v<Message, wire::LendInquiry>
-                        || std::is_same_v<Message, wire::LendInquiryReply>
-                        || std::is_same_v<Message, wire::LendStop>
-                        || std::is_same_v<Message, wire::LedgerHandover>
-                        || std::is_same_v<Message, wire::LedgerAck>;
+                return std::
+                               is_same_v<
+                                       Message,
+                                       wire::ForwardSubmit> || std::is_same_v<Message, wire::ForwardReply> || std::is_same_v<Message, wire::ForwardCancel> || std::is_same_v<Message, wire::ForwardQuery> || std::is_same_v<Message, wire::Lend> || std::is_same_v<Message, wire::LendReply> || std::is_same_v<Message, wire::LendResult> || std::is_same_v<Message, wire::LendInquiry> || std::is_same_v<Message, wire::LendInquiryReply> || std::is_same_v<Message, wire::LendStop> || std::is_same_v<Message, wire::LedgerHandover> || std::is_same_v<Message, wire::LedgerAck>;
             },
             message);
 }
