Move the follower's exchange with peers into a file of its own

Cause: src/catalogue/follower.cpp had 622 lines and two jobs, reading the log and talking to peers. Change: follower_peers.cpp holds requests, answers and forwarding with their bounds, follower_impl.h the shared state; no behaviour changes.

--- a/src/catalogue/follower.cpp
+++ b/src/catalogue/follower.cpp
@@ -1,23 +1,13 @@
-#include "lovage/catalogue.h"
-
-#include "follower_machine.h"
-#include "record_history.h"
+#include "follower_impl.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
 
 namespace lovage {
 
 namespace {
 
-// Bounds of one message with records to a peer.
-constexpr size_t maxRecordsPerMessage = 500;
-constexpr size_t maxBytesPerMessage = 1 << 18;
-// A relay forwards at most this many new records at once; peers ask for the rest by offset, so a
-// relay that catches up does not send a long history to peers that already have it.
-constexpr size_t maxForwardedRecords = 100;
 // Keeps a log that ignores the requested wait from being read in a busy loop.
 constexpr Duration minReadPause = std::chrono::milliseconds(100);
 // A starting VM reads the log, too, after this many peers did not answer.
@@ -25,26 +15,6 @@
 // A snapshot that did not appear in the log by then is written again.
 constexpr Duration snapshotRetry = std::chrono::seconds(30);
 
-struct OutstandingRead
-{
-    uint64_t token = 0;
-    uint64_t from = 0;
-    Duration wait {0};
-    Time issuedAt;
-    // The catalogue at the time of the read. A reply is judged against these, not against records
-    // that arrived from peers meanwhile.
-    bool hadState = false;
-    uint64_t applied = 0;
-    uint64_t digest = 0;
-    bool isVerifying = false;
-};
-
-struct OutstandingAsk
-{
-    std::string vm;
-    Time deadline;
-};
-
 bool mayBeSnapshot(const LogRecord &record)
 {
     return record.data.find("\"snapshot\"") != std::string::npos;
@@ -65,80 +35,6 @@
 
 } // namespace
 
-struct CatalogueFollower::Impl
-{
-    Impl(FollowerOptions options, uint64_t seed, Time now);
-
-    // Events.
-    void on(const LogPage &page, Time now);
-    void on(const LogError &error, Time now);
-    void on(const PeerMessage &message, Time now);
-    void on(const PeerOffset &peer, Time now);
-    void on(const RelayUpdate &update, Time now);
-    void on(const LogGrew &grew, Time now);
-    void on(const FollowerTick &tick, Time now);
-
-    void answer(const std::string &vm, const CatalogueRequest &request);
-    void take(const std::string &vm, const CatalogueRecords &message, Time now);
-    void take(const std::string &vm, const CatalogueSnapshot &message, Time now);
-
-    // Log.
-    void startRead(Time now);
-    void readFailed(const std::string &reason, Time now);
-    std::string differenceFrom(const OutstandingRead &read, const LogPage &page) const;
-    void absorb(const LogPage &page, Time now);
-    void scan(const LogPage &page, Time now);
-    void stopScan();
-    bool tryScanned(Time now);
-    void scheduleRead(const OutstandingRead &read, const LogPage &page, Time now);
-
-    // Catalogue.
-    void applyRecords(std::span<const LogRecord> records, Time now);
-    void replaceState(const CatalogueFold &state, FollowerSignal start, Time now);
-    void publish(const Catalogue &next);
-    void noteSnapshot(const LogRecord &record, Time now);
-    void forward(uint64_t after, uint64_t afterDigest);
-    void considerSnapshot(Time now);
-
-    // Peers.
-    void askIfBehind(Time now);
-    bool isHistoryOf(const std::string &vm, const CatalogueRecords &message);
-
-    void signal(FollowerSignal signal, const std::string &reason);
-    bool hasState() const { return machine.state() != FollowerState::Empty; }
-    uint64_t applied() const { return catalogue.offset(); }
-    Duration randomUpTo(Duration bound);
-
-    FollowerOptions options;
-    Random random;
-    FollowerMachine machine;
-    Catalogue catalogue;
-    RecordHistory history;
-    std::vector<FollowerAction> actions;
-
-    std::optional<OutstandingRead> outstanding;
-    uint64_t lastToken = 0;
-    Time nextReadAt;
-    Time verifiedAt {};
-    uint32_t failures = 0;
-    bool readAgain = false;
-    // Records read while there is no state to apply them to: at the start, or after retention
-    // dropped records that this VM never read.
-    std::map<uint64_t, LogRecord> scanned;
-    std::optional<uint64_t> scanFrom = 1;
-
-    bool isRelay = false;
-    std::vector<std::string> localPeers;
-    std::map<std::string, uint64_t> peerOffsets;
-    std::map<std::string, uint64_t> diverged; // peer, offset of the reported difference
-    std::optional<OutstandingAsk> ask;
-    uint32_t failedAsks = 0;
-
-    std::optional<Time> snapshotTakenAt; // of the newest snapshot seen in the log
-    uint64_t snapshotAt = 0;
-    std::optional<Time> snapshotDueAt;
-};
-
 CatalogueFollower::Impl::Impl(FollowerOptions followerOptions, uint64_t seed, Time now)
     : options(followerOptions), random(seed), history(options.historyRecords, options.historyBytes),
       nextReadAt(now + options.startFallback + randomUpTo(options.startFallback / 4))
@@ -411,16 +307,6 @@
     actions.push_back(PublishCatalogue {catalogue});
 }
 
-void CatalogueFollower::Impl::forward(uint64_t after, uint64_t afterDigest)
-{
-    if (!isRelay || applied() - after > maxForwardedRecords)
-        return;
-    const CatalogueRecords message {after, afterDigest,
-                                    history.after(after, maxForwardedRecords, maxBytesPerMessage)};
-    for (const std::string &vm : localPeers)
-        actions.push_back(SendCatalogueMessage {vm, message});
-}
-
 void CatalogueFollower::Impl::noteSnapshot(const LogRecord &record, Time now)
 {
     const auto snapshot = parseSnapshot(record);
@@ -452,125 +338,6 @@
     snapshotDueAt = now + snapshotRetry + randomUpTo(options.snapshotSpread);
 }
 
-// Peers.
-
-void CatalogueFollower::Impl::askIfBehind(Time now)
-{
-    if (ask || machine.state() == FollowerState::LogBehind)
-        return;
-    std::vector<const std::string *> ahead;
-    for (const auto &[vm, offset] : peerOffsets) {
-        if (offset > applied() && !diverged.contains(vm))
-            ahead.push_back(&vm);
-    }
-    if (ahead.empty())
-        return;
-    // A random choice spreads the load when a whole data centre starts.
-    const std::string &vm = *ahead[random.below(ahead.size())];
-    ask = OutstandingAsk {vm, now + options.peerTimeout};
-    actions.push_back(
-            SendCatalogueMessage {vm, CatalogueRequest {applied(), catalogue.lastRecordDigest()}});
-}
-
-void CatalogueFollower::Impl::on(const PeerOffset &peer, Time now)
-{
-    peerOffsets[peer.vm] = peer.offset;
-    askIfBehind(now);
-}
-
-void CatalogueFollower::Impl::on(const PeerMessage &message, Time now)
-{
-    if (const auto *request = std::get_if<CatalogueRequest>(&message.message)) {
-        answer(message.vm, *request);
-        return;
-    }
-    if (ask && ask->vm == message.vm)
-        ask.reset();
-    if (machine.state() == FollowerState::LogBehind)
-        return;
-    if (const auto *records = std::get_if<CatalogueRecords>(&message.message))
-        take(message.vm, *records, now);
-    else if (const auto *snapshot = std::get_if<CatalogueSnapshot>(&message.message))
-        take(message.vm, *snapshot, now);
-    askIfBehind(now);
-}
-
-void CatalogueFollower::Impl::answer(const std::string &vm, const CatalogueRequest &request)
-{
-    if (!hasState() || request.after > applied())
-        return;
-    const auto digest = history.digestAt(request.after);
-    if (!digest) {
-        CatalogueSnapshot state {catalogue.lastRecordDigest(), snapshotOf(catalogue, Time {})};
-        state.snapshot.takenAtMs = snapshotTakenAt ? toUnixMillis(*snapshotTakenAt) : 0;
-        actions.push_back(SendCatalogueMessage {vm, std::move(state)});
-        return;
-    }
-    actions.push_back(SendCatalogueMessage {
-            vm,
-            CatalogueRecords {
-                    request.after, *digest,
-                    history.after(request.after, maxRecordsPerMessage, maxBytesPerMessage)}});
-}
-
-// Compares the record before the message, and records in the message, with what was applied.
-bool CatalogueFollower::Impl::isHistoryOf(const std::string &vm, const CatalogueRecords &message)
-{
-    uint64_t different = 0;
-    const auto own = history.digestAt(message.after);
-    if (own && *own != message.afterDigest)
-        different = message.after;
-    for (const LogRecord &record : message.records) {
-        const auto ownRecord = history.digestAt(record.offset);
-        if (record.offset <= applied() && ownRecord && *ownRecord != recordDigest(record.data))
-            different = record.offset;
-    }
-    if (different == 0) {
-        diverged.erase(vm);
-        return true;
-    }
-    if (diverged.emplace(vm, different).second)
-        actions.push_back(PeerDiverged {vm, different});
-    return false;
-}
-
-void CatalogueFollower::Impl::take(const std::string &vm, const CatalogueRecords &message, Time now)
-{
-    if (message.after > applied() || !isHistoryOf(vm, message))
-        return;
-    std::vector<LogRecord> records = message.records;
-    std::ranges::sort(records, {}, &LogRecord::offset);
-    if (hasState()) {
-        applyRecords(records, now);
-        return;
-    }
-    if (records.empty())
-        return;
-    // Without a state, `after` is 0: the records begin with offset 1.
-    stopScan();
-    history.restart(0, 0);
-    signal(FollowerSignal::StartedFromPeer, "the catalogue came from " + vm);
-    applyRecords(records, now);
-    nextReadAt = now + randomUpTo(options.pollInterval);
-}
-
-void CatalogueFollower::Impl::take(const std::string &vm, const CatalogueSnapshot &message,
-                                   Time now)
-{
-    if (message.snapshot.at <= applied())
-        return;
-    stopScan();
-    history.restart(message.snapshot.at, message.digest);
-    replaceState(CatalogueFold(message.snapshot, message.digest), FollowerSignal::StartedFromPeer,
-                 now);
-    if (message.snapshot.takenAtMs != 0) {
-        snapshotTakenAt = std::min(now, fromUnixMillis(message.snapshot.takenAtMs));
-        snapshotAt = message.snapshot.at;
-    }
-    // Spreads the first reads of a data centre whose VMs started together.
-    nextReadAt = now + randomUpTo(options.pollInterval);
-}
-
 void CatalogueFollower::Impl::on(const RelayUpdate &update, Time now)
 {
     localPeers = update.localPeers;
