--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -57,12 +57,20 @@
     auto operator<=>(const HttpHeader &) const = default;
 };
 
+// Tells the handler of a request that the client closed the connection before it was answered.
+// Set and called on the I/O thread of the connection; dropped when the response is written.
+struct DisconnectSignal
+{
+    std::function<void()> onClosed;
+};
+
 struct HttpRequest
 {
     std::string method;
     std::string target; // path with query
     std::vector<HttpHeader> headers;
     std::string body;
+    std::shared_ptr<DisconnectSignal> disconnect {}; // set by HttpServer only
 
     // Value of the first header with this name, ignoring case; empty if absent.
     std::string_view header(std::string_view name) const;
@@ -124,6 +132,8 @@
 
     uint16_t port() const;
     const HttpServerStats &stats() const;
+    // Answers from now on close their connection, while new connections are still accepted.
+    void closeAfterAnswers();
     // Stops accepting. Requests in progress are still answered; idle connections are closed.
     void stopAccepting();
 
@@ -197,6 +207,9 @@
     size_t maxFrameBytes = 32U << 20;
     size_t maxQueuedBytes = 64U << 20; // per endpoint; further frames are dropped and counted
     Duration connectTimeout = std::chrono::milliseconds(500);
+    // Time without an acknowledgement after which the kernel breaks a connection; 0 for its
+    // default.
+    Duration ackTimeout {};
     std::string localAddress;
 };
 
@@ -205,7 +218,17 @@
 class FrameClient
 {
 public:
-    FrameClient(IoThreads &threads, size_t thread, FrameOptions options);
+    // What happened to the frames of an endpoint whose connection ended: none of `unsent` reached
+    // the peer; whether it received the frames sent before is unknown if `wasConnected`.
+    struct Lost
+    {
+        Endpoint to;
+        std::vector<std::string> unsent;
+        bool wasConnected = false;
+    };
+    using LostHandler = std::function<void(Lost)>; // runs on the I/O thread
+
+    FrameClient(IoThreads &threads, size_t thread, FrameOptions options, LostHandler onLost = {});
     ~FrameClient();
     FrameClient(const FrameClient &) = delete;
     FrameClient &operator=(const FrameClient &) = delete;
--- /dev/null
+++ b/include/lovage/routing.h
@@ -0,0 +1,267 @@
+// How jobs find a pool and pools find a holder: reports between VMs, the router of incoming jobs,
+// and membership in the group that holds the shards of a data centre. No I/O.
+#pragma once
+
+#include "lovage/pool.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lovage {
+
+// A VM as it introduces itself.
+struct VmInfo
+{
+    std::string name;
+    std::string dataCentre;
+    std::string address; // of its peer port, "ip:port"
+    uint64_t incarnation = 0;
+
+    auto operator<=>(const VmInfo &) const = default;
+};
+
+// Sent to peers at a fixed interval and after changes. Carries liveness and the load of the pool.
+struct VmReport
+{
+    VmInfo vm;
+    uint32_t cpuMilliCores = 0; // what the VM may use
+    bool isHolder = false;      // holds shards or has asked for them
+    bool isDraining = false;
+    uint64_t configurationVersion = 0;
+    uint32_t knownServers = 0; // of its data centre; 0 if it does not follow them
+    std::vector<ServiceLoad> loads;
+
+    auto operator<=>(const VmReport &) const = default;
+};
+
+// Messages between VMs. Reports are datagrams, the others are frames of a connection.
+struct OfferMessage
+{
+    JobOffer offer;
+
+    auto operator<=>(const OfferMessage &) const = default;
+};
+struct AnswerMessage
+{
+    std::string vm; // that answers
+    JobAnswer answer;
+
+    auto operator<=>(const AnswerMessage &) const = default;
+};
+struct WithdrawMessage
+{
+    JobTicket ticket;
+
+    auto operator<=>(const WithdrawMessage &) const = default;
+};
+// The VMs that the sender knows; answers the first report of an unknown VM.
+struct IntroductionMessage
+{
+    std::vector<VmInfo> vms;
+
+    auto operator<=>(const IntroductionMessage &) const = default;
+};
+using VmMessage =
+        std::variant<VmReport, OfferMessage, AnswerMessage, WithdrawMessage, IntroductionMessage>;
+
+std::string encodeMessage(const VmMessage &message);
+// Error DecodeFailed for anything that is not exactly one message.
+Result<VmMessage> decodeMessage(std::string_view bytes);
+
+struct VmTableOptions
+{
+    // A VM that is silent for longer gets no new jobs.
+    Duration silence = std::chrono::milliseconds(350);
+    // A VM that is silent for longer is lost: what it was doing is given up.
+    Duration loss = std::chrono::milliseconds(1200);
+};
+
+// The latest report of each VM.
+class VmTable
+{
+public:
+    struct Row
+    {
+        VmReport report;
+        Time heardAt;
+        Time avoidUntil {}; // could not be connected to
+    };
+
+    VmTable(VmTableOptions options, VmInfo self) : options_(options), self_(std::move(self)) { }
+
+    enum class News { Known, New, Restarted, Stale };
+    News note(VmReport report, Time now);
+    void noteUnreachable(const std::string &vm, Time now);
+    // Removes VMs that are lost and returns their names.
+    std::vector<std::string> removeLost(Time now);
+    void remove(const std::string &vm) { rows_.erase(vm); }
+
+    bool isHeard(const Row &row, Time now) const;
+    const Row *find(const std::string &vm) const;
+    std::map<std::string, Row> &rows() { return rows_; }
+    const std::map<std::string, Row> &rows() const { return rows_; }
+    const VmInfo &self() const { return self_; }
+
+private:
+    VmTableOptions options_;
+    VmInfo self_;
+    std::map<std::string, Row> rows_; // by name, without this VM
+};
+
+struct RouterOptions
+{
+    size_t maxOffers = 3; // pools that are asked for one job
+    // Added to the expected wait in another data centre: the way there and back.
+    Duration remotePenalty = std::chrono::milliseconds(4);
+    Duration retryAfter = std::chrono::seconds(1); // without a better estimate
+};
+
+struct SendOffer
+{
+    std::string vm;
+    JobOffer offer;
+};
+struct SendWithdraw
+{
+    std::string vm;
+    JobTicket ticket;
+};
+// The answer to the caller of request `number`.
+struct Respond
+{
+    uint64_t number = 0;
+    JobAnswer answer;
+};
+using RouterAction = std::variant<SendOffer, SendWithdraw, Respond>;
+
+struct RouterNote
+{
+    std::string event;
+    std::string job;
+    std::string details;
+};
+
+// Finds a pool for each job that callers bring to this VM. Asks pools one after the other, the
+// next one only after a refusal; a job whose pool is lost is answered as abandoned, since its tasks
+// may still run there. Single-threaded.
+class Router
+{
+public:
+    Router(RouterOptions options, VmTable &vms) : options_(options), vms_(vms) { }
+
+    // The load of the pool on this VM, which needs no message.
+    void setOwnLoad(std::vector<ServiceLoad> loads) { ownLoads_ = std::move(loads); }
+
+    // `number` is unique within this incarnation of the VM.
+    void submit(uint64_t number, JobOffer offer, Time now);
+    void withdraw(uint64_t number, Time now);
+    void onAnswer(const std::string &vm, JobAnswer answer, Time now);
+    // No byte of the offer reached the VM.
+    void onOfferUnsent(const std::string &vm, uint64_t number, Time now);
+    // The VM died or cannot be told apart from a dead one.
+    void onVmLost(const std::string &vm, Time now);
+    void tick(Time now);
+
+    std::vector<RouterAction> takeActions() { return std::exchange(actions_, {}); }
+    std::vector<RouterNote> takeNotes() { return std::exchange(notes_, {}); }
+    size_t openCount() const { return requests_.size(); }
+
+private:
+    struct Request
+    {
+        JobOffer offer; // with the times that were left at arrival
+        Time arrived {};
+        std::string vm; // that has the offer
+        std::vector<std::string> refusedBy {};
+        Duration retryAfter {};
+    };
+    struct Candidate
+    {
+        std::string vm;
+        ServiceLoad *load = nullptr;
+        Duration wait {};
+    };
+
+    std::optional<Candidate> choose(const Request &request, Time now);
+    void offerNext(uint64_t number, Time now);
+    void respond(uint64_t number, JobResult result, std::string reason, Duration retryAfter);
+
+    RouterOptions options_;
+    VmTable &vms_;
+    std::vector<ServiceLoad> ownLoads_;
+    std::map<uint64_t, Request> requests_;
+    std::vector<RouterAction> actions_;
+    std::vector<RouterNote> notes_;
+};
+
+struct HolderOptions
+{
+    // Servers that one VM places on; a data centre with more has more holders.
+    uint32_t serversPerHolder = 32;
+    // Time after the start in which reports of present holders arrive.
+    Duration settleTime = std::chrono::milliseconds(400);
+    Duration joinInterval = std::chrono::milliseconds(250);
+    Duration groupLease = std::chrono::milliseconds(1000);
+    // A shard that is to be released is given up after this time, even if something runs there.
+    Duration releaseLimit = std::chrono::seconds(3);
+};
+
+struct JoinGroup
+{
+    uint64_t generation = 0; // acknowledged by joining
+    Duration lease {};
+};
+struct LeaveGroup
+{ };
+using GroupRequest = std::variant<JoinGroup, LeaveGroup>;
+
+// What the store says to a member that joins: its shards, from this generation on.
+struct GroupMembership
+{
+    uint64_t generation = 0;
+    std::vector<uint32_t> shards;
+
+    auto operator<=>(const GroupMembership &) const = default;
+};
+
+// Whether this VM should hold shards, given what its peers report.
+bool shouldHold(const VmTable &vms, const VmReport &self, const HolderOptions &options, Time now);
+
+// Membership of this VM in the group of its data centre. The store deals the shards out; the
+// generation of the group is the fencing token. Between the answers of the store the grants stay,
+// since servers refuse a holder whose token has been passed.
+class ShardMembership
+{
+public:
+    ShardMembership(HolderOptions options, Time started) : options_(options), started_(started) { }
+
+    // The request that is due, if any; each is answered by one of the events below.
+    std::optional<GroupRequest> next(bool wantsShards, bool isReleaseReady, Time now);
+    // Returns whether the grants changed.
+    bool onJoined(const GroupMembership &membership, Time now);
+    void onJoinFailed(Time now);
+    void onLeft();
+
+    bool isMember() const { return isMember_; }
+    const ShardGrants &grants() const { return grants_; }
+
+private:
+    bool isReleasing() const;
+
+    HolderOptions options_;
+    Time started_;
+    bool isMember_ = false;
+    bool isPending_ = false;
+    Time nextAt_ {};
+    uint64_t acknowledged_ = 0;
+    uint64_t latest_ = 0;
+    bool isReleaseSent_ = false;
+    Time releaseSince_ {};
+    ShardGrants grants_;
+};
+
+} // namespace lovage
--- a/include/lovage/telemetry.h
+++ b/include/lovage/telemetry.h
@@ -110,10 +110,14 @@
     std::string value;
 };
 
-// Prints one line "time=... level=... event=... name=value ..." to standard error. Values with
-// spaces or quotes are quoted. Thread safe. Used for changes of state only; events that repeat
-// with the load are counters.
+// Prints one line "time=... level=... event=... name=value ..." to standard output. Values with
+// spaces or quotes are quoted. Thread safe.
+//
+// Never blocks: a line that a full pipe does not take is dropped. Each event has a budget of lines
+// per second; beyond it, and for dropped lines, a line "log-suppressed" gives the count.
 void logEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+// Same with fields that are already text: "name=value ...".
+void logEvent(LogLevel level, std::string_view event, std::string_view fields);
 
 // Trace context of W3C traceparent, version 00.
 struct TraceContext
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -8,6 +8,9 @@
 
 #include <fmt/format.h>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <deque>
 #include <map>
 
@@ -41,9 +44,9 @@
 {
 public:
     FrameSender(asio::io_context &context, Endpoint to, FrameOptions options,
-                std::shared_ptr<std::atomic<uint64_t>> dropped)
+                std::shared_ptr<std::atomic<uint64_t>> dropped, FrameClient::LostHandler onLost)
         : stream_(context), to_(std::move(to)), options_(std::move(options)),
-          dropped_(std::move(dropped))
+          dropped_(std::move(dropped)), onLost_(std::move(onLost))
     { }
 
     void send(std::string frame)
@@ -86,11 +89,23 @@
             }
             self->stream_.expires_never();
             self->state_ = State::Ready;
+            self->setAckTimeout();
             self->watchForClose();
             self->writeQueued();
         });
     }
 
+    // Without it a write to a peer that lost power or is cut off stays unnoticed for minutes.
+    void setAckTimeout()
+    {
+        if (options_.ackTimeout <= Duration::zero())
+            return;
+        const auto millis = static_cast<unsigned>(
+                std::chrono::duration_cast<std::chrono::milliseconds>(options_.ackTimeout).count());
+        setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &millis,
+                   sizeof(millis));
+    }
+
     // The receiver never sends, so a read ends only when the connection breaks. Without it the
     // next frame would be lost on a connection that the receiver has closed.
     void watchForClose()
@@ -100,7 +115,7 @@
                 [self = shared_from_this(), generation = generation_](error_code error) {
                     if (error || generation != self->generation_)
                         return;
-                    if (self->state_ == State::Ready)
+                    if (self->state_ == State::Ready || self->state_ == State::Writing)
                         self->reset();
                 });
     }
@@ -124,36 +139,46 @@
             buffers.emplace_back(headers_[i].data(), headers_[i].size());
             buffers.emplace_back(writing_[i].data(), writing_[i].size());
         }
-        asio::async_write(stream_, buffers, [self = shared_from_this()](error_code error, size_t) {
-            for (const std::string &frame : self->writing_)
-                self->queuedBytes_ -= frame.size();
-            if (error) {
-                self->dropped_->fetch_add(self->writing_.size(), std::memory_order_relaxed);
-                self->writing_.clear();
-                self->reset();
-                return;
-            }
-            self->writing_.clear();
-            self->state_ = State::Ready;
-            self->writeQueued();
-        });
+        asio::async_write(
+                stream_, buffers,
+                [self = shared_from_this(), generation = generation_](error_code error, size_t) {
+                    if (generation != self->generation_)
+                        return;
+                    for (const std::string &frame : self->writing_)
+                        self->queuedBytes_ -= frame.size();
+                    if (error) {
+                        self->reset();
+                        return;
+                    }
+                    self->writing_.clear();
+                    self->state_ = State::Ready;
+                    self->writeQueued();
+                });
     }
 
     // Drops what is queued: by the time a connection is up again its senders have timed out.
     void reset()
     {
-        dropped_->fetch_add(queue_.size(), std::memory_order_relaxed);
+        dropped_->fetch_add(queue_.size() + writing_.size(), std::memory_order_relaxed);
+        FrameClient::Lost lost {
+                to_,
+                {std::make_move_iterator(queue_.begin()), std::make_move_iterator(queue_.end())},
+                state_ != State::Connecting && state_ != State::Closed};
         queue_.clear();
+        writing_.clear();
         queuedBytes_ = 0;
         ++generation_;
         stream_.close();
         state_ = State::Closed;
+        if (onLost_)
+            onLost_(std::move(lost));
     }
 
     boost::beast::tcp_stream stream_;
     Endpoint to_;
     FrameOptions options_;
     std::shared_ptr<std::atomic<uint64_t>> dropped_;
+    FrameClient::LostHandler onLost_;
     State state_ = State::Closed;
     uint64_t generation_ = 0;
     std::deque<std::string> queue_;
@@ -165,8 +190,8 @@
 class FrameClient::Implementation : public std::enable_shared_from_this<Implementation>
 {
 public:
-    Implementation(asio::io_context &context, FrameOptions options)
-        : context_(context), options_(std::move(options)),
+    Implementation(asio::io_context &context, FrameOptions options, LostHandler onLost)
+        : context_(context), options_(std::move(options)), onLost_(std::move(onLost)),
           dropped_(std::make_shared<std::atomic<uint64_t>>(0))
     { }
 
@@ -176,7 +201,7 @@
             auto &sender = self->senders_[to];
             if (!sender)
                 sender = std::make_shared<FrameSender>(self->context_, to, self->options_,
-                                                       self->dropped_);
+                                                       self->dropped_, self->onLost_);
             sender->send(std::move(frame));
         });
     }
@@ -194,13 +219,15 @@
 private:
     asio::io_context &context_;
     FrameOptions options_;
+    LostHandler onLost_;
     std::shared_ptr<std::atomic<uint64_t>> dropped_;
     std::map<Endpoint, std::shared_ptr<FrameSender>> senders_;
 };
 
-FrameClient::FrameClient(IoThreads &threads, size_t thread, FrameOptions options)
-    : implementation_(
-            std::make_shared<Implementation>(contextOf(threads, thread), std::move(options)))
+FrameClient::FrameClient(IoThreads &threads, size_t thread, FrameOptions options,
+                         LostHandler onLost)
+    : implementation_(std::make_shared<Implementation>(contextOf(threads, thread),
+                                                       std::move(options), std::move(onLost)))
 { }
 
 FrameClient::~FrameClient()
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -70,7 +70,9 @@
 
     void add(Exchange exchange);
     void sweep();
-    void close();
+    // Closes idle connections. After a timeout they are suspect as well: a fault of the network
+    // can silence all connections to an endpoint without a reset.
+    void dropIdle();
 
 private:
     struct Connection
@@ -222,9 +224,10 @@
                     return;
                 }
                 ErrorCode code = ErrorCode::PeerUnreachable;
-                if (error == beast::error::timeout)
+                if (error == beast::error::timeout) {
                     code = ErrorCode::Timeout;
-                else if (error == http::error::body_limit)
+                    self->dropIdle();
+                } else if (error == http::error::body_limit)
                     code = ErrorCode::AnswerTooLarge;
                 self->finish(connection,
                              mayHaveRun(code,
@@ -282,7 +285,7 @@
     });
 }
 
-void EndpointPool::close()
+void EndpointPool::dropIdle()
 {
     for (const ConnectionPtr &connection : idle_)
         connection->stream.close();
@@ -327,7 +330,7 @@
         asio::post(context_, [self = shared_from_this()] {
             self->sweepTimer_.cancel();
             for (const auto &[endpoint, pool] : self->pools_)
-                pool->close();
+                pool->dropIdle();
         });
     }
 
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -7,6 +7,10 @@
 
 #include <fmt/format.h>
 
+#include <sys/socket.h>
+
+#include <cerrno>
+
 namespace lovage {
 
 namespace asio = boost::asio;
@@ -25,12 +29,14 @@
     { }
 
     void accept();
+    void closeAfterAnswers() { isClosing_ = true; }
     void stopAccepting();
 
     uint16_t port() const { return port_; }
     HttpServerStats &stats() { return stats_; }
     const HttpLimits &limits() const { return limits_; }
     bool isStopping() const { return isStopping_.load(std::memory_order_relaxed); }
+    bool isClosing() const { return isClosing_.load(std::memory_order_relaxed) || isStopping(); }
     void handle(HttpRequest request, Reply reply)
     {
         handler_(std::move(request), std::move(reply));
@@ -46,6 +52,7 @@
     ErrorBody errorBody_;
     HttpServerStats stats_;
     std::atomic<bool> isStopping_ = false;
+    std::atomic<bool> isClosing_ = false;
     size_t nextThread_ = 0;
 };
 
@@ -147,6 +154,9 @@
             request.headers.push_back(
                     {std::string(field.name_string()), std::string(field.value())});
         request.body = std::move(message.body());
+        disconnect_ = std::make_shared<DisconnectSignal>();
+        request.disconnect = disconnect_;
+        watchForDisconnect();
         server_->handle(std::move(request),
                         [self = this->shared_from_this()](HttpResponse response) {
                             asio::post(self->stream_.get_executor(),
@@ -156,6 +166,39 @@
                         });
     }
 
+    // One wait at a time is pending. It also completes when the next request arrives, which the
+    // peek tells apart from a closed connection.
+    void watchForDisconnect()
+    {
+        if (isWatching_)
+            return;
+        isWatching_ = true;
+        stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
+                                    [self = this->shared_from_this()](error_code error) {
+                                        self->isWatching_ = false;
+                                        if (error || !self->disconnect_)
+                                            return;
+                                        self->noteReadable();
+                                    });
+    }
+
+    void noteReadable()
+    {
+        char byte = 0;
+        const auto count =
+                recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool isPending = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        if (count > 0)
+            return;
+        if (isPending) {
+            watchForDisconnect();
+            return;
+        }
+        const auto signal = std::move(disconnect_);
+        if (signal->onClosed)
+            signal->onClosed();
+    }
+
     void rejectRequest(error_code error)
     {
         if (isTooSlow_)
@@ -177,7 +220,8 @@
 
     void writeResponse(HttpResponse response)
     {
-        keepAlive_ = keepAlive_ && !server_->isStopping();
+        disconnect_.reset();
+        keepAlive_ = keepAlive_ && !server_->isClosing();
         response_ = {};
         response_.result(static_cast<unsigned>(response.status));
         response_.version(11);
@@ -212,6 +256,8 @@
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
+    std::shared_ptr<DisconnectSignal> disconnect_;
+    bool isWatching_ = false;
     bool keepAlive_ = true;
 };
 
@@ -288,6 +334,11 @@
     return implementation_->stats();
 }
 
+void HttpServer::closeAfterAnswers()
+{
+    implementation_->closeAfterAnswers();
+}
+
 void HttpServer::stopAccepting()
 {
     implementation_->stopAccepting();
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,512 @@
+#include "peers.h"
+
+#include "lovage/node.h"
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <unordered_map>
+
+namespace lovage {
+
+namespace {
+
+constexpr Duration busyTick = std::chrono::milliseconds(10);
+constexpr Duration idleTick = std::chrono::milliseconds(50);
+// A gap between two ticks above this means that the process was paused.
+constexpr Duration pauseThreshold = std::chrono::milliseconds(500);
+// A VM that hears of no pool says that it is ready after this time all the same, since its refusals
+// are quicker than a time-out.
+constexpr Duration readyWithoutPool = std::chrono::seconds(3);
+
+PoolOptions poolOptions(const NodeSettings &settings)
+{
+    PoolOptions options;
+    options.shardCount = settings.shardCount;
+    options.lease = settings.lease;
+    options.stopTime = settings.stopTime;
+    options.lookWait = settings.lease / 4;
+    return options;
+}
+
+HolderOptions holderOptions(const NodeSettings &settings)
+{
+    HolderOptions options;
+    options.groupLease = settings.groupLease;
+    options.joinInterval = settings.groupLease / 4;
+    return options;
+}
+
+VmInfo vmInfo(const NodeSettings &settings, Time now)
+{
+    return {settings.name, settings.dataCentre, toString(settings.peer),
+            static_cast<uint64_t>(now.time_since_epoch().count())};
+}
+
+} // namespace
+
+class Node::Implementation
+{
+public:
+    Implementation(const NodeSettings &settings, IoThreads &threads, ServerPort &servers,
+                   GroupPort &group, Metrics &metrics)
+        : started_(currentTime()), self_(vmInfo(settings, started_)), threads_(threads),
+          servers_(servers), group_(group), settings_(settings), vms_({}, self_), router_({}, vms_),
+          pool_(poolOptions(settings)), holderOptions_(holderOptions(settings)),
+          membership_(holderOptions_, started_),
+          submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
+          latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
+    {
+        for (size_t i = 0; i < resultCounters_.size(); ++i)
+            resultCounters_[i] = &metrics.counter(
+                    "lovage_jobs_answered_total", "answers by result",
+                    {{"result", std::string(toString(static_cast<JobResult>(i)))}});
+    }
+
+    Result<void> open()
+    {
+        auto peers = node::Peers::open(settings_, threads_, vms_, *this);
+        if (!peers.has_value())
+            return peers.error();
+        peers_ = std::move(peers.value());
+        return boost::outcome_v2::success();
+    }
+
+    void start()
+    {
+        logEvent(LogLevel::Info, "started",
+                 {{"vm", self_.name},
+                  {"data_centre", self_.dataCentre},
+                  {"incarnation", self_.incarnation}});
+        lastTick_ = currentTime();
+        scheduleTick();
+    }
+
+    // Events from peers.
+    void onMessage(VmMessage message)
+    {
+        std::visit([this](auto &&alternative) { onPeer(std::move(alternative)); },
+                   std::move(message));
+        flush();
+    }
+    void onOfferUnsent(const std::string &vm, const JobOffer &offer)
+    {
+        vms_.noteUnreachable(vm, currentTime());
+        router_.onOfferUnsent(vm, offer.ticket.number, currentTime());
+        flush();
+    }
+    void onVmLost(const std::string &vm, std::string_view cause)
+    {
+        logEvent(LogLevel::Warning, "vm-lost", {{"vm", vm}, {"cause", cause}});
+        vms_.remove(vm);
+        router_.onVmLost(vm, currentTime());
+        pool_.withdrawAll(vm, 0, currentTime());
+        flush();
+    }
+
+    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
+    {
+        submitted_.add();
+        const uint64_t number = nextNumber_++;
+        JobOffer offer;
+        offer.objective = latencyObjective(queue, job);
+        offer.deadline = deadline;
+        offer.queue = queue.name;
+        offer.service = queue.service;
+        offer.priority = queue.priority;
+        offer.attempts = queue.attempts;
+        offer.job = std::move(job);
+        callers_.emplace(number, Caller {std::move(respond), currentTime()});
+        router_.setOwnLoad(pool_.load(currentTime()));
+        router_.submit(number, std::move(offer), currentTime());
+        flush();
+        return number;
+    }
+
+    void withdraw(uint64_t number)
+    {
+        callers_.erase(number);
+        router_.withdraw(number, currentTime());
+        flush();
+    }
+
+    VmReport report() const
+    {
+        VmReport report;
+        report.vm = self_;
+        report.cpuMilliCores = settings_.cpuMilliCores;
+        report.isHolder = membership_.isMember();
+        report.isDraining = isDraining_;
+        report.configurationVersion = configuration_.version;
+        report.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
+        report.loads = pool_.load(currentTime());
+        return report;
+    }
+
+    void setConfiguration(Configuration configuration)
+    {
+        if (hasConfiguration_ && configuration.version <= configuration_.version)
+            return;
+        logEvent(LogLevel::Info, "configuration-in-force",
+                 {{"version", configuration.version},
+                  {"replaces", configuration_.version},
+                  {"queues", configuration.queues.size()}});
+        configuration_ = std::move(configuration);
+        hasConfiguration_ = true;
+    }
+
+    void setServers(const std::vector<ServerInfo> &servers)
+    {
+        std::vector<ServerInfo> own;
+        for (const ServerInfo &server : servers) {
+            if (server.dataCentre == self_.dataCentre)
+                own.push_back(server);
+        }
+        pool_.setServers(own, currentTime());
+        flush();
+    }
+
+    bool needsServers() const
+    {
+        return membership_.isMember() || shouldHold(vms_, report(), holderOptions_, currentTime());
+    }
+
+    bool isReady() const
+    {
+        if (isDraining_ || !hasConfiguration_)
+            return false;
+        const bool hasPool = pool_.serverCount() > 0
+                || std::any_of(vms_.rows().begin(), vms_.rows().end(), [](const auto &entry) {
+                                 return !entry.second.report.loads.empty();
+                             });
+        return hasPool || currentTime() > started_ + readyWithoutPool;
+    }
+
+    void drain()
+    {
+        if (isDraining_)
+            return;
+        isDraining_ = true;
+        pool_.drain();
+        logEvent(LogLevel::Info, "draining", {{"open_requests", router_.openCount()}});
+        peers_->sendReports(report(), true);
+    }
+
+    bool isDrained() const
+    {
+        return isDraining_ && router_.openCount() == 0 && pool_.isIdle() && !membership_.isMember();
+    }
+
+    const Configuration *configuration() const
+    {
+        return hasConfiguration_ ? &configuration_ : nullptr;
+    }
+
+    node::Peers &peers() { return *peers_; }
+    const VmInfo &self() const { return self_; }
+
+private:
+    struct Caller
+    {
+        Respond respond;
+        Time arrived;
+    };
+
+    void onPeer(VmReport report)
+    {
+        const std::string vm = report.vm.name;
+        const std::string address = report.vm.address;
+        const uint64_t incarnation = report.vm.incarnation;
+        const auto news = vms_.note(std::move(report), currentTime());
+        if (news == VmTable::News::New || news == VmTable::News::Restarted) {
+            logEvent(LogLevel::Info, "vm-heard", {{"vm", vm}, {"incarnation", incarnation}});
+            peers_->introduce(address);
+        }
+        if (news != VmTable::News::Restarted)
+            return;
+        router_.onVmLost(vm, currentTime());
+        pool_.withdrawAll(vm, incarnation, currentTime());
+    }
+    void onPeer(OfferMessage message) { pool_.offer(std::move(message.offer), currentTime()); }
+    void onPeer(AnswerMessage message)
+    {
+        router_.onAnswer(message.vm, std::move(message.answer), currentTime());
+    }
+    void onPeer(const WithdrawMessage &message) { pool_.withdraw(message.ticket, currentTime()); }
+    void onPeer(const IntroductionMessage &message) { peers_->addContacts(message.vms); }
+
+    void scheduleTick()
+    {
+        const bool isBusy = router_.openCount() > 0 || !pool_.isIdle();
+        threads_.postAfter(0, isBusy ? busyTick : idleTick, [this] { onTick(); });
+    }
+
+    void onTick()
+    {
+        const Time now = currentTime();
+        if (now > lastTick_ + pauseThreshold)
+            logEvent(LogLevel::Warning, "paused", {{"for_us", (now - lastTick_).count()}});
+        lastTick_ = now;
+        for (const std::string &vm : vms_.removeLost(now))
+            onVmLost(vm, "silent");
+        peers_->tick(now);
+        pool_.tick(now);
+        router_.tick(now);
+        requestGroup(now);
+        flush();
+        peers_->sendReports(report(), false);
+        scheduleTick();
+    }
+
+    void requestGroup(Time now)
+    {
+        const bool mayLeave = isDraining_ && pool_.isIdle();
+        const bool wantsShards = (isDraining_ && !mayLeave && membership_.isMember())
+                || (!isDraining_ && shouldHold(vms_, report(), holderOptions_, now));
+        const auto request = membership_.next(wantsShards, pool_.isReleaseReady(), now);
+        if (!request)
+            return;
+        if (const auto *join = std::get_if<JoinGroup>(&*request)) {
+            group_.join(*join, [this](const Result<GroupMembership> &reply) { onJoined(reply); });
+            return;
+        }
+        group_.leave([this](const Result<void> &reply) {
+            if (!reply.has_value()) {
+                membership_.onJoinFailed(currentTime());
+                return;
+            }
+            membership_.onLeft();
+            pool_.setGrants({}, currentTime());
+            flush();
+        });
+    }
+
+    void onJoined(const Result<GroupMembership> &reply)
+    {
+        const Time now = currentTime();
+        if (!reply.has_value()) {
+            noteStore(false, reply.error().reason);
+            membership_.onJoinFailed(now);
+            return;
+        }
+        noteStore(true, {});
+        if (!membership_.onJoined(reply.value(), now))
+            return;
+        logEvent(LogLevel::Info, "grants-changed",
+                 {{"generation", reply.value().generation},
+                  {"shards", reply.value().shards.size()},
+                  {"kept_until_idle", membership_.grants().size() - reply.value().shards.size()}});
+        pool_.setGrants(membership_.grants(), now);
+        flush();
+    }
+
+    void noteStore(bool isReachable, const std::string &reason)
+    {
+        if (isReachable == isStoreReachable_)
+            return;
+        isStoreReachable_ = isReachable;
+        logEvent(LogLevel::Warning, isReachable ? "group-regained" : "group-lost",
+                 {{"reason", reason}});
+    }
+
+    // Carries out what the router and the pool have decided until nothing is left.
+    void flush()
+    {
+        if (isFlushing_)
+            return;
+        isFlushing_ = true;
+        for (bool isDone = false; !isDone;) {
+            const Time now = currentTime();
+            auto poolActions = pool_.takeActions(now);
+            auto routerActions = router_.takeActions();
+            isDone = poolActions.empty() && routerActions.empty();
+            for (PoolAction &action : poolActions)
+                std::visit([this](auto &&order) { carryOut(std::move(order)); }, std::move(action));
+            for (RouterAction &action : routerActions)
+                std::visit([this](auto &&order) { carryOut(std::move(order)); }, std::move(action));
+        }
+        isFlushing_ = false;
+        printNotes();
+    }
+
+    template<class Note>
+    static void print(const Note &note)
+    {
+        if (note.job.empty())
+            logEvent(LogLevel::Info, note.event, note.details);
+        else
+            logEvent(LogLevel::Info, note.event,
+                     note.details.empty() ? "job=" + note.job
+                                          : fmt::format("job={} {}", note.job, note.details));
+    }
+
+    void printNotes()
+    {
+        for (const RouterNote &note : router_.takeNotes())
+            print(note);
+        for (const PoolNote &note : pool_.takeNotes())
+            print(note);
+    }
+
+    void carryOut(OrderStart order)
+    {
+        RunRef ref = order.ref;
+        servers_.start(order, [this, ref](OrderResult result, const ServerReading &reading) {
+            pool_.onStartAnswered(ref, result, reading, currentTime());
+            flush();
+        });
+    }
+    void carryOut(OrderStop order)
+    {
+        RunRef ref = order.ref;
+        servers_.stop(order, [this, ref](OrderResult result, const ServerReading &reading) {
+            pool_.onStopAnswered(ref, result, reading, currentTime());
+            flush();
+        });
+    }
+    void carryOut(const OrderLook &order)
+    {
+        servers_.look(order, [this](const LookReply &reply) {
+            pool_.onLooked(reply, currentTime());
+            flush();
+        });
+    }
+    // An answer of the own pool, for a caller here or at another VM.
+    void carryOut(JobAnswer answer)
+    {
+        if (answer.ticket.vm == self_.name) {
+            router_.onAnswer(self_.name, std::move(answer), currentTime());
+            return;
+        }
+        const std::string vm = answer.ticket.vm;
+        peers_->send(vm, AnswerMessage {self_.name, std::move(answer)});
+    }
+    void carryOut(SendOffer send)
+    {
+        if (send.vm == self_.name)
+            pool_.offer(std::move(send.offer), currentTime());
+        else
+            peers_->send(send.vm, OfferMessage {std::move(send.offer)});
+    }
+    void carryOut(const SendWithdraw &send)
+    {
+        if (send.vm == self_.name)
+            pool_.withdraw(send.ticket, currentTime());
+        else
+            peers_->send(send.vm, WithdrawMessage {send.ticket});
+    }
+    void carryOut(const lovage::Respond &respond)
+    {
+        resultCounters_[static_cast<size_t>(respond.answer.result)]->add();
+        const auto found = callers_.find(respond.number);
+        if (found == callers_.end())
+            return;
+        latency_.record(currentTime() - found->second.arrived);
+        const Caller caller = std::move(found->second);
+        callers_.erase(found);
+        caller.respond(respond.answer);
+    }
+
+    Time started_;
+    VmInfo self_;
+    IoThreads &threads_;
+    ServerPort &servers_;
+    GroupPort &group_;
+    NodeSettings settings_;
+    VmTable vms_;
+    Router router_;
+    Pool pool_;
+    HolderOptions holderOptions_;
+    ShardMembership membership_;
+    std::unique_ptr<node::Peers> peers_;
+    Configuration configuration_;
+    bool hasConfiguration_ = false;
+    std::unordered_map<uint64_t, Caller> callers_;
+    uint64_t nextNumber_ = 1;
+    bool isDraining_ = false;
+    bool isFlushing_ = false;
+    bool isStoreReachable_ = true;
+    Time lastTick_ {};
+    Counter &submitted_;
+    std::array<Counter *, 4> resultCounters_ {};
+    LatencyHistogram &latency_;
+};
+
+Node::Node(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation))
+{ }
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>> Node::open(NodeSettings settings, IoThreads &threads,
+                                         ServerPort &servers, GroupPort &group, Metrics &metrics)
+{
+    auto implementation =
+            std::make_unique<Implementation>(settings, threads, servers, group, metrics);
+    const Result<void> opened = implementation->open();
+    if (!opened.has_value())
+        return opened.error();
+    return std::unique_ptr<Node>(new Node(std::move(implementation)));
+}
+
+void Node::start()
+{
+    implementation_->start();
+}
+
+void Node::setConfiguration(Configuration configuration)
+{
+    implementation_->setConfiguration(std::move(configuration));
+}
+
+void Node::setServers(const std::vector<ServerInfo> &servers)
+{
+    implementation_->setServers(servers);
+}
+
+void Node::setPeers(const std::vector<VmInfo> &peers)
+{
+    implementation_->peers().addContacts(peers);
+}
+
+uint64_t Node::submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
+{
+    return implementation_->submit(std::move(job), queue, deadline, std::move(respond));
+}
+
+void Node::withdraw(uint64_t number)
+{
+    implementation_->withdraw(number);
+}
+
+bool Node::needsServers() const
+{
+    return implementation_->needsServers();
+}
+
+bool Node::isReady() const
+{
+    return implementation_->isReady();
+}
+
+const Configuration *Node::configuration() const
+{
+    return implementation_->configuration();
+}
+
+const VmInfo &Node::self() const
+{
+    return implementation_->self();
+}
+
+void Node::drain()
+{
+    implementation_->drain();
+}
+
+bool Node::isDrained() const
+{
+    return implementation_->isDrained();
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/node/peers.cpp
@@ -0,0 +1,161 @@
+#include "peers.h"
+
+namespace lovage::node {
+
+namespace {
+
+constexpr Duration reportInterval = std::chrono::milliseconds(100);
+// Contacts that are not heard may be addresses of VMs that are gone.
+constexpr Duration unheardInterval = std::chrono::milliseconds(500);
+// A VM that is alive is heard within this time after its connection broke.
+constexpr Duration suspicionLimit = std::chrono::milliseconds(300);
+// Bytes on a connection that are not acknowledged in this time break it.
+constexpr Duration ackTimeout = std::chrono::milliseconds(1000);
+
+std::optional<std::string> vmAt(const VmTable &vms, const std::string &address)
+{
+    for (const auto &[name, row] : vms.rows()) {
+        if (row.report.vm.address == address)
+            return name;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+Peers::Peers(const NodeSettings &settings, VmTable &vms, Handlers handlers)
+    : vms_(vms), handlers_(std::move(handlers)), self_(settings.peer)
+{
+    for (const Endpoint &seed : settings.seeds) {
+        if (seed != self_)
+            contacts_.emplace(seed, Contact {});
+    }
+}
+
+Result<std::unique_ptr<Peers>> Peers::open(const NodeSettings &settings, IoThreads &threads,
+                                           VmTable &vms, Handlers handlers)
+{
+    std::unique_ptr<Peers> peers(new Peers(settings, vms, std::move(handlers)));
+    const Result<void> result = peers->listen(settings, threads);
+    if (!result.has_value())
+        return result.error();
+    return peers;
+}
+
+Result<void> Peers::listen(const NodeSettings &settings, IoThreads &threads)
+{
+    auto datagrams =
+            UdpSocket::open(threads, 0, settings.peer,
+                            [this](const Endpoint &, std::string_view bytes) { onBytes(bytes); });
+    if (!datagrams.has_value())
+        return datagrams.error();
+    datagrams_ = std::move(datagrams.value());
+    FrameOptions options;
+    options.ackTimeout = ackTimeout;
+    frames_ = std::make_unique<FrameClient>(
+            threads, 0, options, [this](const FrameClient::Lost &lost) { onFramesLost(lost); });
+    auto server = FrameServer::listen(threads, settings.peer, options,
+                                      [this](const std::string &frame) { onBytes(frame); });
+    if (!server.has_value())
+        return server.error();
+    server_ = std::move(server.value());
+    return boost::outcome_v2::success();
+}
+
+void Peers::onBytes(std::string_view bytes)
+{
+    auto message = decodeMessage(bytes);
+    if (!message.has_value()) {
+        logEvent(LogLevel::Warning, "message-malformed", {{"reason", message.error().reason}});
+        return;
+    }
+    handlers_.onMessage(std::move(message.value()));
+}
+
+void Peers::send(const std::string &vm, const VmMessage &message)
+{
+    const VmTable::Row *row = vms_.find(vm);
+    const auto to = row ? parseEndpoint(row->report.vm.address) : std::nullopt;
+    if (to)
+        frames_->send(*to, encodeMessage(message));
+    else if (const auto *offer = std::get_if<OfferMessage>(&message))
+        handlers_.onOfferUnsent(vm, offer->offer);
+}
+
+// Frames that were never sent may go again; an offer goes elsewhere.
+void Peers::onFramesLost(const FrameClient::Lost &lost)
+{
+    const auto vm = vmAt(vms_, toString(lost.to));
+    if (!vm)
+        return;
+    if (lost.wasConnected)
+        suspects_.try_emplace(*vm, currentTime());
+    for (const std::string &frame : lost.unsent) {
+        const auto message = decodeMessage(frame);
+        if (!message.has_value())
+            continue;
+        if (const auto *offer = std::get_if<OfferMessage>(&message.value()))
+            handlers_.onOfferUnsent(*vm, offer->offer);
+        else if (lost.wasConnected)
+            frames_->send(lost.to, frame);
+    }
+}
+
+bool Peers::isHeard(const Endpoint &contact, Time now) const
+{
+    const auto vm = vmAt(vms_, toString(contact));
+    return vm && vms_.isHeard(*vms_.find(*vm), now);
+}
+
+void Peers::sendReports(const VmReport &report, bool isForced)
+{
+    const Time now = currentTime();
+    std::string bytes;
+    for (auto &[endpoint, contact] : contacts_) {
+        if (!isForced && now < contact.nextReportAt)
+            continue;
+        contact.nextReportAt = now + (isHeard(endpoint, now) ? reportInterval : unheardInterval);
+        if (bytes.empty())
+            bytes = encodeMessage(report);
+        datagrams_->send(endpoint, bytes);
+    }
+}
+
+void Peers::introduce(const std::string &address)
+{
+    const auto to = parseEndpoint(address);
+    if (!to || *to == self_)
+        return;
+    contacts_.try_emplace(*to);
+    IntroductionMessage introduction;
+    for (const auto &[name, row] : vms_.rows())
+        introduction.vms.push_back(row.report.vm);
+    frames_->send(*to, encodeMessage(introduction));
+}
+
+void Peers::addContacts(const std::vector<VmInfo> &vms)
+{
+    for (const VmInfo &vm : vms) {
+        const auto endpoint = parseEndpoint(vm.address);
+        if (endpoint && *endpoint != self_)
+            contacts_.try_emplace(*endpoint);
+    }
+}
+
+void Peers::tick(Time now)
+{
+    std::vector<std::string> lost;
+    for (const auto &[vm, since] : suspects_) {
+        if (now > since + suspicionLimit)
+            lost.push_back(vm);
+    }
+    for (const std::string &vm : lost) {
+        const VmTable::Row *row = vms_.find(vm);
+        const bool isSilent = row && row->heardAt < suspects_.at(vm);
+        suspects_.erase(vm);
+        if (isSilent)
+            handlers_.onVmLost(vm, "connection-broken");
+    }
+}
+
+} // namespace lovage::node
--- /dev/null
+++ b/src/node/peers.h
@@ -0,0 +1,72 @@
+// Messages of one VM with its peers: datagrams for reports, frames for jobs.
+#pragma once
+
+#include "lovage/net.h"
+#include "lovage/node.h"
+#include "lovage/routing.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+
+namespace lovage::node {
+
+// Callbacks run on the I/O thread. Messages that cannot be decoded are counted and dropped.
+class Peers
+{
+public:
+    struct Handlers
+    {
+        std::function<void(VmMessage)> onMessage;
+        std::function<void(const std::string &vm, const JobOffer &offer)> onOfferUnsent;
+        std::function<void(const std::string &vm, std::string_view cause)> onVmLost;
+    };
+
+    // Owner has the methods named in Handlers and outlives the object.
+    template<class Owner>
+    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings, IoThreads &threads,
+                                               VmTable &vms, Owner &owner)
+    {
+        return open(settings, threads, vms,
+                    Handlers {[&owner](VmMessage message) { owner.onMessage(std::move(message)); },
+                              [&owner](const std::string &vm, const JobOffer &offer) {
+                                  owner.onOfferUnsent(vm, offer);
+                              },
+                              [&owner](const std::string &vm, std::string_view cause) {
+                                  owner.onVmLost(vm, cause);
+                              }});
+    }
+    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings, IoThreads &threads,
+                                               VmTable &vms, Handlers handlers);
+
+    void send(const std::string &vm, const VmMessage &message);
+    // Sends the report to every contact that is due; at once to all of them if forced.
+    void sendReports(const VmReport &report, bool isForced);
+    // Tells the sender of a first report which VMs are known.
+    void introduce(const std::string &address);
+    void addContacts(const std::vector<VmInfo> &vms);
+    void tick(Time now);
+
+private:
+    struct Contact
+    {
+        Time nextReportAt {};
+    };
+
+    Peers(const NodeSettings &settings, VmTable &vms, Handlers handlers);
+    Result<void> listen(const NodeSettings &settings, IoThreads &threads);
+    void onFramesLost(const FrameClient::Lost &lost);
+    void onBytes(std::string_view bytes);
+    bool isHeard(const Endpoint &contact, Time now) const;
+
+    VmTable &vms_;
+    Handlers handlers_;
+    Endpoint self_;
+    std::map<Endpoint, Contact> contacts_;
+    std::map<std::string, Time> suspects_; // VMs whose connection broke, and when
+    std::unique_ptr<UdpSocket> datagrams_;
+    std::unique_ptr<FrameClient> frames_;
+    std::unique_ptr<FrameServer> server_;
+};
+
+} // namespace lovage::node
--- /dev/null
+++ b/src/pool/jobs.cpp
@@ -0,0 +1,90 @@
+#include "jobs.h"
+
+#include <algorithm>
+
+namespace lovage::pool {
+
+namespace {
+
+constexpr double milliCoreMicros = 1e9;
+
+bool isComplete(const Job &job, const std::vector<uint32_t> &steps)
+{
+    return std::all_of(steps.begin(), steps.end(),
+                       [&](uint32_t step) { return job.unfinished[step] == 0; });
+}
+
+} // namespace
+
+Job makeJob(JobNumber number, JobOffer offer, Time now)
+{
+    Job job;
+    job.number = number;
+    job.arrived = now;
+    job.objectiveAt = now + offer.objective;
+    job.deadlineAt = now + offer.deadline;
+    job.chain = longestChain(offer.job);
+    job.coreSeconds = coreSeconds(offer.job);
+    for (uint32_t step = 0; step < offer.job.steps.size(); ++step) {
+        job.firstTask.push_back(static_cast<uint32_t>(job.tasks.size()));
+        job.unfinished.push_back(offer.job.steps[step].count);
+        for (uint32_t index = 0; index < offer.job.steps[step].count; ++index)
+            job.tasks.push_back({step, index});
+    }
+    job.left = job.tasks.size();
+    job.offer = std::move(offer);
+    releaseSteps(job);
+    return job;
+}
+
+size_t releaseSteps(Job &job)
+{
+    size_t released = 0;
+    for (uint32_t step = 0; step < job.offer.job.steps.size(); ++step) {
+        const uint32_t first = job.firstTask[step];
+        if (job.tasks[first].state != TaskState::Blocked
+            || !isComplete(job, job.offer.job.steps[step].after))
+            continue;
+        for (uint32_t i = first; i < first + job.offer.job.steps[step].count; ++i)
+            job.tasks[i].state = TaskState::Queued;
+        released += job.offer.job.steps[step].count;
+    }
+    job.queued += released;
+    return released;
+}
+
+Duration waitingEstimate(const Job &job)
+{
+    Duration longest {};
+    for (const Task &task : job.tasks) {
+        if (task.state == TaskState::Queued)
+            longest = std::max(longest, job.stepOf(task).estimate);
+    }
+    return longest;
+}
+
+double queuedCoreSeconds(const Job &job)
+{
+    double sum = 0;
+    for (const Task &task : job.tasks) {
+        const Step &step = job.stepOf(task);
+        if (task.state == TaskState::Queued || task.state == TaskState::Blocked)
+            sum += step.demand.milliCores * static_cast<double>(step.estimate.count())
+                    / milliCoreMicros;
+    }
+    return sum;
+}
+
+QueueKey queueKey(const Job &job, double slowness, Time now)
+{
+    const double run = static_cast<double>(waitingEstimate(job).count()) * slowness;
+    QueueKey key {QueueKey::Band::OnTime, job.objectiveAt - Duration(static_cast<int64_t>(run)),
+                  job.number};
+    if (job.isBegun)
+        key.band = QueueKey::Band::Begun;
+    else if (key.latestStart < now)
+        key.band = QueueKey::Band::Late;
+    return key;
+}
+
+} // namespace lovage::pool
--- /dev/null
+++ b/src/pool/jobs.h
@@ -0,0 +1,73 @@
+// Jobs of a pool and the order in which they get room.
+#pragma once
+
+#include "lovage/pool.h"
+
+#include "leased_server.h"
+
+#include <set>
+
+namespace lovage::pool {
+
+enum class TaskState { Blocked, Queued, Active, Done };
+
+struct Task
+{
+    uint32_t step = 0;
+    uint32_t index = 0;
+    TaskState state = TaskState::Blocked;
+    uint32_t lastRun = 0;  // number of the latest run; 0: never ordered
+    uint32_t failures = 0; // runs that ended in failure
+    std::string avoid {};  // server of the latest run that failed
+    Duration lag {};       // longest time a run of it stood still before it was stopped
+};
+
+struct Job
+{
+    JobNumber number = 0;
+    JobOffer offer;
+    Time arrived {};
+    Time objectiveAt {};
+    Time deadlineAt {};
+    Duration chain {}; // estimate of the longest chain
+    double coreSeconds = 0;
+    std::vector<Task> tasks {};
+    std::vector<uint32_t> firstTask {};  // by step
+    std::vector<uint32_t> unfinished {}; // tasks by step
+    size_t queued = 0;
+    size_t active = 0;
+    size_t left = 0;
+    bool isBegun = false; // some task was ordered to start
+
+    const Step &stepOf(const Task &task) const { return offer.job.steps[task.step]; }
+    TaskName nameOf(size_t task) const
+    {
+        return {offer.job.id, 0, tasks[task].step, tasks[task].index};
+    }
+};
+
+Job makeJob(JobNumber number, JobOffer offer, Time now);
+// Queues the tasks of every step whose earlier steps are complete. Returns their number.
+size_t releaseSteps(Job &job);
+// Longest estimate among the tasks that wait.
+Duration waitingEstimate(const Job &job);
+double queuedCoreSeconds(const Job &job);
+
+// Which waiting job gets room first. Jobs that have begun come first, since what they hold is
+// wasted until they complete; then by the latest time at which they can start and still meet their
+// objective; jobs that will miss it come last.
+struct QueueKey
+{
+    enum class Band : uint8_t { Begun, OnTime, Late };
+
+    Band band = Band::OnTime;
+    Time latestStart {};
+    JobNumber job = 0;
+
+    auto operator<=>(const QueueKey &) const = default;
+};
+
+// slowness: run time over estimate on the fastest servers of the service.
+QueueKey queueKey(const Job &job, double slowness, Time now);
+
+} // namespace lovage::pool
--- /dev/null
+++ b/src/pool/leased_server.cpp
@@ -0,0 +1,144 @@
+#include "leased_server.h"
+
+#include <algorithm>
+
+namespace lovage::pool {
+
+namespace {
+
+int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+// A look ends shortly after the next end is due, so that a run that does not get on is noticed.
+constexpr double overdueFactor = 1.5;
+constexpr Duration overdueSlack = std::chrono::milliseconds(20);
+constexpr Duration shortestLookWait = std::chrono::milliseconds(20);
+
+} // namespace
+
+bool LeasedServer::fits(const Demand &demand) const
+{
+    return used_.milliCores + demand.milliCores <= info_.capacity.milliCores
+            && used_.memoryMb + demand.memoryMb <= info_.capacity.memoryMb
+            && used_.accelerators + demand.accelerators <= info_.capacity.accelerators;
+}
+
+uint32_t LeasedServer::freeMilliCores() const
+{
+    return info_.capacity.milliCores - std::min(used_.milliCores, info_.capacity.milliCores);
+}
+
+bool LeasedServer::isOpen(Time now) const
+{
+    return tenure == Tenure::Held && !isReleasing && isRegistered && !info_.isLeaving && clockMs_
+            && now >= closedUntil && now >= avoidUntil;
+}
+
+Run *LeasedServer::findRun(const RunRef &ref)
+{
+    const auto found = runs_.find(ref.task);
+    return found != runs_.end() && found->second.number == ref.run ? &found->second : nullptr;
+}
+
+void LeasedServer::add(const std::string &task, Run run)
+{
+    used_.milliCores += run.demand.milliCores;
+    used_.memoryMb += run.demand.memoryMb;
+    used_.accelerators += run.demand.accelerators;
+    runs_.insert_or_assign(task, std::move(run));
+}
+
+Run LeasedServer::remove(const std::string &task)
+{
+    const auto found = runs_.find(task);
+    Run run = std::move(found->second);
+    used_.milliCores -= run.demand.milliCores;
+    used_.memoryMb -= run.demand.memoryMb;
+    used_.accelerators -= run.demand.accelerators;
+    runs_.erase(found);
+    return run;
+}
+
+bool LeasedServer::hasForeignRuns() const
+{
+    return std::any_of(runs_.begin(), runs_.end(),
+                       [](const auto &entry) { return entry.second.job == foreignJob; });
+}
+
+void LeasedServer::noteReading(const ServerReading &reading, Time now)
+{
+    if (!reading.clockMs)
+        return;
+    // Answers overtake each other; the one that shows the latest clock is the best.
+    const auto estimate = clockMs(now);
+    if (estimate && *reading.clockMs < *estimate)
+        return;
+    clockMs_ = reading.clockMs;
+    clockReadAt_ = now;
+}
+
+std::optional<int64_t> LeasedServer::clockMs(Time now) const
+{
+    if (!clockMs_)
+        return std::nullopt;
+    const double elapsed = static_cast<double>(toMillis(now - clockReadAt_));
+    return *clockMs_ + static_cast<int64_t>(elapsed * (1 - options_.clockError));
+}
+
+int64_t LeasedServer::leaseFor(Time now)
+{
+    const auto slowest = Duration(static_cast<int64_t>(static_cast<double>(options_.lease.count())
+                                                       * (1 + 2 * options_.clockError)));
+    leaseEnd_ = std::max(leaseEnd_, now + slowest + options_.stopTime);
+    return clockMs(now).value_or(0) + toMillis(options_.lease);
+}
+
+bool LeasedServer::wantsLook(Time now) const
+{
+    if (isLookPending || tenure == Tenure::None || now < nextLookAt)
+        return false;
+    if (tenure == Tenure::TakingOver || !runs_.empty())
+        return true;
+    return hasUnacknowledged() && now >= endSeenAt + options_.idleAckDelay;
+}
+
+Duration LeasedServer::lookWait(Time now) const
+{
+    if (tenure == Tenure::TakingOver || runs_.empty())
+        return Duration::zero();
+    Duration wait = options_.lookWait;
+    for (const auto &[task, run] : runs_) {
+        if (run.state != RunState::Running) {
+            wait = std::min(wait, shortestLookWait);
+            continue;
+        }
+        const auto due = run.confirmedAt + overdueSlack
+                + Duration(static_cast<int64_t>(static_cast<double>(run.expected.count())
+                                                * overdueFactor));
+        if (due > now)
+            wait = std::min(wait, std::max(due - now, shortestLookWait));
+    }
+    return std::chrono::floor<std::chrono::milliseconds>(wait);
+}
+
+bool LeasedServer::noteEnd(uint64_t number)
+{
+    if (number <= seenThrough_)
+        return false;
+    seenThrough_ = number;
+    return true;
+}
+
+void LeasedServer::resetLife()
+{
+    seenThrough_ = 0;
+    acknowledged_ = 0;
+    lookAck_ = 0;
+    clockMs_.reset();
+    leaseEnd_ = {};
+    closedUntil = {};
+}
+
+} // namespace lovage::pool
--- /dev/null
+++ b/src/pool/leased_server.h
@@ -0,0 +1,123 @@
+// State of one backend server as its lease holder sees it.
+#pragma once
+
+#include "lovage/pool.h"
+
+#include <map>
+
+namespace lovage::pool {
+
+// Number of a job within the pool. 0 stands for runs that an earlier holder started.
+using JobNumber = uint64_t;
+constexpr JobNumber foreignJob = 0;
+
+enum class RunState {
+    Starting, // ordered, not answered
+    Running,
+    Unsure,   // the order to start was not answered; a look shows whether it runs
+    Stopping, // ordered to stop
+};
+
+// One run of a task that the server may be executing.
+struct Run
+{
+    JobNumber job = foreignJob;
+    size_t task = 0; // index within the job
+    uint32_t number = 0;
+    Demand demand;
+    RunState state = RunState::Starting;
+    Time orderedAt {};
+    Time confirmedAt {};      // of Running
+    Duration expected {};     // predicted run time on this server
+    bool isSlowNoted = false; // its lack of speed was held against the server
+    bool isStopPending = false;
+    Time stopConfirmedAt {}; // zero: not yet
+    Time nextStopAt {};
+};
+
+// Whether the holder may place on the server.
+enum class Tenure {
+    None,       // no grant for its shard, or a higher token was seen
+    TakingOver, // waits for the first look with the present token
+    Held,
+};
+
+class LeasedServer
+{
+public:
+    LeasedServer(ServerInfo info, const PoolOptions &options)
+        : info_(std::move(info)), options_(options)
+    { }
+
+    const ServerInfo &info() const { return info_; }
+    void update(ServerInfo info) { info_ = std::move(info); }
+
+    // Room.
+    bool fits(const Demand &demand) const;
+    uint32_t freeMilliCores() const;
+    // Whether a new run may be ordered now.
+    bool isOpen(Time now) const;
+
+    // Runs by the text form of their task.
+    std::map<std::string, Run> &runs() { return runs_; }
+    const std::map<std::string, Run> &runs() const { return runs_; }
+    Run *findRun(const RunRef &ref);
+    void add(const std::string &task, Run run);
+    Run remove(const std::string &task);
+    bool hasForeignRuns() const;
+
+    // Clock and lease.
+    void noteReading(const ServerReading &reading, Time now);
+    // The server's time, a little early; nullopt before its first answer.
+    std::optional<int64_t> clockMs(Time now) const;
+    int64_t leaseFor(Time now);
+    // Everything that was started there has ended by then, if nothing was ordered since.
+    bool hasLapsed(Time now) const { return now > leaseEnd_; }
+
+    // Looks.
+    bool isLookPending = false;
+    Time lookSentAt {};
+    Time nextLookAt {};
+    bool wantsLook(Time now) const;
+    Duration lookWait(Time now) const;
+
+    // Ends. Returns false for one that was seen before.
+    bool noteEnd(uint64_t number);
+    uint64_t ackedThrough() const { return seenThrough_; }
+    // The pending look acknowledges ends up to here; noteAcknowledged() when it is answered.
+    void noteLookAck(uint64_t number) { lookAck_ = number; }
+    void noteAcknowledged() { acknowledged_ = std::max(acknowledged_, lookAck_); }
+    bool hasUnacknowledged() const { return seenThrough_ > acknowledged_; }
+
+    // Forgets what belongs to an incarnation that has ended.
+    void resetLife();
+
+    Tenure tenure = Tenure::None;
+    uint64_t token = 0;
+    bool isReleasing = false;
+    bool isRegistered = true; // its entry is present
+    Time closedUntil {};      // full or unreachable for now
+    Time endSeenAt {};        // of the oldest end that is not acknowledged
+
+    // Health, kept by Health.
+    double logSlowness = 0; // logarithm of run time over estimate
+    uint32_t samples = 0;
+    uint32_t suspicions = 0;
+    std::string lastSuspectJob;
+    Time avoidUntil {};
+    Duration avoidance {};
+
+private:
+    ServerInfo info_;
+    const PoolOptions &options_;
+    std::map<std::string, Run> runs_;
+    Demand used_ {0, 0, 0};
+    std::optional<int64_t> clockMs_;
+    Time clockReadAt_ {};
+    Time leaseEnd_ {};
+    uint64_t seenThrough_ = 0;
+    uint64_t acknowledged_ = 0;
+    uint64_t lookAck_ = 0;
+};
+
+} // namespace lovage::pool
--- /dev/null
+++ b/src/pool/pool.cpp
@@ -0,0 +1,142 @@
+#include "pool_impl.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+std::string_view toString(JobResult result)
+{
+    constexpr std::array<std::string_view, 4> names = {"completed", "failed", "refused",
+                                                       "abandoned"};
+    return names.at(static_cast<size_t>(result));
+}
+
+std::string_view toString(OrderResult result)
+{
+    constexpr std::array<std::string_view, 10> names = {
+            "done",      "fenced",     "superseded", "late",     "no-room",
+            "unhealthy", "other-life", "invalid",    "not-sent", "unknown"};
+    return names.at(static_cast<size_t>(result));
+}
+
+uint32_t shardOf(std::string_view serverId, uint32_t shardCount)
+{
+    return static_cast<uint32_t>(stableHash(serverId) % shardCount);
+}
+
+Pool::Pool(PoolOptions options) : implementation_(std::make_unique<Implementation>(options)) { }
+Pool::~Pool() = default;
+Pool::Pool(Pool &&) noexcept = default;
+Pool &Pool::operator=(Pool &&) noexcept = default;
+
+void Pool::setServers(const std::vector<ServerInfo> &servers, Time now)
+{
+    implementation_->setServers(servers, now);
+}
+
+void Pool::setGrants(const ShardGrants &grants, Time now)
+{
+    implementation_->setGrants(grants, now);
+}
+
+void Pool::drain()
+{
+    implementation_->isDraining_ = true;
+}
+
+void Pool::offer(JobOffer offer, Time now)
+{
+    implementation_->offer(std::move(offer), now);
+}
+
+void Pool::withdraw(const JobTicket &ticket, Time now)
+{
+    implementation_->withdraw(ticket, now);
+}
+
+void Pool::withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now)
+{
+    implementation_->withdrawAll(vm, exceptIncarnation, now);
+}
+
+void Pool::onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
+                           Time now)
+{
+    implementation_->onStartAnswered(ref, result, reading, now);
+}
+
+void Pool::onStopAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
+                          Time now)
+{
+    implementation_->onStopAnswered(ref, result, reading, now);
+}
+
+void Pool::onLooked(const LookReply &reply, Time now)
+{
+    implementation_->onLooked(reply, now);
+}
+
+void Pool::tick(Time now)
+{
+    implementation_->dropOverdue(now);
+    implementation_->isPlacementDue_ = true;
+}
+
+std::vector<PoolAction> Pool::takeActions(Time now)
+{
+    if (implementation_->isPlacementDue_)
+        implementation_->placeQueued(now);
+    implementation_->stopPending(now);
+    implementation_->lookAround(now);
+    return std::exchange(implementation_->actions_, {});
+}
+
+std::vector<PoolNote> Pool::takeNotes()
+{
+    return std::exchange(implementation_->notes_, {});
+}
+
+bool Pool::isReleaseReady() const
+{
+    const auto &servers = implementation_->servers_;
+    return std::none_of(servers.begin(), servers.end(), [](const auto &entry) {
+        return entry.second.isReleasing && !entry.second.runs().empty();
+    });
+}
+
+bool Pool::isIdle() const
+{
+    const auto &servers = implementation_->servers_;
+    return implementation_->jobs_.empty()
+            && std::none_of(servers.begin(), servers.end(), [](const auto &entry) {
+                   return entry.second.tenure != pool::Tenure::None && !entry.second.runs().empty();
+               });
+}
+
+size_t Pool::serverCount() const
+{
+    const auto &servers = implementation_->servers_;
+    return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [](const auto &entry) {
+        return entry.second.tenure == pool::Tenure::Held;
+    }));
+}
+
+size_t Pool::knownServerCount() const
+{
+    const auto &servers = implementation_->servers_;
+    return static_cast<size_t>(std::count_if(servers.begin(), servers.end(), [](const auto &entry) {
+        return entry.second.isRegistered;
+    }));
+}
+
+std::vector<ServiceLoad> Pool::load(Time now) const
+{
+    return implementation_->load(now);
+}
+
+const PoolCounters &Pool::counters() const
+{
+    return implementation_->counters_;
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/pool/pool_impl.h
@@ -0,0 +1,113 @@
+// The parts of Pool: jobs, servers and placement.
+#pragma once
+
+#include "health.h"
+#include "jobs.h"
+#include "leased_server.h"
+
+#include <unordered_map>
+
+namespace lovage {
+
+class Pool::Implementation
+{
+public:
+    explicit Implementation(PoolOptions options) : options_(options) { }
+
+    // Servers and grants (pool_servers.cpp).
+    void setServers(const std::vector<ServerInfo> &servers, Time now);
+    void setGrants(const ShardGrants &grants, Time now);
+    void onLooked(const LookReply &reply, Time now);
+    void lookAround(Time now);
+    void stopPending(Time now);
+
+    // Orders (pool_orders.cpp).
+    void onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
+                         Time now);
+    void onStopAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
+                        Time now);
+
+    // Jobs (pool_jobs.cpp).
+    void offer(JobOffer offer, Time now);
+    void withdraw(const JobTicket &ticket, Time now);
+    void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
+    void dropOverdue(Time now);
+
+    // Placement (pool_placement.cpp).
+    void placeQueued(Time now);
+    std::vector<ServiceLoad> load(Time now) const;
+
+    PoolOptions options_;
+    std::vector<PoolAction> actions_;
+    std::vector<PoolNote> notes_;
+    PoolCounters counters_;
+    bool isDraining_ = false;
+
+    using Server = pool::LeasedServer;
+    using Job = pool::Job;
+    using JobNumber = pool::JobNumber;
+
+    std::map<std::string, Server> servers_; // by id
+    ShardGrants grants_;
+    std::unordered_map<JobNumber, Job> jobs_;
+    std::map<JobTicket, JobNumber> jobsByTicket_;
+    std::map<std::string, JobNumber> jobsById_;
+    JobNumber nextJob_ = 1;
+    bool isPlacementDue_ = false;
+
+private:
+    // Speed of a service: logarithm of run time over estimate over all of its servers, and the
+    // ratio on its faster servers.
+    struct ServiceSpeed
+    {
+        double common = 0;
+        double fast = 1;
+    };
+    // What a job would meet in the queue.
+    struct Forecast
+    {
+        bool hasServer = false; // some server could run every task
+        Duration wait {};       // until its last task starts
+        Duration run {};        // of the longest chain
+    };
+
+    ServiceSpeed speedOf(const std::string &service) const;
+    double rateOf(const std::string &service, Time now) const;
+    Forecast forecast(const Job &job, Time now) const;
+
+    void adoptGrant(Server &server, Time now);
+    void startLife(Server &server, Time now);
+    void loseServer(Server &server, std::string_view cause, Time now);
+    void sendLook(Server &server, Time now);
+    void sendStop(Server &server, const std::string &task, pool::Run &run, Time now);
+    void noteLookFailure(Server &server, OrderResult result, Time now);
+    void reconcile(Server &server, const LookReply &reply, Time sentAt, Time now);
+    void adoptForeign(Server &server, const RunningRow &row, Time now);
+    void noteEnded(Server &server, const EndedRow &row, Time now);
+    void checkProgress(Server &server, const RunningRow &row, pool::Run &run, Time now);
+    void confirmFault(const std::string &serverId, Time now);
+    void noteSuccessfulEnd(Server &server, const pool::Run &run, Time now);
+    void noteFailedEnd(Server &server, const pool::Run &run, Time now);
+    bool checkIncarnation(Server &server, const ServerReading &reading, Time now);
+
+    // The run does not execute any more and will not: its task waits again, or its job gives up.
+    void requeue(const pool::Run &run, Time now);
+
+    void completeTask(Job &job, size_t task, Time now);
+    void answer(Job &job, JobResult result, std::string reason, Time now,
+                Duration retryAfter = Duration::zero());
+    void forget(JobNumber number, Time now);
+    void stopRunsOf(JobNumber number, Time now);
+    Time giveUpAt(const Job &job) const;
+    void note(std::string event, const std::string &job, std::string details);
+
+    // Cores of the latest task of each service, in which free room is counted.
+    std::map<std::string, uint32_t> typicalMilliCores_;
+
+    bool placeJob(Job &job, Time now);
+    Server *chooseServer(const Job &job, const pool::Task &task, Time now);
+    bool isAllowed(const Server &server, const Job &job, const pool::Task &task) const;
+    void order(Server &server, Job &job, size_t task, Time now);
+};
+
+} // namespace lovage
--- /dev/null
+++ b/src/pool/pool_jobs.cpp
@@ -0,0 +1,210 @@
+// Jobs of a pool: admission, completion and giving up.
+#include "pool_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lovage {
+
+using pool::Run;
+using pool::RunState;
+using pool::Task;
+using pool::TaskState;
+
+namespace {
+
+constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+double toMillis(Duration duration)
+{
+    return static_cast<double>(duration.count()) / 1000;
+}
+
+} // namespace
+
+void Pool::Implementation::note(std::string event, const std::string &job, std::string details)
+{
+    notes_.push_back({std::move(event), job, std::move(details)});
+}
+
+// A job is dropped when it can neither meet the late limit nor be there before its caller leaves.
+Time Pool::Implementation::giveUpAt(const Job &job) const
+{
+    const Time lateLimit = job.arrived + scaled(job.offer.objective, options_.lateLimitFactor);
+    return std::min(job.deadlineAt, lateLimit);
+}
+
+void Pool::Implementation::offer(JobOffer offer, Time now)
+{
+    ++counters_.offered;
+    Job job = pool::makeJob(nextJob_++, std::move(offer), now);
+    const std::string &id = job.offer.job.id;
+    if (isDraining_) {
+        answer(job, JobResult::Refused, "draining", now);
+        return;
+    }
+    const auto known = jobsById_.find(id);
+    if (known != jobsById_.end()) {
+        // The caller sends the id again because it lost its connection. The runs of the first one
+        // may not have ended yet, so a second start could overlap with them.
+        note("job-repeated", id, fmt::format("first={}", jobs_.at(known->second).offer.ticket.vm));
+        answer(job, JobResult::Abandoned, "already-open", now);
+        return;
+    }
+    const Forecast forecast = this->forecast(job, now);
+    const Time expectedEnd = now + forecast.wait + forecast.run;
+    const std::string inputs = fmt::format(
+            "queue={} tasks={} wait_ms={:.0f} run_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
+            job.offer.queue, job.tasks.size(), toMillis(forecast.wait), toMillis(forecast.run),
+            toMillis(job.offer.objective), toMillis(job.offer.deadline));
+    if (!forecast.hasServer) {
+        note("job-refused", id, inputs + " cause=no-server");
+        answer(job, JobResult::Refused, "no-server", now, shortestRetryAfter);
+        return;
+    }
+    // An idle pool takes the job even if the estimate says that it will be late: estimates are
+    // often off, and nobody else needs the room.
+    if (forecast.wait > Duration::zero() && expectedEnd > job.objectiveAt) {
+        note("job-refused", id, inputs + " cause=backlog");
+        answer(job, JobResult::Refused, "backlog", now,
+               std::max(forecast.wait, shortestRetryAfter));
+        return;
+    }
+    note("job-accepted", id, inputs);
+    jobsByTicket_.emplace(job.offer.ticket, job.number);
+    jobsById_.emplace(id, job.number);
+    jobs_.emplace(job.number, std::move(job));
+    isPlacementDue_ = true;
+}
+
+void Pool::Implementation::answer(Job &job, JobResult result, std::string reason, Time now,
+                                  Duration retryAfter)
+{
+    switch (result) {
+    case JobResult::Completed:
+        ++counters_.completed;
+        break;
+    case JobResult::Failed:
+        ++counters_.failed;
+        break;
+    case JobResult::Refused:
+        ++counters_.refused;
+        // A refusal says that the job has not run and never will.
+        LOVAGE_ASSERT_INVARIANT(Promise::TrueNotRun, !job.isBegun, job.offer.job.id);
+        break;
+    case JobResult::Abandoned:
+        ++counters_.abandoned;
+        break;
+    }
+    if (jobs_.contains(job.number))
+        note("job-answered", job.offer.job.id,
+             fmt::format("result={} reason={} after_ms={:.0f} objective_ms={:.0f}",
+                         toString(result), reason, toMillis(now - job.arrived),
+                         toMillis(job.offer.objective)));
+    actions_.emplace_back(JobAnswer {job.offer.ticket, result, std::move(reason), retryAfter});
+    forget(job.number, now);
+}
+
+void Pool::Implementation::forget(JobNumber number, Time now)
+{
+    const auto found = jobs_.find(number);
+    if (found == jobs_.end())
+        return;
+    stopRunsOf(number, now);
+    jobsByTicket_.erase(found->second.offer.ticket);
+    jobsById_.erase(found->second.offer.job.id);
+    jobs_.erase(found);
+    isPlacementDue_ = true;
+}
+
+void Pool::Implementation::stopRunsOf(JobNumber number, Time now)
+{
+    const Job &job = jobs_.at(number);
+    if (job.active == 0)
+        return;
+    for (auto &[id, server] : servers_) {
+        for (auto &[task, run] : server.runs()) {
+            if (run.job == number && run.state != RunState::Stopping)
+                sendStop(server, task, run, now);
+        }
+    }
+}
+
+void Pool::Implementation::withdraw(const JobTicket &ticket, Time now)
+{
+    const auto found = jobsByTicket_.find(ticket);
+    if (found == jobsByTicket_.end())
+        return;
+    const Job &job = jobs_.at(found->second);
+    note("job-withdrawn", job.offer.job.id,
+         fmt::format("vm={} after_ms={:.0f} begun={}", ticket.vm, toMillis(now - job.arrived),
+                     job.isBegun));
+    forget(found->second, now);
+}
+
+void Pool::Implementation::withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now)
+{
+    std::vector<JobTicket> tickets;
+    for (const auto &[ticket, number] : jobsByTicket_) {
+        if (ticket.vm == vm && (exceptIncarnation == 0 || ticket.incarnation != exceptIncarnation))
+            tickets.push_back(ticket);
+    }
+    for (const JobTicket &ticket : tickets)
+        withdraw(ticket, now);
+}
+
+// Answers jobs that cannot be done in time any more as soon as that is known.
+void Pool::Implementation::dropOverdue(Time now)
+{
+    std::vector<JobNumber> overdue;
+    for (const auto &[number, job] : jobs_) {
+        const double fastest = speedOf(job.offer.service).fast;
+        const Duration run = scaled(pool::waitingEstimate(job), fastest);
+        const bool isWaiting = job.queued > 0 && now + run > giveUpAt(job);
+        if (now >= job.deadlineAt || (isWaiting && !job.isBegun)
+            || (isWaiting && now + run > job.deadlineAt))
+            overdue.push_back(number);
+    }
+    for (const JobNumber number : overdue) {
+        Job &job = jobs_.at(number);
+        if (job.isBegun)
+            answer(job, JobResult::Abandoned, "deadline", now);
+        else
+            answer(job, JobResult::Refused, "no-room-in-time", now, shortestRetryAfter);
+    }
+}
+
+void Pool::Implementation::completeTask(Job &job, size_t task, Time now)
+{
+    Task &done = job.tasks[task];
+    done.state = TaskState::Done;
+    --job.active;
+    --job.left;
+    if (--job.unfinished[done.step] == 0 && pool::releaseSteps(job) > 0)
+        isPlacementDue_ = true;
+    if (job.left == 0)
+        answer(job, JobResult::Completed, "done", now);
+}
+
+void Pool::Implementation::requeue(const Run &run, Time now)
+{
+    const auto found = jobs_.find(run.job);
+    if (found == jobs_.end())
+        return;
+    Job &job = found->second;
+    Task &task = job.tasks[run.task];
+    if (task.state != TaskState::Active || task.lastRun != run.number)
+        return;
+    task.state = TaskState::Queued;
+    --job.active;
+    ++job.queued;
+    isPlacementDue_ = true;
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/pool/pool_orders.cpp
@@ -0,0 +1,114 @@
+// Answers of servers to orders that start or stop a run.
+#include "pool_impl.h"
+
+#include <fmt/format.h>
+
+namespace lovage {
+
+using pool::Run;
+using pool::RunState;
+
+namespace {
+
+// A server that has no room after all is full of something this VM does not know yet.
+constexpr Duration closedWhenFull = std::chrono::milliseconds(30);
+constexpr Duration closedWhenUnhealthy = std::chrono::milliseconds(200);
+
+} // namespace
+
+void Pool::Implementation::onStartAnswered(const RunRef &ref, OrderResult result,
+                                           const ServerReading &reading, Time now)
+{
+    const auto found = servers_.find(ref.server);
+    if (found == servers_.end())
+        return;
+    Server &server = found->second;
+    if (result != OrderResult::Done && result != OrderResult::NotSent)
+        note("start-answered", {},
+             fmt::format("task={} run={} server={} result={}", ref.task, ref.run, ref.server,
+                         toString(result)));
+    if (result == OrderResult::OtherLife) {
+        startLife(server, now);
+        return;
+    }
+    if (!checkIncarnation(server, reading, now))
+        return;
+    server.noteReading(reading, now);
+    Run *run = server.findRun(ref);
+    if (!run)
+        return;
+    if (result == OrderResult::Done) {
+        run->confirmedAt = now;
+        if (run->state != RunState::Stopping)
+            run->state = RunState::Running;
+        return;
+    }
+    if (result == OrderResult::Unknown) {
+        ++counters_.startsUnanswered;
+        if (run->state == RunState::Starting)
+            run->state = RunState::Unsure;
+        server.nextLookAt = now;
+        return;
+    }
+    // The server has not started the run and, but for a later order, never will.
+    ++counters_.startsTurnedAway;
+    const Run ended = server.remove(ref.task);
+    switch (result) {
+    case OrderResult::Fenced:
+        requeue(ended, now);
+        loseServer(server, "fenced", now);
+        return;
+    case OrderResult::NoRoom:
+        server.closedUntil = now + closedWhenFull;
+        break;
+    case OrderResult::NotSent:
+    case OrderResult::Unhealthy:
+        server.closedUntil = now + closedWhenUnhealthy;
+        if (pool::noteFault(server, ref.task, options_, now))
+            note("server-avoided", {},
+                 fmt::format("server={} cause={}", ref.server, toString(result)));
+        break;
+    case OrderResult::Invalid: {
+        const auto job = jobs_.find(ended.job);
+        requeue(ended, now);
+        if (job != jobs_.end())
+            answer(job->second, JobResult::Abandoned, "order-invalid", now);
+        return;
+    }
+    default:
+        break;
+    }
+    requeue(ended, now);
+}
+
+void Pool::Implementation::onStopAnswered(const RunRef &ref, OrderResult result,
+                                          const ServerReading &reading, Time now)
+{
+    const auto found = servers_.find(ref.server);
+    if (found == servers_.end())
+        return;
+    Server &server = found->second;
+    Run *run = server.findRun(ref);
+    if (run)
+        run->isStopPending = false;
+    if (result == OrderResult::Fenced) {
+        loseServer(server, "fenced", now);
+        return;
+    }
+    if (result == OrderResult::OtherLife) {
+        startLife(server, now);
+        return;
+    }
+    if (result == OrderResult::Unknown || result == OrderResult::NotSent
+        || result == OrderResult::Unhealthy)
+        return;
+    if (!checkIncarnation(server, reading, now))
+        return;
+    server.noteReading(reading, now);
+    run = server.findRun(ref);
+    if (run && run->stopConfirmedAt == Time {})
+        run->stopConfirmedAt = now;
+    server.nextLookAt = now;
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/pool/pool_placement.cpp
@@ -0,0 +1,280 @@
+// Which waiting task runs on which server, and what a new job would meet.
+#include "pool_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <queue>
+
+namespace lovage {
+
+using pool::QueueKey;
+using pool::Run;
+using pool::RunState;
+using pool::Task;
+using pool::TaskState;
+using pool::Tenure;
+
+namespace {
+
+constexpr double milliCoreMicros = 1e9;
+// Jobs that are tried for room in one pass after the first that finds none.
+constexpr size_t maxMisses = 32;
+// Tasks that a forecast schedules; a queue beyond it is too long in any case.
+constexpr size_t maxForecastTasks = 4000;
+// Share of a server's cores that whole tasks fill, on average.
+constexpr double packing = 0.85;
+// A run that is overdue is expected to end after this time.
+constexpr Duration overdueRemainder = std::chrono::milliseconds(10);
+// Share of the servers whose speed counts as that of the fast ones.
+constexpr double fastShare = 0.25;
+// A typical demand before the first job.
+constexpr uint32_t defaultMilliCores = 1000;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+bool hasLabel(const ServerInfo &info, const std::string &label)
+{
+    return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
+} // namespace
+
+Pool::Implementation::ServiceSpeed Pool::Implementation::speedOf(const std::string &service) const
+{
+    std::vector<double> known;
+    for (const auto &[id, server] : servers_) {
+        if (server.info().service == service && server.tenure == Tenure::Held && server.samples > 0)
+            known.push_back(server.logSlowness);
+    }
+    ServiceSpeed speed;
+    if (known.empty())
+        return speed;
+    std::sort(known.begin(), known.end());
+    for (const double value : known)
+        speed.common += value / static_cast<double>(known.size());
+    speed.fast =
+            std::exp(known[static_cast<size_t>(static_cast<double>(known.size()) * fastShare)]);
+    return speed;
+}
+
+double Pool::Implementation::rateOf(const std::string &service, Time now) const
+{
+    const double common = speedOf(service).common;
+    double rate = 0;
+    for (const auto &[id, server] : servers_) {
+        if (server.info().service == service && server.isOpen(now))
+            rate += server.info().capacity.milliCores / 1000.0 * packing
+                    / pool::slownessOf(server, common);
+    }
+    return rate;
+}
+
+std::vector<ServiceLoad> Pool::Implementation::load(Time now) const
+{
+    std::map<std::string, ServiceLoad> loads;
+    for (const auto &[id, server] : servers_) {
+        if (!server.isOpen(now))
+            continue;
+        const std::string &service = server.info().service;
+        ServiceLoad &load = loads[service];
+        load.service = service;
+        ++load.servers;
+        const auto typical = typicalMilliCores_.find(service);
+        const uint32_t portion =
+                typical == typicalMilliCores_.end() ? defaultMilliCores : typical->second;
+        load.freeMilliCores += uint64_t {server.freeMilliCores() / portion} * portion;
+    }
+    for (const auto &[number, job] : jobs_) {
+        const auto load = loads.find(job.offer.service);
+        if (load != loads.end())
+            load->second.queuedWork += pool::queuedCoreSeconds(job);
+    }
+    std::vector<ServiceLoad> result;
+    for (auto &[service, load] : loads) {
+        load.rate = isDraining_ ? 0 : rateOf(service, now);
+        result.push_back(std::move(load));
+    }
+    return result;
+}
+
+// Runs the queue up to this job on the room as it is, in portions of its own demand.
+Pool::Implementation::Forecast Pool::Implementation::forecast(const Job &job, Time now) const
+{
+    using Release = std::pair<Time, uint64_t>; // when, milli-cores
+    std::priority_queue<Release, std::vector<Release>, std::greater<>> releases;
+    const ServiceSpeed speed = speedOf(job.offer.service);
+    const Task &first = job.tasks.front();
+    const uint64_t portion = std::max<uint32_t>(job.stepOf(first).demand.milliCores, 1);
+    Forecast forecast;
+    uint64_t free = 0;
+    for (const auto &[id, server] : servers_) {
+        if (server.info().service != job.offer.service || !server.isOpen(now)
+            || server.info().capacity.milliCores < portion || !isAllowed(server, job, first))
+            continue;
+        forecast.hasServer = true;
+        free += server.freeMilliCores() / portion * portion;
+        for (const auto &[task, run] : server.runs()) {
+            const Time end = std::max(run.orderedAt + run.expected, now + overdueRemainder);
+            releases.emplace(end, run.demand.milliCores);
+        }
+    }
+    forecast.run = scaled(job.chain, std::exp(speed.common));
+    Time start = now;
+    size_t scheduled = 0;
+    const auto schedule = [&](const Job &waiting) {
+        for (const Task &task : waiting.tasks) {
+            if (task.state != TaskState::Queued || ++scheduled > maxForecastTasks)
+                continue;
+            const Step &step = waiting.stepOf(task);
+            while (free < step.demand.milliCores && !releases.empty()) {
+                start = std::max(start, releases.top().first);
+                free += releases.top().second;
+                releases.pop();
+            }
+            free -= std::min<uint64_t>(free, step.demand.milliCores);
+            releases.emplace(start + scaled(step.estimate, std::exp(speed.common)),
+                             step.demand.milliCores);
+        }
+    };
+    const QueueKey own = queueKey(job, speed.fast, now);
+    std::vector<std::pair<QueueKey, const Job *>> ahead;
+    for (const auto &[number, other] : jobs_) {
+        if (other.queued == 0 || other.offer.service != job.offer.service)
+            continue;
+        const QueueKey key = queueKey(other, speed.fast, now);
+        if (key < own)
+            ahead.emplace_back(key, &other);
+    }
+    std::sort(ahead.begin(), ahead.end(),
+              [](const auto &left, const auto &right) { return left.first < right.first; });
+    for (const auto &[key, other] : ahead)
+        schedule(*other);
+    schedule(job);
+    forecast.wait = start - now;
+    return forecast;
+}
+
+void Pool::Implementation::placeQueued(Time now)
+{
+    isPlacementDue_ = false;
+    std::vector<QueueKey> order;
+    std::map<std::string, double> fast;
+    for (const auto &[number, job] : jobs_) {
+        if (job.queued == 0)
+            continue;
+        const auto known = fast.find(job.offer.service);
+        const double slowness = known != fast.end()
+                ? known->second
+                : fast.emplace(job.offer.service, speedOf(job.offer.service).fast).first->second;
+        order.push_back(queueKey(job, slowness, now));
+    }
+    std::sort(order.begin(), order.end());
+    size_t misses = 0;
+    for (const QueueKey &key : order) {
+        if (!placeJob(jobs_.at(key.job), now) && ++misses > maxMisses)
+            return;
+    }
+}
+
+// Returns whether every waiting task got a server.
+bool Pool::Implementation::placeJob(Job &job, Time now)
+{
+    for (size_t i = 0; i < job.tasks.size() && job.queued > 0; ++i) {
+        if (job.tasks[i].state != TaskState::Queued)
+            continue;
+        Server *server = chooseServer(job, job.tasks[i], now);
+        if (!server)
+            return false;
+        order(*server, job, i, now);
+    }
+    return true;
+}
+
+bool Pool::Implementation::isAllowed(const Server &server, const Job &job, const Task &task) const
+{
+    const Step &step = job.stepOf(task);
+    if (!step.requiredLabel.empty() && !hasLabel(server.info(), step.requiredLabel))
+        return false;
+    if (step.maxPerServer == 0)
+        return true;
+    uint32_t count = 0;
+    for (const auto &[name, run] : server.runs()) {
+        if (run.job == job.number && job.tasks[run.task].step == task.step)
+            ++count;
+    }
+    return count < step.maxPerServer;
+}
+
+// The server on which the task ends first. While some server could still meet the objective, the
+// task waits for it rather than start on one that is too slow.
+Pool::Implementation::Server *Pool::Implementation::chooseServer(const Job &job, const Task &task,
+                                                                 Time now)
+{
+    const Step &step = job.stepOf(task);
+    const ServiceSpeed speed = speedOf(job.offer.service);
+    Server *best = nullptr;
+    Duration bestRun {};
+    for (auto &[id, server] : servers_) {
+        if (server.info().service != job.offer.service || !server.isOpen(now)
+            || server.hasForeignRuns() || !server.fits(step.demand)
+            || server.runs().contains(
+                    toString(TaskName {job.offer.job.id, 0, task.step, task.index}))
+            || !isAllowed(server, job, task))
+            continue;
+        Duration run = pool::expectedRunTime(server, step.estimate, speed.common);
+        if (id == task.avoid || (!step.dataRack.empty() && !hasLabel(server.info(), step.dataRack)))
+            run *= 2;
+        if (!best || run < bestRun
+            || (run == bestRun && server.freeMilliCores() < best->freeMilliCores())) {
+            best = &server;
+            bestRun = run;
+        }
+    }
+    if (!best)
+        return nullptr;
+    const bool meetsObjective = now + bestRun <= job.objectiveAt;
+    const bool couldWait = now + scaled(step.estimate, speed.fast) <= job.objectiveAt;
+    if (meetsObjective || (!couldWait && now + bestRun <= job.deadlineAt))
+        return best;
+    return nullptr;
+}
+
+void Pool::Implementation::order(Server &server, Job &job, size_t index, Time now)
+{
+    Task &task = job.tasks[index];
+    const Step &step = job.stepOf(task);
+    const std::string name = toString(job.nameOf(index));
+    task.state = TaskState::Active;
+    ++task.lastRun;
+    --job.queued;
+    ++job.active;
+    job.isBegun = true;
+    ++counters_.starts;
+    typicalMilliCores_[job.offer.service] = std::max<uint32_t>(step.demand.milliCores, 1);
+    Run run;
+    run.job = job.number;
+    run.task = index;
+    run.number = task.lastRun;
+    run.demand = step.demand;
+    run.orderedAt = now;
+    run.expected = pool::expectedRunTime(server, step.estimate, speedOf(job.offer.service).common);
+    server.add(name, run);
+    note("run-ordered", job.offer.job.id,
+         fmt::format("task={} run={} server={} token={} expected_us={}", name, run.number,
+                     server.info().id, server.token, run.expected.count()));
+    OrderStart start;
+    start.ref = {server.info().id, name, run.number};
+    start.address = server.info().address;
+    start.incarnation = server.info().incarnation;
+    start.payload = job.offer.job.payload;
+    start.leaseUntilMs = server.leaseFor(now);
+    start.token = server.token;
+    actions_.emplace_back(std::move(start));
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/pool/pool_servers.cpp
@@ -0,0 +1,422 @@
+// Servers of a pool: grants, looks, and what follows from what they show.
+#include "pool_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lovage {
+
+using pool::Run;
+using pool::RunState;
+using pool::Task;
+using pool::Tenure;
+
+namespace {
+
+constexpr Duration stopRetryDelay = std::chrono::milliseconds(100);
+// A server that cannot be connected to is looked at again after this time.
+constexpr Duration reconnectDelay = std::chrono::milliseconds(50);
+// No new work while a look is overdue; the next answer reopens the server.
+constexpr Duration closedWhenSilent = std::chrono::milliseconds(500);
+// Runs of an unregistered server whose order was never answered are forgotten after this time.
+constexpr Duration forgetAfter = std::chrono::seconds(15);
+// A run that shows no progress after this share of its expected time, and this time more, hangs.
+constexpr double hangFactor = 1.2;
+constexpr Duration hangSlack = std::chrono::milliseconds(50);
+constexpr uint32_t hangPercent = 5;
+// A run is started again elsewhere only if it then ends in this share of its remaining time, since
+// what it has done is thrown away.
+constexpr double moveGain = 0.6;
+
+Duration scaled(Duration duration, double factor)
+{
+    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+} // namespace
+
+void Pool::Implementation::setServers(const std::vector<ServerInfo> &servers, Time now)
+{
+    for (auto &[id, server] : servers_)
+        server.isRegistered = false;
+    for (const ServerInfo &info : servers) {
+        const auto [entry, isNew] = servers_.try_emplace(info.id, info, options_);
+        Server &server = entry->second;
+        server.isRegistered = true;
+        const bool isNewLife = info.incarnation > server.info().incarnation;
+        if (!isNew && server.info().isLeaving != info.isLeaving)
+            note("server-leaving", {},
+                 fmt::format("server={} leaving={}", info.id, info.isLeaving));
+        if (!isNew && info.incarnation < server.info().incarnation)
+            continue; // an entry of an earlier life
+        server.update(info);
+        if (isNewLife && !isNew)
+            startLife(server, now);
+        if (isNew)
+            adoptGrant(server, now);
+    }
+    std::erase_if(servers_, [&](const auto &entry) {
+        const Server &server = entry.second;
+        return !server.isRegistered && server.runs().empty() && !server.isLookPending;
+    });
+    isPlacementDue_ = true;
+}
+
+void Pool::Implementation::setGrants(const ShardGrants &grants, Time now)
+{
+    grants_ = grants;
+    for (auto &[id, server] : servers_)
+        adoptGrant(server, now);
+    isPlacementDue_ = true;
+}
+
+void Pool::Implementation::adoptGrant(Server &server, Time now)
+{
+    const auto grant = grants_.find(shardOf(server.info().id, options_.shardCount));
+    if (grant == grants_.end()) {
+        if (server.tenure != Tenure::None)
+            loseServer(server, "grant-ended", now);
+        return;
+    }
+    server.isReleasing = grant->second.isReleasing;
+    if (grant->second.token <= server.token)
+        return;
+    server.token = grant->second.token;
+    // Until the first look the server may run what another holder started.
+    server.tenure = Tenure::TakingOver;
+    server.nextLookAt = now;
+}
+
+// Everything of the last incarnation has ended.
+void Pool::Implementation::startLife(Server &server, Time now)
+{
+    note("server-restarted", {}, fmt::format("server={}", server.info().id));
+    std::vector<std::string> tasks;
+    for (const auto &[task, run] : server.runs())
+        tasks.push_back(task);
+    for (const std::string &task : tasks)
+        requeue(server.remove(task), now);
+    server.resetLife();
+    if (server.tenure != Tenure::None)
+        server.tenure = Tenure::TakingOver;
+    server.nextLookAt = now;
+}
+
+// Another VM places on the server now and stops what it finds there. Until that has happened the
+// runs may go on, so their jobs cannot be started again in time.
+void Pool::Implementation::loseServer(Server &server, std::string_view cause, Time now)
+{
+    ++counters_.serversLost;
+    note("server-lost", {},
+         fmt::format("server={} cause={} token={} runs={}", server.info().id, cause, server.token,
+                     server.runs().size()));
+    server.tenure = Tenure::None;
+    std::vector<JobNumber> jobs;
+    std::vector<std::string> tasks;
+    for (const auto &[task, run] : server.runs()) {
+        tasks.push_back(task);
+        const auto job = jobs_.find(run.job);
+        if (job != jobs_.end() && job->second.tasks[run.task].lastRun == run.number)
+            jobs.push_back(run.job);
+    }
+    for (const std::string &task : tasks)
+        server.remove(task);
+    server.resetLife();
+    for (const JobNumber number : jobs) {
+        const auto job = jobs_.find(number);
+        if (job != jobs_.end())
+            answer(job->second, JobResult::Abandoned, "server-lost", now);
+    }
+}
+
+bool Pool::Implementation::checkIncarnation(Server &server, const ServerReading &reading, Time now)
+{
+    if (!reading.incarnation || *reading.incarnation <= server.info().incarnation)
+        return reading.incarnation.value_or(0) == server.info().incarnation || !reading.incarnation;
+    ServerInfo info = server.info();
+    info.incarnation = *reading.incarnation;
+    server.update(std::move(info));
+    startLife(server, now);
+    return false;
+}
+
+void Pool::Implementation::lookAround(Time now)
+{
+    for (auto &[id, server] : servers_) {
+        if (server.wantsLook(now))
+            sendLook(server, now);
+    }
+}
+
+void Pool::Implementation::sendLook(Server &server, Time now)
+{
+    ++counters_.looks;
+    server.isLookPending = true;
+    server.lookSentAt = now;
+    const bool extendsLease = server.tenure == Tenure::Held && !server.runs().empty();
+    OrderLook look;
+    look.server = server.info().id;
+    look.address = server.info().address;
+    look.token = server.token;
+    look.ackedThrough = server.ackedThrough();
+    look.leaseUntilMs = extendsLease ? server.leaseFor(now) : 0;
+    look.wait = server.lookWait(now);
+    look.timeout = look.wait + options_.answerTimeout;
+    server.noteLookAck(look.ackedThrough);
+    actions_.emplace_back(std::move(look));
+}
+
+void Pool::Implementation::sendStop(Server &server, const std::string &task, Run &run, Time now)
+{
+    run.state = RunState::Stopping;
+    if (server.tenure == Tenure::None)
+        return;
+    ++counters_.stops;
+    run.isStopPending = true;
+    run.nextStopAt = now + stopRetryDelay;
+    actions_.emplace_back(
+            OrderStop {{server.info().id, task, run.number}, server.info().address, server.token});
+}
+
+// Repeats stops that were not answered, and drops runs that must have ended.
+void Pool::Implementation::stopPending(Time now)
+{
+    for (auto &[id, server] : servers_) {
+        std::vector<std::string> ended;
+        for (auto &[task, run] : server.runs()) {
+            const bool isConfirmed = run.confirmedAt != Time {} || run.job == pool::foreignJob;
+            const bool isForgotten = !server.isRegistered && now > run.orderedAt + forgetAfter;
+            if ((isConfirmed && server.hasLapsed(now) && run.job != pool::foreignJob)
+                || isForgotten) {
+                ended.push_back(task);
+                continue;
+            }
+            if (run.state == RunState::Stopping && !run.isStopPending
+                && run.stopConfirmedAt == Time {} && now >= run.nextStopAt)
+                sendStop(server, task, run, now);
+        }
+        for (const std::string &task : ended) {
+            ++counters_.runsLost;
+            const Run run = server.remove(task);
+            note("run-lapsed", {}, fmt::format("task={} run={} server={}", task, run.number, id));
+            requeue(run, now);
+        }
+    }
+}
+
+void Pool::Implementation::onLooked(const LookReply &reply, Time now)
+{
+    const auto found = servers_.find(reply.server);
+    if (found == servers_.end())
+        return;
+    Server &server = found->second;
+    const Time sentAt = server.lookSentAt;
+    server.isLookPending = false;
+    if (server.tenure == Tenure::None)
+        return;
+    if (reply.result != OrderResult::Done) {
+        noteLookFailure(server, reply.result, now);
+        return;
+    }
+    server.noteAcknowledged();
+    server.nextLookAt = now;
+    server.closedUntil = {};
+    if (!checkIncarnation(server, reply.reading, now))
+        return;
+    server.noteReading(reply.reading, now);
+    for (const EndedRow &row : reply.ended)
+        noteEnded(server, row, now);
+    reconcile(server, reply, sentAt, now);
+    if (server.tenure == Tenure::TakingOver) {
+        server.tenure = Tenure::Held;
+        note("server-taken", {},
+             fmt::format("server={} token={} foreign_runs={}", server.info().id, server.token,
+                         server.runs().size()));
+    }
+    isPlacementDue_ = true;
+}
+
+void Pool::Implementation::noteLookFailure(Server &server, OrderResult result, Time now)
+{
+    switch (result) {
+    case OrderResult::Fenced:
+        loseServer(server, "fenced", now);
+        return;
+    case OrderResult::OtherLife:
+        startLife(server, now);
+        server.nextLookAt = now + reconnectDelay;
+        return;
+    case OrderResult::Unknown:
+        ++counters_.looksUnanswered;
+        server.nextLookAt = now;
+        break;
+    default:
+        server.nextLookAt = now + reconnectDelay;
+        break;
+    }
+    server.closedUntil = now + closedWhenSilent;
+}
+
+// Compares the runs that this VM knows with those that the server lists. Only a look that was sent
+// after a run was confirmed says that it is gone.
+void Pool::Implementation::reconcile(Server &server, const LookReply &reply, Time sentAt, Time now)
+{
+    std::map<std::string_view, const RunningRow *> listed;
+    for (const RunningRow &row : reply.running)
+        listed.emplace(row.task, &row);
+    std::vector<std::string> gone;
+    for (auto &[task, run] : server.runs()) {
+        const auto row = listed.find(task);
+        if (row != listed.end() && row->second->run == run.number) {
+            if (run.state == RunState::Unsure) {
+                run.state = RunState::Running;
+                run.confirmedAt = now;
+            }
+            if (run.state == RunState::Running)
+                checkProgress(server, *row->second, run, now);
+            continue;
+        }
+        const bool isGone = (run.state == RunState::Running && sentAt > run.confirmedAt)
+                || (run.state == RunState::Stopping && run.stopConfirmedAt != Time {}
+                    && sentAt > run.stopConfirmedAt);
+        if (isGone)
+            gone.push_back(task);
+        else if (run.state == RunState::Unsure && sentAt > run.orderedAt)
+            sendStop(server, task, run, now);
+    }
+    for (const std::string &task : gone) {
+        const Run run = server.remove(task);
+        if (run.state == RunState::Running)
+            ++counters_.runsLost;
+        requeue(run, now);
+    }
+    for (const RunningRow &row : reply.running) {
+        const auto known = server.runs().find(row.task);
+        if (known == server.runs().end() || known->second.number != row.run)
+            adoptForeign(server, row, now);
+    }
+}
+
+// Runs that an earlier holder started belong to jobs that nobody here can answer.
+void Pool::Implementation::adoptForeign(Server &server, const RunningRow &row, Time now)
+{
+    if (server.runs().contains(row.task))
+        return;
+    note("run-foreign", {},
+         fmt::format("task={} run={} server={}", row.task, row.run, server.info().id));
+    Run run;
+    run.number = row.run;
+    run.orderedAt = now;
+    server.add(row.task, run);
+    sendStop(server, row.task, server.runs().at(row.task), now);
+}
+
+void Pool::Implementation::checkProgress(Server &server, const RunningRow &row, Run &run, Time now)
+{
+    const auto found = jobs_.find(run.job);
+    if (found == jobs_.end())
+        return;
+    Job &job = found->second;
+    const Duration elapsed = now - run.confirmedAt;
+    if (elapsed < scaled(run.expected, hangFactor) + hangSlack)
+        return;
+    const Task &task = job.tasks[run.task];
+    const Duration estimate = job.stepOf(task).estimate;
+    const bool isHanging = row.percent < hangPercent;
+    const Duration total = scaled(elapsed, 100.0 / std::max<double>(row.percent, 1));
+    const Duration remaining = total - elapsed;
+    if (!isHanging && !run.isSlowNoted) {
+        run.isSlowNoted = true;
+        pool::noteSlow(server, estimate, total);
+    }
+    const Duration elsewhere = scaled(estimate, speedOf(job.offer.service).fast);
+    const bool isWorthMoving = now + remaining > job.objectiveAt && now + elsewhere < giveUpAt(job)
+            && elsewhere < scaled(remaining, moveGain);
+    if (!isHanging && !isWorthMoving)
+        return;
+    if (isHanging && pool::noteFault(server, job.offer.job.id, options_, now))
+        note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
+    note("run-moved", job.offer.job.id,
+         fmt::format("task={} run={} server={} percent={} elapsed_us={}", row.task, row.run,
+                     server.info().id, row.percent, elapsed.count()));
+    sendStop(server, row.task, run, now);
+}
+
+void Pool::Implementation::noteEnded(Server &server, const EndedRow &row, Time now)
+{
+    if (!server.noteEnd(row.number))
+        return;
+    if (server.endSeenAt == Time {} || !server.hasUnacknowledged())
+        server.endSeenAt = now;
+    const RunRef ref {server.info().id, row.task, row.run};
+    if (!server.findRun(ref))
+        return;
+    const Run run = server.remove(row.task);
+    if (row.end == RunEnd::Succeeded) {
+        noteSuccessfulEnd(server, run, now);
+        return;
+    }
+    if (row.end == RunEnd::Failed) {
+        noteFailedEnd(server, run, now);
+        return;
+    }
+    if (run.state != RunState::Stopping)
+        note("run-ended-early", {},
+             fmt::format("task={} run={} server={} end={}", row.task, row.run, server.info().id,
+                         static_cast<int>(row.end)));
+    requeue(run, now);
+}
+
+void Pool::Implementation::noteSuccessfulEnd(Server &server, const Run &run, Time now)
+{
+    const auto found = jobs_.find(run.job);
+    if (found == jobs_.end())
+        return;
+    Job &job = found->second;
+    Task &task = job.tasks[run.task];
+    if (task.lastRun != run.number || task.state != pool::TaskState::Active)
+        return;
+    if (!task.avoid.empty())
+        confirmFault(task.avoid, now);
+    pool::noteSuccess(server, job.stepOf(task).estimate,
+                      now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt));
+    completeTask(job, run.task, now);
+}
+
+void Pool::Implementation::noteFailedEnd(Server &server, const Run &run, Time now)
+{
+    const auto found = jobs_.find(run.job);
+    if (found == jobs_.end())
+        return;
+    Job &job = found->second;
+    Task &task = job.tasks[run.task];
+    if (task.lastRun != run.number || task.state != pool::TaskState::Active)
+        return;
+    ++task.failures;
+    note("run-failed", job.offer.job.id,
+         fmt::format("task={} run={} server={} failures={} attempts={}",
+                     toString(job.nameOf(run.task)), run.number, server.info().id, task.failures,
+                     job.offer.attempts));
+    const auto earlier = servers_.find(task.avoid);
+    if (earlier != servers_.end() && task.avoid != server.info().id)
+        pool::forgiveFault(earlier->second);
+    else if (pool::noteFault(server, job.offer.job.id, options_, now))
+        note("server-avoided", {}, fmt::format("server={} cause=failures", server.info().id));
+    task.avoid = server.info().id;
+    if (task.failures >= job.offer.attempts) {
+        answer(job, JobResult::Failed, "attempts-used", now);
+        return;
+    }
+    requeue(run, now);
+}
+
+// A task that failed on a server has succeeded elsewhere.
+void Pool::Implementation::confirmFault(const std::string &serverId, Time now)
+{
+    const auto found = servers_.find(serverId);
+    if (found != servers_.end() && pool::noteFault(found->second, {}, options_, now))
+        note("server-avoided", {}, fmt::format("server={} cause=failed-alone", serverId));
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/routing/membership.cpp
@@ -0,0 +1,113 @@
+#include "lovage/routing.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// Order in which VMs become holders: the largest first, then by name.
+struct Rank
+{
+    uint32_t cpuMilliCores = 0;
+    std::string name;
+
+    bool isBefore(const Rank &other) const
+    {
+        if (cpuMilliCores != other.cpuMilliCores)
+            return cpuMilliCores > other.cpuMilliCores;
+        return name < other.name;
+    }
+};
+
+} // namespace
+
+bool shouldHold(const VmTable &vms, const VmReport &self, const HolderOptions &options, Time now)
+{
+    if (self.isDraining)
+        return false;
+    if (self.isHolder)
+        return true;
+    const Rank own {self.cpuMilliCores, self.vm.name};
+    uint32_t servers = self.knownServers;
+    uint32_t holders = 0;
+    uint32_t before = 0;
+    for (const auto &[name, row] : vms.rows()) {
+        const VmReport &report = row.report;
+        if (report.vm.dataCentre != self.vm.dataCentre || report.isDraining
+            || !vms.isHeard(row, now))
+            continue;
+        servers = std::max(servers, report.knownServers);
+        if (report.isHolder)
+            ++holders;
+        else if (Rank {report.cpuMilliCores, name}.isBefore(own))
+            ++before;
+    }
+    const uint32_t wanted = std::max<uint32_t>(
+            1, (servers + options.serversPerHolder - 1) / options.serversPerHolder);
+    return holders + before < wanted;
+}
+
+bool ShardMembership::isReleasing() const
+{
+    return std::any_of(grants_.begin(), grants_.end(),
+                       [](const auto &grant) { return grant.second.isReleasing; });
+}
+
+std::optional<GroupRequest> ShardMembership::next(bool wantsShards, bool isReleaseReady, Time now)
+{
+    if (isPending_ || now < nextAt_ || now < started_ + options_.settleTime)
+        return std::nullopt;
+    if (!wantsShards && !isMember_)
+        return std::nullopt;
+    isPending_ = true;
+    nextAt_ = now + options_.joinInterval;
+    if (!wantsShards)
+        return LeaveGroup {};
+    isMember_ = true;
+    const bool isReleaseDue = isReleaseReady || now > releaseSince_ + options_.releaseLimit;
+    isReleaseSent_ = isReleasing() && isReleaseDue;
+    if (!isReleasing() || isReleaseDue)
+        acknowledged_ = latest_;
+    return JoinGroup {acknowledged_, options_.groupLease};
+}
+
+bool ShardMembership::onJoined(const GroupMembership &membership, Time now)
+{
+    isPending_ = false;
+    latest_ = membership.generation;
+    ShardGrants grants;
+    for (const uint32_t shard : membership.shards)
+        grants[shard] = {membership.generation, false};
+    for (const auto &[shard, grant] : grants_) {
+        if (!grants.contains(shard) && !isReleaseSent_)
+            grants[shard] = {grant.token, true};
+    }
+    const bool wasReleasing = isReleasing();
+    const bool isChanged = grants != grants_;
+    grants_ = std::move(grants);
+    if (isReleasing() && !wasReleasing)
+        releaseSince_ = now;
+    if (isReleaseSent_ || isChanged)
+        nextAt_ = now;
+    isReleaseSent_ = false;
+    return isChanged;
+}
+
+void ShardMembership::onJoinFailed(Time now)
+{
+    isPending_ = false;
+    isReleaseSent_ = false;
+    nextAt_ = now + options_.joinInterval;
+}
+
+void ShardMembership::onLeft()
+{
+    isPending_ = false;
+    isMember_ = false;
+    acknowledged_ = 0;
+    latest_ = 0;
+    grants_.clear();
+}
+
+} // namespace lovage
--- a/src/settings/reader.cpp
+++ b/src/settings/reader.cpp
@@ -1,5 +1,7 @@
 #include "reader.h"
 
+#include <algorithm>
+
 namespace lovage {
 
 namespace json = boost::json;
@@ -128,6 +130,19 @@
         target = number;
 }
 
+void ObjectReader::readSeconds(std::string_view key, Duration &target, double least, double most)
+{
+    const json::value *value = find(key, false, {});
+    if (value == nullptr)
+        return;
+    boost::system::error_code error;
+    const auto seconds = value->to_number<double>(error);
+    if (error || !(seconds >= least && seconds <= most))
+        report(key, fmt::format("a number from {} to {}", least, most));
+    else
+        target = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 void ObjectReader::readObject(std::string_view key, bool isRequired,
                               const std::function<void(ObjectReader &)> &read)
 {
@@ -168,4 +183,24 @@
     }
 }
 
+json::value parseCommentedJson(std::string_view text, std::vector<SettingsError> &errors)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    boost::system::error_code error;
+    json::stream_parser parser({}, options);
+    const size_t consumed = parser.write_some(text.data(), text.size(), error);
+    if (!error && consumed < text.size())
+        error = json::error::extra_data;
+    if (!error)
+        parser.finish(error);
+    if (!error)
+        return parser.release();
+    const auto line =
+            1 + std::count(text.begin(), text.begin() + static_cast<long>(consumed), '\n');
+    errors.push_back({"", fmt::format("JSON with comments (line {}: {})", line, error.message())});
+    return nullptr;
+}
+
 } // namespace lovage
--- a/src/settings/reader.h
+++ b/src/settings/reader.h
@@ -25,6 +25,8 @@
     void readEndpoint(std::string_view key, Endpoint &target, bool isRequired);
     void readMillis(std::string_view key, Duration &target, int64_t least, int64_t most);
     void readShare(std::string_view key, double &target);
+    // A number of seconds, with or without a fraction.
+    void readSeconds(std::string_view key, Duration &target, double least, double most);
 
     template<class Number>
     void readNumber(std::string_view key, Number &target, uint64_t least, uint64_t most)
@@ -59,4 +61,7 @@
     std::set<std::string, std::less<>> known_;
 };
 
+// Parses JSON with comments and trailing commas. On a fault returns null and adds one error.
+boost::json::value parseCommentedJson(std::string_view text, std::vector<SettingsError> &errors);
+
 } // namespace lovage
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -181,25 +181,11 @@
 
 SettingsResult parseSettings(std::string_view text)
 {
-    json::parse_options options;
-    options.allow_comments = true;
-    options.allow_trailing_commas = true;
-    boost::system::error_code error;
-    json::stream_parser parser({}, options);
-    const size_t consumed = parser.write_some(text.data(), text.size(), error);
-    if (!error && consumed < text.size())
-        error = json::error::extra_data;
-    if (!error)
-        parser.finish(error);
-    if (error) {
-        const auto line =
-                1 + std::count(text.begin(), text.begin() + static_cast<long>(consumed), '\n');
-        return SettingsErrors {
-                {{"", fmt::format("JSON with comments (line {}: {})", line, error.message())}}};
-    }
     SettingsErrors errors;
+    const json::value value = parseCommentedJson(text, errors.errors);
+    if (!errors.errors.empty())
+        return errors;
     Settings settings;
-    const json::value value = parser.release();
     ObjectReader reader(value, "", errors.errors);
     readSettings(reader, settings);
     if (!errors.errors.empty())
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -2,6 +2,11 @@
 
 #include <fmt/chrono.h>
 
+#include <climits>
+#include <map>
+#include <poll.h>
+#include <unistd.h>
+
 namespace lovage {
 
 namespace {
@@ -29,6 +34,73 @@
     return quoted + "\"";
 }
 
+// Lines of one event per second. Enough to follow each request at the ordinary load of a VM.
+constexpr uint32_t linesPerSecond = 300;
+
+// Writes bounded lines to standard output without ever waiting for its reader.
+class LineLog
+{
+public:
+    void print(LogLevel level, std::string_view event, std::string_view fields)
+    {
+        const std::lock_guard lock(mutex_);
+        const int64_t millis = toUnixMillis(currentTime());
+        startSecond(millis);
+        const auto entry = printed_.try_emplace(std::string(event), 0).first;
+        if (entry->second >= linesPerSecond) {
+            ++suppressed_[entry->first];
+            return;
+        }
+        ++entry->second;
+        write(line(millis, level, event, fields), event);
+    }
+
+private:
+    static std::string line(int64_t millis, LogLevel level, std::string_view event,
+                            std::string_view fields)
+    {
+        std::string text =
+                fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}{}{}\n",
+                            fmt::gmtime(static_cast<time_t>(millis / 1000)), millis % 1000,
+                            toString(level), event, fields.empty() ? "" : " ", fields);
+        // Longer writes to a pipe may block or be torn apart.
+        if (text.size() > PIPE_BUF) {
+            text.resize(PIPE_BUF - 1);
+            text += '\n';
+        }
+        return text;
+    }
+
+    void startSecond(int64_t millis)
+    {
+        const int64_t second = millis / 1000;
+        if (second == second_)
+            return;
+        second_ = second;
+        printed_.clear();
+        for (const auto &[event, count] : std::exchange(suppressed_, {}))
+            write(line(millis, LogLevel::Warning, "log-suppressed",
+                       fmt::format("suppressed={} lines={}", event, count)),
+                  event);
+    }
+
+    // A pipe that polls as writable takes PIPE_BUF bytes without blocking.
+    void write(const std::string &text, std::string_view event)
+    {
+        pollfd out {STDOUT_FILENO, POLLOUT, 0};
+        const bool isWritable = poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+        if (!isWritable
+            || ::write(STDOUT_FILENO, text.data(), text.size())
+                    != static_cast<ssize_t>(text.size()))
+            ++suppressed_[std::string(event)];
+    }
+
+    std::mutex mutex_;
+    int64_t second_ = 0;
+    std::map<std::string, uint32_t> printed_;
+    std::map<std::string, uint64_t> suppressed_;
+};
+
 } // namespace
 
 std::string_view toString(LogLevel level)
@@ -54,16 +126,20 @@
 {
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
-    const int64_t millis = toUnixMillis(currentTime());
-    std::string line = fmt::format("time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} event={}",
-                                   fmt::gmtime(static_cast<time_t>(millis / 1000)), millis % 1000,
-                                   toString(level), event);
-    for (const LogField &field : fields)
-        line += fmt::format(" {}={}", field.name,
+    std::string text;
+    for (const LogField &field : fields) {
+        text += fmt::format("{}{}={}", text.empty() ? "" : " ", field.name,
                             needsQuotes(field.value) ? quote(field.value) : field.value);
-    line += '\n';
-    // One write per line keeps lines of several threads apart.
-    std::fwrite(line.data(), 1, line.size(), stderr);
+    }
+    logEvent(level, event, text);
+}
+
+void logEvent(LogLevel level, std::string_view event, std::string_view fields)
+{
+    if (level < minimumLevel.load(std::memory_order_relaxed))
+        return;
+    static LineLog log;
+    log.print(level, event, fields);
 }
 
 } // namespace lovage
