Predict run times per queue and place by expected end

Cause: route packs missed their deadline. Declared run times are off by 40%, the objective was taken from them, a task waited for a server whose run was overdue, and progress was looked at only after the expected end.

Change: RunTimeModel fits run time over declared time per queue; a task goes to the slowest server that ends it in time with a margin, else to the first to end; progress projects the end of each run, which is moved while another server can still make it, and a job that cannot end in time is answered at once.

Ruled out: the choice of the pool. Failed jobs had all tasks started at once.

--- a/include/lovage/job.h
+++ b/include/lovage/job.h
@@ -95,7 +95,4 @@
 std::optional<QueueMatch> findQueue(const Configuration &configuration, std::string_view host,
                                     std::string_view path);
 
-// Latency objective of a job, counted from its submission.
-Duration latencyObjective(const Queue &queue, const JobSpec &job);
-
 } // namespace lovage
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -47,9 +47,10 @@
     std::string service;
     uint32_t priority = 0;
     uint32_t attempts = 1;
-    Duration objective {};     // left until the latency objective is missed
-    Duration deadline {};      // left until the caller stops waiting
-    bool isLastResort = false; // no other pool is asked after a refusal
+    double stretchFactor = 1;   // the latency objective is this times the longest chain of run
+    Duration objectiveSlack {}; // times, plus this
+    Duration elapsed {};        // since the caller submitted the job
+    Duration deadline {};       // left until the caller stops waiting
 
     auto operator<=>(const JobOffer &) const = default;
 };
--- a/src/job/job.cpp
+++ b/src/job/job.cpp
@@ -123,10 +123,4 @@
     return QueueMatch {best, path.substr(best->pathPrefix.size())};
 }
 
-Duration latencyObjective(const Queue &queue, const JobSpec &job)
-{
-    const double chain = static_cast<double>(longestChain(job).count());
-    return Duration(static_cast<int64_t>(queue.stretchFactor * chain)) + queue.objectiveSlack;
-}
-
 } // namespace lovage
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -109,7 +109,8 @@
         submitted_.add();
         const uint64_t number = nextNumber_++;
         JobOffer offer;
-        offer.objective = latencyObjective(queue, job);
+        offer.stretchFactor = queue.stretchFactor;
+        offer.objectiveSlack = queue.objectiveSlack;
         offer.deadline = deadline;
         offer.queue = queue.name;
         offer.service = queue.service;
--- a/src/pool/health.cpp
+++ b/src/pool/health.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-// Weight of the newest run time. Estimates are off by 40% in either direction, so about ten runs
-// are needed for the speed to stand out.
+// Weight of the newest run time. Predictions are off by some 40%, so about ten runs are needed for
+// the speed to stand out.
 constexpr double learningRate = 0.1;
-// Limits of the learned ratio; a run outside of them says more about its estimate than about the
+// Limits of the learned ratio; a run outside of them says more about its prediction than about the
 // server.
 constexpr double largestLogSlowness = 3;
 // Faults in a row, of different jobs, that close a server.
@@ -18,16 +18,16 @@
 // Run times below it are dominated by the time that orders take.
 constexpr Duration shortestSample = std::chrono::milliseconds(5);
 
-// A run time that differs by more than this is a change of the server, not of the estimate.
+// A run time that differs by more than this is a change of the server, not of the prediction.
 constexpr double largeDeviation = 0.9;
 constexpr double changeRate = 0.4;
 
-void learn(LeasedServer &server, Duration estimate, Duration ran)
+void learn(LeasedServer &server, Duration predicted, Duration ran)
 {
-    if (estimate < shortestSample || ran < shortestSample)
+    if (predicted < shortestSample || ran < shortestSample)
         return;
     const double ratio =
-            std::log(static_cast<double>(ran.count()) / static_cast<double>(estimate.count()));
+            std::log(static_cast<double>(ran.count()) / static_cast<double>(predicted.count()));
     ++server.samples;
     const double deviation = ratio - server.logSlowness;
     const double rate = std::abs(deviation) > largeDeviation ? changeRate : learningRate;
@@ -44,22 +44,22 @@
     return std::exp(known * server.logSlowness + (1 - known) * common);
 }
 
-Duration expectedRunTime(const LeasedServer &server, Duration estimate, double common)
+Duration expectedRunTime(const LeasedServer &server, Duration predicted, double common)
 {
-    return Duration(static_cast<int64_t>(static_cast<double>(estimate.count())
+    return Duration(static_cast<int64_t>(static_cast<double>(predicted.count())
                                          * slownessOf(server, common)));
 }
 
-void noteSuccess(LeasedServer &server, Duration estimate, Duration ran)
+void noteSuccess(LeasedServer &server, Duration predicted, Duration ran)
 {
     server.suspicions = 0;
     server.avoidance = {};
-    learn(server, estimate, ran);
+    learn(server, predicted, ran);
 }
 
-void noteSlow(LeasedServer &server, Duration estimate, Duration total)
+void noteSlow(LeasedServer &server, Duration predicted, Duration total)
 {
-    learn(server, estimate, total);
+    learn(server, predicted, total);
 }
 
 bool noteFault(LeasedServer &server, const std::string &job, const PoolOptions &options, Time now)
--- a/src/pool/health.h
+++ b/src/pool/health.h
@@ -6,15 +6,15 @@
 
 namespace lovage::pool {
 
-// Run time over estimate that is to be expected on the server. `common` is the logarithm of that
-// ratio over all servers of the service, used for a server that is not known yet.
+// Run time over that on an ordinary server. `common` is the mean logarithm of that ratio over the
+// servers of the service, used for a server that is not known yet.
 double slownessOf(const LeasedServer &server, double common);
-Duration expectedRunTime(const LeasedServer &server, Duration estimate, double common);
+Duration expectedRunTime(const LeasedServer &server, Duration predicted, double common);
 
-// A run has succeeded after `ran`.
-void noteSuccess(LeasedServer &server, Duration estimate, Duration ran);
+// A run for which `predicted` was expected on an ordinary server has succeeded after `ran`.
+void noteSuccess(LeasedServer &server, Duration predicted, Duration ran);
 // A run is projected to take `total`, much longer than expected.
-void noteSlow(LeasedServer &server, Duration estimate, Duration total);
+void noteSlow(LeasedServer &server, Duration predicted, Duration total);
 // A run of the job has failed, stood still or vanished. Several in a row, of different jobs, close
 // the server for a while: one job alone may be at fault itself. Returns whether it was closed now.
 bool noteFault(LeasedServer &server, const std::string &job, const PoolOptions &options, Time now);
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -16,15 +16,22 @@
 
 } // namespace
 
-Job makeJob(JobNumber number, JobOffer offer, Time now)
+Job makeJob(JobNumber number, JobOffer offer, const RunTimeModel &model, Time now)
 {
     Job job;
     job.number = number;
     job.arrived = now;
-    job.objectiveAt = now + offer.objective;
+    job.submitted = now - offer.elapsed;
     job.deadlineAt = now + offer.deadline;
-    job.chain = longestChain(offer.job);
-    job.coreSeconds = coreSeconds(offer.job);
+    JobSpec expected = offer.job;
+    for (Step &step : expected.steps) {
+        step.estimate = model.predict(offer.queue, step.estimate);
+        job.predicted.push_back(step.estimate);
+    }
+    job.chain = longestChain(expected);
+    job.objectiveAt = job.submitted + offer.objectiveSlack
+            + Duration(static_cast<int64_t>(offer.stretchFactor
+                                            * static_cast<double>(job.chain.count())));
     for (uint32_t step = 0; step < offer.job.steps.size(); ++step) {
         job.firstTask.push_back(static_cast<uint32_t>(job.tasks.size()));
         job.unfinished.push_back(offer.job.steps[step].count);
@@ -53,12 +60,12 @@
     return released;
 }
 
-Duration waitingEstimate(const Job &job)
+Duration longestWaiting(const Job &job)
 {
     Duration longest {};
     for (const Task &task : job.tasks) {
         if (task.state == TaskState::Queued)
-            longest = std::max(longest, job.stepOf(task).estimate);
+            longest = std::max(longest, job.predictedFor(task));
     }
     return longest;
 }
@@ -69,7 +76,7 @@
     for (const Task &task : job.tasks) {
         const Step &step = job.stepOf(task);
         if (task.state == TaskState::Queued || task.state == TaskState::Blocked)
-            sum += step.demand.milliCores * static_cast<double>(step.estimate.count())
+            sum += step.demand.milliCores * static_cast<double>(job.predictedFor(task).count())
                     / milliCoreMicros;
     }
     return sum;
@@ -77,7 +84,7 @@
 
 QueueKey queueKey(const Job &job, double slowness, Time now)
 {
-    const double run = static_cast<double>(waitingEstimate(job).count()) * slowness;
+    const double run = static_cast<double>(longestWaiting(job).count()) * slowness;
     QueueKey key {QueueKey::Band::OnTime, job.objectiveAt - Duration(static_cast<int64_t>(run)),
                   job.number};
     if (job.isBegun)
--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -4,6 +4,7 @@
 #include "lovage/pool.h"
 
 #include "leased_server.h"
+#include "run_time_model.h"
 
 #include <set>
 
@@ -26,11 +27,12 @@
 {
     JobNumber number = 0;
     JobOffer offer;
+    Time submitted {};
     Time arrived {};
     Time objectiveAt {};
     Time deadlineAt {};
-    Duration chain {}; // estimate of the longest chain
-    double coreSeconds = 0;
+    std::vector<Duration> predicted {}; // run time of a task by step, on an ordinary server
+    Duration chain {};                  // predicted time of the longest chain
     std::vector<Task> tasks {};
     std::vector<uint32_t> firstTask {};  // by step
     std::vector<uint32_t> unfinished {}; // tasks by step
@@ -40,17 +42,19 @@
     bool isBegun = false; // some task was ordered to start
 
     const Step &stepOf(const Task &task) const { return offer.job.steps[task.step]; }
+    Duration predictedFor(const Task &task) const { return predicted[task.step]; }
+    Duration objective() const { return objectiveAt - submitted; }
     TaskName nameOf(size_t task) const
     {
         return {offer.job.id, 0, tasks[task].step, tasks[task].index};
     }
 };
 
-Job makeJob(JobNumber number, JobOffer offer, Time now);
+Job makeJob(JobNumber number, JobOffer offer, const RunTimeModel &model, Time now);
 // Queues the tasks of every step whose earlier steps are complete. Returns their number.
 size_t releaseSteps(Job &job);
-// Longest estimate among the tasks that wait.
-Duration waitingEstimate(const Job &job);
+// Longest prediction among the tasks that wait.
+Duration longestWaiting(const Job &job);
 double queuedCoreSeconds(const Job &job);
 
 // Which waiting job gets room first. Jobs that have begun come first, since what they hold is
@@ -67,7 +71,7 @@
     auto operator<=>(const QueueKey &) const = default;
 };
 
-// slowness: run time over estimate on the fastest servers of the service.
+// slowness: run time over prediction on the faster servers of the service.
 QueueKey queueKey(const Job &job, double slowness, Time now);
 
 } // namespace lovage::pool
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -100,7 +100,7 @@
     Time endSeenAt {};        // of the oldest end that is not acknowledged
 
     // Health, kept by Health.
-    double logSlowness = 0; // logarithm of run time over estimate
+    double logSlowness = 0; // logarithm of run time over that on an ordinary server
     uint32_t samples = 0;
     uint32_t suspicions = 0;
     std::string lastSuspectJob;
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -4,6 +4,8 @@
 #include "health.h"
 #include "jobs.h"
 #include "leased_server.h"
+#include "run_time_model.h"
+#include "timetable.h"
 
 #include <unordered_map>
 
@@ -48,6 +50,7 @@
     using JobNumber = pool::JobNumber;
 
     std::map<std::string, Server> servers_; // by id
+    pool::RunTimeModel model_;
     ShardGrants grants_;
     std::unordered_map<JobNumber, Job> jobs_;
     std::map<JobTicket, JobNumber> jobsByTicket_;
@@ -56,8 +59,8 @@
     bool isPlacementDue_ = false;
 
 private:
-    // Speed of a service: logarithm of run time over estimate over all of its servers, and the
-    // ratio on its faster servers.
+    // Speed of a service: mean logarithm of run time over prediction on its servers, and the ratio
+    // on its faster servers.
     struct ServiceSpeed
     {
         double common = 0;
@@ -86,6 +89,10 @@
     void noteEnded(Server &server, const EndedRow &row, Time now);
     void checkProgress(Server &server, const RunningRow &row, pool::Run &run, Time now);
     void confirmFault(const std::string &serverId, Time now);
+    void moveRun(Server &server, const RunningRow &row, pool::Run &run, std::string_view cause,
+                 Time now);
+    bool hasRoomInTime(const Job &job, const pool::Run &run, Duration ordinary, Time target,
+                       Time now) const;
     void noteSuccessfulEnd(Server &server, const pool::Run &run, Time now);
     void noteFailedEnd(Server &server, const pool::Run &run, Time now);
     bool checkIncarnation(Server &server, const ServerReading &reading, Time now);
@@ -104,8 +111,21 @@
     // Cores of the latest task of each service, in which free room is counted.
     std::map<std::string, uint32_t> typicalMilliCores_;
 
-    bool placeJob(Job &job, Time now);
-    Server *chooseServer(const Job &job, const pool::Task &task, Time now);
+    // A server and when the task would start and end there.
+    struct Choice
+    {
+        pool::ServerTimetable *place = nullptr;
+        Time start;
+        Time end;
+    };
+
+    pool::Timetable makeTimetable(const std::string &service, Time now);
+    std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
+                                      pool::Timetable &timetable, Time now) const;
+    bool placeJob(Job &job, pool::Timetable &timetable, Time now);
+    // Whether a task with this prediction can still end by then, unless it takes much longer than
+    // predicted.
+    bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
     bool isAllowed(const Server &server, const Job &job, const pool::Task &task) const;
     void order(Server &server, Job &job, size_t task, Time now);
 };
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace lovage {
 
@@ -36,14 +37,14 @@
 // A job is dropped when it can neither meet the late limit nor be there before its caller leaves.
 Time Pool::Implementation::giveUpAt(const Job &job) const
 {
-    const Time lateLimit = job.arrived + scaled(job.offer.objective, options_.lateLimitFactor);
+    const Time lateLimit = job.submitted + scaled(job.objective(), options_.lateLimitFactor);
     return std::min(job.deadlineAt, lateLimit);
 }
 
 void Pool::Implementation::offer(JobOffer offer, Time now)
 {
     ++counters_.offered;
-    Job job = pool::makeJob(nextJob_++, std::move(offer), now);
+    Job job = pool::makeJob(nextJob_++, std::move(offer), model_, now);
     const std::string &id = job.offer.job.id;
     if (isDraining_) {
         answer(job, JobResult::Refused, "draining", now);
@@ -62,7 +63,7 @@
     const std::string inputs = fmt::format(
             "queue={} tasks={} wait_ms={:.0f} run_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
             job.offer.queue, job.tasks.size(), toMillis(forecast.wait), toMillis(forecast.run),
-            toMillis(job.offer.objective), toMillis(job.offer.deadline));
+            toMillis(job.objective()), toMillis(job.offer.deadline));
     if (!forecast.hasServer) {
         note("job-refused", id, inputs + " cause=no-server");
         answer(job, JobResult::Refused, "no-server", now, shortestRetryAfter);
@@ -106,7 +107,7 @@
         note("job-answered", job.offer.job.id,
              fmt::format("result={} reason={} after_ms={:.0f} objective_ms={:.0f}",
                          toString(result), reason, toMillis(now - job.arrived),
-                         toMillis(job.offer.objective)));
+                         toMillis(job.objective())));
     actions_.emplace_back(JobAnswer {job.offer.ticket, result, std::move(reason), retryAfter});
     forget(job.number, now);
 }
@@ -159,16 +160,24 @@
         withdraw(ticket, now);
 }
 
+bool Pool::Implementation::canEndBy(const Job &job, Duration predicted, Time limit, Time now) const
+{
+    // One in three tasks takes less than the prediction by this many standard deviations.
+    constexpr double optimism = 0.4;
+    const double factor = speedOf(job.offer.service).fast
+            * std::exp(-optimism * model_.deviation(job.offer.queue));
+    return now + scaled(predicted, factor) <= limit;
+}
+
 // Answers jobs that cannot be done in time any more as soon as that is known.
 void Pool::Implementation::dropOverdue(Time now)
 {
     std::vector<JobNumber> overdue;
     for (const auto &[number, job] : jobs_) {
-        const double fastest = speedOf(job.offer.service).fast;
-        const Duration run = scaled(pool::waitingEstimate(job), fastest);
-        const bool isWaiting = job.queued > 0 && now + run > giveUpAt(job);
-        if (now >= job.deadlineAt || (isWaiting && !job.isBegun)
-            || (isWaiting && now + run > job.deadlineAt))
+        const Time limit = job.isBegun ? job.deadlineAt : giveUpAt(job);
+        const bool isHopeless =
+                job.queued > 0 && !canEndBy(job, pool::longestWaiting(job), limit, now);
+        if (now >= job.deadlineAt || isHopeless)
             overdue.push_back(number);
     }
     for (const JobNumber number : overdue) {
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -25,10 +25,10 @@
 constexpr size_t maxForecastTasks = 4000;
 // Share of a server's cores that whole tasks fill, on average.
 constexpr double packing = 0.85;
-// A run that is overdue is expected to end after this time.
-constexpr Duration overdueRemainder = std::chrono::milliseconds(10);
 // Share of the servers whose speed counts as that of the fast ones.
 constexpr double fastShare = 0.25;
+// Standard deviations of the run time by which a task should end before the objective.
+constexpr double comfort = 0.7;
 // A typical demand before the first job.
 constexpr uint32_t defaultMilliCores = 1000;
 
@@ -119,8 +119,7 @@
         forecast.hasServer = true;
         free += server.freeMilliCores() / portion * portion;
         for (const auto &[task, run] : server.runs()) {
-            const Time end = std::max(run.orderedAt + run.expected, now + overdueRemainder);
-            releases.emplace(end, run.demand.milliCores);
+            releases.emplace(pool::expectedEnd(run, now), run.demand.milliCores);
         }
     }
     forecast.run = scaled(job.chain, std::exp(speed.common));
@@ -137,7 +136,7 @@
                 releases.pop();
             }
             free -= std::min<uint64_t>(free, step.demand.milliCores);
-            releases.emplace(start + scaled(step.estimate, std::exp(speed.common)),
+            releases.emplace(start + scaled(waiting.predictedFor(task), std::exp(speed.common)),
                              step.demand.milliCores);
         }
     };
@@ -162,37 +161,94 @@
 void Pool::Implementation::placeQueued(Time now)
 {
     isPlacementDue_ = false;
-    std::vector<QueueKey> order;
-    std::map<std::string, double> fast;
+    std::map<std::string, std::vector<QueueKey>> waiting; // by service
     for (const auto &[number, job] : jobs_) {
-        if (job.queued == 0)
-            continue;
-        const auto known = fast.find(job.offer.service);
-        const double slowness = known != fast.end()
-                ? known->second
-                : fast.emplace(job.offer.service, speedOf(job.offer.service).fast).first->second;
-        order.push_back(queueKey(job, slowness, now));
+        if (job.queued > 0)
+            waiting[job.offer.service].push_back(
+                    queueKey(job, speedOf(job.offer.service).fast, now));
+    }
+    for (auto &[service, keys] : waiting) {
+        std::sort(keys.begin(), keys.end());
+        pool::Timetable timetable = makeTimetable(service, now);
+        size_t misses = 0;
+        for (const QueueKey &key : keys) {
+            if (!placeJob(jobs_.at(key.job), timetable, now) && ++misses > maxMisses)
+                break;
+        }
     }
-    std::sort(order.begin(), order.end());
-    size_t misses = 0;
-    for (const QueueKey &key : order) {
-        if (!placeJob(jobs_.at(key.job), now) && ++misses > maxMisses)
-            return;
+}
+
+pool::Timetable Pool::Implementation::makeTimetable(const std::string &service, Time now)
+{
+    const double common = speedOf(service).common;
+    pool::Timetable timetable;
+    for (auto &[id, server] : servers_) {
+        if (server.info().service == service && server.isOpen(now) && !server.hasForeignRuns())
+            timetable.emplace_back(server, pool::slownessOf(server, common), now);
     }
+    return timetable;
 }
 
-// Returns whether every waiting task got a server.
-bool Pool::Implementation::placeJob(Job &job, Time now)
+// Starts what can start now and keeps room for the rest. Returns whether no task waits any more.
+bool Pool::Implementation::placeJob(Job &job, pool::Timetable &timetable, Time now)
 {
+    bool isComplete = true;
     for (size_t i = 0; i < job.tasks.size() && job.queued > 0; ++i) {
         if (job.tasks[i].state != TaskState::Queued)
             continue;
-        Server *server = chooseServer(job, job.tasks[i], now);
-        if (!server)
+        const auto choice = choosePlace(job, job.tasks[i], timetable, now);
+        if (!choice)
             return false;
-        order(*server, job, i, now);
+        if (choice->start > now) {
+            choice->place->reserve(job.stepOf(job.tasks[i]).demand, choice->start, choice->end);
+            isComplete = false;
+            continue;
+        }
+        choice->place->reserve(job.stepOf(job.tasks[i]).demand, now, choice->end);
+        order(choice->place->server(), job, i, now);
+    }
+    return isComplete;
+}
+
+// Servers with room where the task would end well before it is late are all as good; the slowest of
+// them leaves the faster ones to work that needs them. Next comes the one with room that ends it
+// first, if that is in time. Otherwise the task waits for the server that ends it first of all.
+std::optional<Pool::Implementation::Choice>
+Pool::Implementation::choosePlace(const Job &job, const Task &task, pool::Timetable &timetable,
+                                  Time now) const
+{
+    const Step &step = job.stepOf(task);
+    const double margin = std::exp(comfort * model_.deviation(job.offer.queue));
+    const std::string name = toString(TaskName {job.offer.job.id, 0, task.step, task.index});
+    const Time target = std::min(job.objectiveAt, job.deadlineAt);
+    std::optional<Choice> first;       // ends first, now or later
+    std::optional<Choice> firstNow;    // ends first with room now
+    std::optional<Choice> comfortable; // ends in time with a margin
+    for (pool::ServerTimetable &place : timetable) {
+        const Server &server = place.server();
+        if (server.info().capacity.milliCores < step.demand.milliCores
+            || server.runs().contains(name) || !isAllowed(server, job, task))
+            continue;
+        Choice choice {&place, place.earliestStart(step.demand), {}};
+        const bool isNow = choice.start <= now;
+        if (isNow && !server.fits(step.demand))
+            continue; // short of something else than cores
+        Duration run = scaled(job.predictedFor(task), place.slowness());
+        if (server.info().id == task.avoid
+            || (!step.dataRack.empty() && !hasLabel(server.info(), step.dataRack)))
+            run *= 2;
+        choice.end = choice.start + run;
+        if (!first || choice.end < first->end)
+            first = choice;
+        if (isNow && (!firstNow || choice.end < firstNow->end))
+            firstNow = choice;
+        if (isNow && now + scaled(run, margin) <= target
+            && (!comfortable || choice.end > comfortable->end))
+            comfortable = choice;
     }
-    return true;
+    if (comfortable)
+        return comfortable;
+    return firstNow && firstNow->end <= target ? firstNow : first;
 }
 
 bool Pool::Implementation::isAllowed(const Server &server, const Job &job, const Task &task) const
@@ -210,40 +266,6 @@
     return count < step.maxPerServer;
 }
 
-// The server on which the task ends first. While some server could still meet the objective, the
-// task waits for it rather than start on one that is too slow.
-Pool::Implementation::Server *Pool::Implementation::chooseServer(const Job &job, const Task &task,
-                                                                 Time now)
-{
-    const Step &step = job.stepOf(task);
-    const ServiceSpeed speed = speedOf(job.offer.service);
-    Server *best = nullptr;
-    Duration bestRun {};
-    for (auto &[id, server] : servers_) {
-        if (server.info().service != job.offer.service || !server.isOpen(now)
-            || server.hasForeignRuns() || !server.fits(step.demand)
-            || server.runs().contains(
-                    toString(TaskName {job.offer.job.id, 0, task.step, task.index}))
-            || !isAllowed(server, job, task))
-            continue;
-        Duration run = pool::expectedRunTime(server, step.estimate, speed.common);
-        if (id == task.avoid || (!step.dataRack.empty() && !hasLabel(server.info(), step.dataRack)))
-            run *= 2;
-        if (!best || run < bestRun
-            || (run == bestRun && server.freeMilliCores() < best->freeMilliCores())) {
-            best = &server;
-            bestRun = run;
-        }
-    }
-    if (!best)
-        return nullptr;
-    const bool meetsObjective = now + bestRun <= job.objectiveAt;
-    const bool couldWait = now + scaled(step.estimate, speed.fast) <= job.objectiveAt;
-    if (meetsObjective || (!couldWait && now + bestRun <= job.deadlineAt))
-        return best;
-    return nullptr;
-}
-
 void Pool::Implementation::order(Server &server, Job &job, size_t index, Time now)
 {
     Task &task = job.tasks[index];
@@ -262,7 +284,8 @@
     run.number = task.lastRun;
     run.demand = step.demand;
     run.orderedAt = now;
-    run.expected = pool::expectedRunTime(server, step.estimate, speedOf(job.offer.service).common);
+    run.expected = pool::expectedRunTime(server, job.predictedFor(task),
+                                         speedOf(job.offer.service).common);
     server.add(name, run);
     note("run-ordered", job.offer.job.id,
          fmt::format("task={} run={} server={} token={} expected_us={}", name, run.number,
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace lovage {
 
@@ -25,9 +26,15 @@
 constexpr double hangFactor = 1.2;
 constexpr Duration hangSlack = std::chrono::milliseconds(50);
 constexpr uint32_t hangPercent = 5;
-// A run is started again elsewhere only if it then ends in this share of its remaining time, since
-// what it has done is thrown away.
-constexpr double moveGain = 0.6;
+// Progress below these says little about the whole run time.
+constexpr Duration shortestProgress = std::chrono::milliseconds(40);
+constexpr uint32_t leastPercent = 3;
+// Servers cut the figure off to whole percents.
+constexpr double halfPercent = 0.5;
+// Largest error of a run time that is projected from its progress, as a share.
+constexpr double projectionError = 0.1;
+// A run is started again elsewhere only if it ends in time with this share to spare.
+constexpr double moveMargin = 0.1;
 
 Duration scaled(Duration duration, double factor)
 {
@@ -312,6 +319,8 @@
     sendStop(server, row.task, server.runs().at(row.task), now);
 }
 
+// A run that stands still, or that will end too late while another server could still make it, is
+// started again elsewhere. A job that cannot be done in time any more is answered now.
 void Pool::Implementation::checkProgress(Server &server, const RunningRow &row, Run &run, Time now)
 {
     const auto found = jobs_.find(run.job);
@@ -319,27 +328,58 @@
         return;
     Job &job = found->second;
     const Duration elapsed = now - run.confirmedAt;
-    if (elapsed < scaled(run.expected, hangFactor) + hangSlack)
+    const bool isOverdue = elapsed >= scaled(run.expected, hangFactor) + hangSlack;
+    if (isOverdue && row.percent < hangPercent) {
+        if (pool::noteFault(server, job.offer.job.id, options_, now))
+            note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
+        moveRun(server, row, run, "hanging", now);
         return;
-    const Task &task = job.tasks[run.task];
-    const Duration estimate = job.stepOf(task).estimate;
-    const bool isHanging = row.percent < hangPercent;
-    const Duration total = scaled(elapsed, 100.0 / std::max<double>(row.percent, 1));
-    const Duration remaining = total - elapsed;
-    if (!isHanging && !run.isSlowNoted) {
+    }
+    if (elapsed < shortestProgress || row.percent < leastPercent)
+        return;
+    const Duration total = scaled(elapsed, 100 / (row.percent + halfPercent));
+    run.expected = total;
+    const Duration predicted = job.predictedFor(job.tasks[run.task]);
+    if (isOverdue && !run.isSlowNoted) {
         run.isSlowNoted = true;
-        pool::noteSlow(server, estimate, total);
+        pool::noteSlow(server, predicted, total);
     }
-    const Duration elsewhere = scaled(estimate, speedOf(job.offer.service).fast);
-    const bool isWorthMoving = now + remaining > job.objectiveAt && now + elsewhere < giveUpAt(job)
-            && elsewhere < scaled(remaining, moveGain);
-    if (!isHanging && !isWorthMoving)
+    const Time end = run.confirmedAt + total;
+    const Time target = std::min(job.objectiveAt, job.deadlineAt);
+    if (end <= target)
         return;
-    if (isHanging && pool::noteFault(server, job.offer.job.id, options_, now))
-        note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
-    note("run-moved", job.offer.job.id,
-         fmt::format("task={} run={} server={} percent={} elapsed_us={}", row.task, row.run,
-                     server.info().id, row.percent, elapsed.count()));
+    const double common = speedOf(job.offer.service).common;
+    const Duration ordinary = scaled(total, 1 / pool::slownessOf(server, common));
+    if (hasRoomInTime(job, run, ordinary, target, now)) {
+        job.predicted[job.tasks[run.task].step] = ordinary;
+        moveRun(server, row, run, "slow", now);
+    } else if (end > job.deadlineAt + scaled(total, projectionError)) {
+        answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
+    }
+}
+
+// Whether some server with room ends the task by the target.
+bool Pool::Implementation::hasRoomInTime(const Job &job, const Run &run, Duration ordinary,
+                                         Time target, Time now) const
+{
+    const double common = speedOf(job.offer.service).common;
+    const Task &task = job.tasks[run.task];
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        const Server &other = entry.second;
+        const Duration time = scaled(ordinary, pool::slownessOf(other, common) * (1 + moveMargin));
+        return other.info().service == job.offer.service && other.isOpen(now)
+                && !other.hasForeignRuns() && other.fits(run.demand) && isAllowed(other, job, task)
+                && now + options_.stopTime + time <= target;
+    });
+}
+
+void Pool::Implementation::moveRun(Server &server, const RunningRow &row, Run &run,
+                                   std::string_view cause, Time now)
+{
+    note("run-moved", jobs_.at(run.job).offer.job.id,
+         fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", row.task,
+                     row.run, server.info().id, cause, row.percent,
+                     (now - run.confirmedAt).count()));
     sendStop(server, row.task, run, now);
 }
 
@@ -379,8 +419,10 @@
         return;
     if (!task.avoid.empty())
         confirmFault(task.avoid, now);
-    pool::noteSuccess(server, job.stepOf(task).estimate,
-                      now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt));
+    const Duration ran = now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt);
+    const double logRatio = std::log(pool::slownessOf(server, speedOf(job.offer.service).common));
+    pool::noteSuccess(server, job.predictedFor(task), ran);
+    model_.observe(job.offer.queue, job.stepOf(task).estimate, ran, logRatio);
     completeTask(job, run.task, now);
 }
 
--- /dev/null
+++ b/src/pool/run_time_model.cpp
@@ -0,0 +1,82 @@
+#include "run_time_model.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lovage::pool {
+
+namespace {
+
+// Before the first samples the declared time is believed, with the weight of this many samples of
+// ordinary spread.
+constexpr double priorSamples = 15;
+constexpr double priorSpread = 0.4 * 0.4;
+constexpr double priorVariance = 0.4 * 0.4;
+// Samples after which old ones have lost most of their weight.
+constexpr double memory = 400;
+
+double logOf(Duration duration)
+{
+    return std::log(static_cast<double>(std::max<int64_t>(duration.count(), 1)));
+}
+
+} // namespace
+
+RunTimeModel::Fit RunTimeModel::freshFit()
+{
+    Fit fit;
+    fit.sumXX = priorSamples * priorSpread;
+    fit.sumXY = priorSamples * priorSpread;
+    fit.variance = priorVariance;
+    return fit;
+}
+
+double RunTimeModel::slope(const Fit &fit)
+{
+    return std::clamp(fit.sumXY / fit.sumXX, 0.0, 1.0);
+}
+
+double RunTimeModel::predictLog(const Fit &fit, double declaredLog)
+{
+    if (fit.weight == 0)
+        return declaredLog;
+    // The mean counts as far as there are samples; below that the declared time does.
+    const double trust = fit.weight / (fit.weight + 1);
+    return trust * (fit.meanY + slope(fit) * (declaredLog - fit.meanX)) + (1 - trust) * declaredLog;
+}
+
+Duration RunTimeModel::predict(const std::string &queue, Duration declared) const
+{
+    const auto found = fits_.find(queue);
+    if (found == fits_.end() || declared <= Duration::zero())
+        return declared;
+    return Duration(static_cast<int64_t>(std::exp(predictLog(found->second, logOf(declared)))));
+}
+
+double RunTimeModel::deviation(const std::string &queue) const
+{
+    const auto found = fits_.find(queue);
+    return std::sqrt(found == fits_.end() ? priorVariance : found->second.variance);
+}
+
+void RunTimeModel::observe(const std::string &queue, Duration declared, Duration ran,
+                           double logRatio)
+{
+    if (declared <= Duration::zero() || ran <= Duration::zero())
+        return;
+    Fit &fit = fits_.try_emplace(queue, freshFit()).first->second;
+    const double x = logOf(declared);
+    const double y = logOf(ran) - logRatio;
+    const double residual = y - predictLog(fit, x);
+    constexpr double keep = 1 - 1 / memory;
+    fit.variance +=
+            (residual * residual - fit.variance) / std::min(fit.weight + priorSamples, memory);
+    fit.weight = fit.weight * keep + 1;
+    const double deltaX = x - fit.meanX;
+    fit.meanX += deltaX / fit.weight;
+    fit.meanY += (y - fit.meanY) / fit.weight;
+    fit.sumXX = fit.sumXX * keep + deltaX * (x - fit.meanX);
+    fit.sumXY = fit.sumXY * keep + deltaX * (y - fit.meanY);
+}
+
+} // namespace lovage::pool
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -65,9 +65,10 @@
 void serialize(Archive &archive, JobOffer &offer)
 {
     archive(offer.ticket, offer.job, offer.queue, offer.service, offer.priority, offer.attempts);
-    durationField(archive, offer.objective);
+    archive(offer.stretchFactor);
+    durationField(archive, offer.objectiveSlack);
+    durationField(archive, offer.elapsed);
     durationField(archive, offer.deadline);
-    flagField(archive, offer.isLastResort);
 }
 
 template<class Archive>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -110,7 +110,7 @@
     request.vm = candidate->vm;
     JobOffer offer = request.offer;
     const Duration elapsed = now - request.arrived;
-    offer.objective -= elapsed;
+    offer.elapsed += elapsed;
     offer.deadline -= elapsed;
     notes_.push_back({"job-offered", offer.job.id,
                       fmt::format("number={} vm={} wait_us={} refusals={}", number, candidate->vm,
