Divide wide jobs among pools; drain without cutting requests

Cause: (1) a job wider than the room of one data centre was refused by all pools while together they had room. (3) CONFIG: a VM with a silent connection to the store learned of no new version.

Ruled out for (1): more offers per job; each pool alone lacked the room.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -134,6 +134,8 @@
     const HttpServerStats &stats() const;
     // Answers from now on close their connection, while new connections are still accepted.
     void closeAfterAnswers();
+    // Closes the connections on which no request is in progress.
+    void closeIdle();
     // Stops accepting. Requests in progress are still answered; idle connections are closed.
     void stopAccepting();
 
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -28,12 +28,14 @@
     auto operator<=>(const ServerInfo &) const = default;
 };
 
-// The caller's request that a job answers: the VM with the connection and its number there.
+// The caller's request that a job answers: the VM with the connection and its number there. A wide
+// job may be divided into parts that different pools run.
 struct JobTicket
 {
     std::string vm;
     uint64_t incarnation = 0; // of the VM
     uint64_t number = 0;
+    uint32_t part = 0;
 
     auto operator<=>(const JobTicket &) const = default;
 };
@@ -43,6 +45,7 @@
 {
     JobTicket ticket;
     JobSpec job;
+    uint32_t firstIndex = 0; // of the tasks of a part within their step
     std::string queue;
     std::string service;
     uint32_t priority = 0;
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -49,6 +49,7 @@
 {
     std::string vm; // that answers
     JobAnswer answer;
+    std::vector<ServiceLoad> loads; // of its pool now
 
     auto operator<=>(const AnswerMessage &) const = default;
 };
@@ -65,8 +66,21 @@
 
     auto operator<=>(const IntroductionMessage &) const = default;
 };
-using VmMessage =
-        std::variant<VmReport, OfferMessage, AnswerMessage, WithdrawMessage, IntroductionMessage>;
+// Asks for the configuration of a VM that reports a newer one, in case the store is out of reach.
+struct ConfigurationRequest
+{
+    std::string vm; // that asks
+
+    auto operator<=>(const ConfigurationRequest &) const = default;
+};
+struct ConfigurationMessage
+{
+    Configuration configuration;
+
+    auto operator<=>(const ConfigurationMessage &) const = default;
+};
+using VmMessage = std::variant<VmReport, OfferMessage, AnswerMessage, WithdrawMessage,
+                               IntroductionMessage, ConfigurationRequest, ConfigurationMessage>;
 
 std::string encodeMessage(const VmMessage &message);
 // Error DecodeFailed for anything that is not exactly one message.
@@ -95,6 +109,8 @@
 
     enum class News { Known, New, Restarted, Stale };
     News note(VmReport report, Time now);
+    // Fresher than the last report.
+    void noteLoads(const std::string &vm, std::vector<ServiceLoad> loads);
     void noteUnreachable(const std::string &vm, Time now);
     // Removes VMs that are lost and returns their names.
     std::vector<std::string> removeLost(Time now);
@@ -145,9 +161,9 @@
     std::string details;
 };
 
-// Finds a pool for each job that callers bring to this VM. Asks pools one after the other, the
-// next one only after a refusal; a job whose pool is lost is answered as abandoned, since its tasks
-// may still run there. Single-threaded.
+// Finds a pool for each job that callers bring to this VM. A job that is wider than the room of any
+// pool is divided among several. Asks another pool only after a refusal; a job whose pool is lost
+// is answered as abandoned, since its tasks may still run there. Single-threaded.
 class Router
 {
 public:
@@ -161,7 +177,7 @@
     void withdraw(uint64_t number, Time now);
     void onAnswer(const std::string &vm, JobAnswer answer, Time now);
     // No byte of the offer reached the VM.
-    void onOfferUnsent(const std::string &vm, uint64_t number, Time now);
+    void onOfferUnsent(const std::string &vm, const JobTicket &ticket, Time now);
     // The VM died or cannot be told apart from a dead one.
     void onVmLost(const std::string &vm, Time now);
     void tick(Time now);
@@ -171,23 +187,38 @@
     size_t openCount() const { return requests_.size(); }
 
 private:
+    // The tasks that one pool runs.
+    struct Part
+    {
+        uint32_t firstIndex = 0;
+        uint32_t count = 0; // of the first step; 0: the whole job
+        std::string vm {};  // that has the offer; empty once it has completed
+        std::vector<std::string> refusedBy {};
+    };
     struct Request
     {
         JobOffer offer; // with the times that were left at arrival
         Time arrived {};
-        std::string vm; // that has the offer
-        std::vector<std::string> refusedBy {};
+        std::vector<Part> parts {};
+        size_t open = 0; // parts that have not completed
         Duration retryAfter {};
     };
     struct Candidate
     {
         std::string vm;
         ServiceLoad *load = nullptr;
+        bool isNear = false;
         Duration wait {};
     };
 
-    std::optional<Candidate> choose(const Request &request, Time now);
-    void offerNext(uint64_t number, Time now);
+    std::vector<Candidate> candidates(const JobOffer &offer,
+                                      const std::vector<std::string> &without, Time now);
+    std::vector<Part> divide(const JobOffer &offer, Time now);
+    void offerPart(uint64_t number, size_t part, Time now);
+    JobOffer offerOf(const Request &request, size_t part, Time now) const;
+    void onRefused(uint64_t number, size_t part, const JobAnswer &answer, Time now);
+    // Withdraws the parts that pools still have.
+    void withdrawOpen(const Request &request);
     void respond(uint64_t number, JobResult result, std::string reason, Duration retryAfter);
 
     RouterOptions options_;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -10,6 +10,8 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <map>
+#include <mutex>
 
 namespace lovage {
 
@@ -30,6 +32,18 @@
 
     void accept();
     void closeAfterAnswers() { isClosing_ = true; }
+    void closeIdle();
+    // `close` runs on any thread while the connection is idle.
+    void noteIdle(const void *connection, std::function<void()> close)
+    {
+        const std::lock_guard lock(idleMutex_);
+        idle_[connection] = std::move(close);
+    }
+    void noteBusy(const void *connection)
+    {
+        const std::lock_guard lock(idleMutex_);
+        idle_.erase(connection);
+    }
     void stopAccepting();
 
     uint16_t port() const { return port_; }
@@ -53,6 +67,8 @@
     HttpServerStats stats_;
     std::atomic<bool> isStopping_ = false;
     std::atomic<bool> isClosing_ = false;
+    std::mutex idleMutex_;
+    std::map<const void *, std::function<void()>> idle_;
     size_t nextThread_ = 0;
 };
 
@@ -93,7 +109,11 @@
     {
         server_->stats().connections.fetch_add(1, std::memory_order_relaxed);
     }
-    ~HttpConnection() { server_->stats().connections.fetch_sub(1, std::memory_order_relaxed); }
+    ~HttpConnection()
+    {
+        server_->noteBusy(this);
+        server_->stats().connections.fetch_sub(1, std::memory_order_relaxed);
+    }
 
     // Waits for the first byte of a request under the idle timeout, then for the rest under the
     // read timeout, so that a slow sender cannot keep the connection for long.
@@ -106,9 +126,16 @@
             readWholeRequest();
             return;
         }
+        server_->noteIdle(this, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                asio::post(self->stream_.get_executor(), [self] { self->closeIfIdle(); });
+        });
+        isIdle_ = true;
         stream_.expires_after(server_->limits().idleTimeout);
         stream_.async_read_some(buffer_.prepare(readChunkBytes),
                                 [self = this->shared_from_this()](error_code error, size_t count) {
+                                    self->isIdle_ = false;
+                                    self->server_->noteBusy(self.get());
                                     if (error)
                                         return;
                                     self->buffer_.commit(count);
@@ -243,6 +270,12 @@
                           });
     }
 
+    void closeIfIdle()
+    {
+        if (isIdle_)
+            stream_.close();
+    }
+
     void close()
     {
         error_code ignored;
@@ -258,6 +291,7 @@
     http::response<http::string_body> response_;
     std::shared_ptr<DisconnectSignal> disconnect_;
     bool isWatching_ = false;
+    bool isIdle_ = false; // between two requests
     bool keepAlive_ = true;
 };
 
@@ -288,6 +322,17 @@
             });
 }
 
+void HttpServer::Implementation::closeIdle()
+{
+    std::map<const void *, std::function<void()>> idle;
+    {
+        const std::lock_guard lock(idleMutex_);
+        idle = idle_;
+    }
+    for (const auto &[connection, close] : idle)
+        close();
+}
+
 void HttpServer::Implementation::stopAccepting()
 {
     isStopping_ = true;
@@ -334,6 +379,11 @@
     return implementation_->stats();
 }
 
+void HttpServer::closeIdle()
+{
+    implementation_->closeIdle();
+}
+
 void HttpServer::closeAfterAnswers()
 {
     implementation_->closeAfterAnswers();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,10 +11,14 @@
 
 namespace {
 
+// Another VM takes the request at once.
+constexpr Duration drainingRetryAfter = std::chrono::seconds(1);
 constexpr Duration busyTick = std::chrono::milliseconds(10);
 constexpr Duration idleTick = std::chrono::milliseconds(50);
 // A gap between two ticks above this means that the process was paused.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(500);
+// The store usually brings a new version first; peers are asked at this interval at most.
+constexpr Duration configurationRequestInterval = std::chrono::milliseconds(200);
 // A VM that hears of no pool says that it is ready after this time all the same, since its refusals
 // are quicker than a time-out.
 constexpr Duration readyWithoutPool = std::chrono::seconds(3);
@@ -92,7 +96,7 @@
     void onOfferUnsent(const std::string &vm, const JobOffer &offer)
     {
         vms_.noteUnreachable(vm, currentTime());
-        router_.onOfferUnsent(vm, offer.ticket.number, currentTime());
+        router_.onOfferUnsent(vm, offer.ticket, currentTime());
         flush();
     }
     void onVmLost(const std::string &vm, std::string_view cause)
@@ -107,6 +111,12 @@
     uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
     {
         submitted_.add();
+        if (isDraining_ && currentTime() + deadline > drainingSince_ + settings_.stopLimit) {
+            // It might not be answered before this process is killed.
+            logEvent(LogLevel::Info, "job-refused", {{"job", job.id}, {"cause", "draining"}});
+            respond({{}, JobResult::Refused, "draining", drainingRetryAfter});
+            return 0;
+        }
         const uint64_t number = nextNumber_++;
         JobOffer offer;
         offer.stretchFactor = queue.stretchFactor;
@@ -188,6 +198,7 @@
         if (isDraining_)
             return;
         isDraining_ = true;
+        drainingSince_ = currentTime();
         pool_.drain();
         logEvent(LogLevel::Info, "draining", {{"open_requests", router_.openCount()}});
         peers_->sendReports(report(), true);
@@ -218,6 +229,8 @@
         const std::string vm = report.vm.name;
         const std::string address = report.vm.address;
         const uint64_t incarnation = report.vm.incarnation;
+        if (report.configurationVersion > configuration_.version)
+            askForConfiguration(vm);
         const auto news = vms_.note(std::move(report), currentTime());
         if (news == VmTable::News::New || news == VmTable::News::Restarted) {
             logEvent(LogLevel::Info, "vm-heard", {{"vm", vm}, {"incarnation", incarnation}});
@@ -231,11 +244,31 @@
     void onPeer(OfferMessage message) { pool_.offer(std::move(message.offer), currentTime()); }
     void onPeer(AnswerMessage message)
     {
+        vms_.noteLoads(message.vm, std::move(message.loads));
         router_.onAnswer(message.vm, std::move(message.answer), currentTime());
     }
     void onPeer(const WithdrawMessage &message) { pool_.withdraw(message.ticket, currentTime()); }
     void onPeer(const IntroductionMessage &message) { peers_->addContacts(message.vms); }
 
+    void onPeer(const ConfigurationRequest &message)
+    {
+        if (hasConfiguration_)
+            peers_->send(message.vm, ConfigurationMessage {configuration_});
+    }
+    void onPeer(ConfigurationMessage message)
+    {
+        setConfiguration(std::move(message.configuration));
+    }
+
+    void askForConfiguration(const std::string &vm)
+    {
+        const Time now = currentTime();
+        if (now < nextConfigurationRequest_ || !vms_.find(vm))
+            return;
+        nextConfigurationRequest_ = now + configurationRequestInterval;
+        peers_->send(vm, ConfigurationRequest {self_.name});
+    }
+
     void scheduleTick()
     {
         const bool isBusy = router_.openCount() > 0 || !pool_.isIdle();
@@ -380,7 +413,7 @@
             return;
         }
         const std::string vm = answer.ticket.vm;
-        peers_->send(vm, AnswerMessage {self_.name, std::move(answer)});
+        peers_->send(vm, AnswerMessage {self_.name, std::move(answer), pool_.load(currentTime())});
     }
     void carryOut(SendOffer send)
     {
@@ -425,9 +458,11 @@
     std::unordered_map<uint64_t, Caller> callers_;
     uint64_t nextNumber_ = 1;
     bool isDraining_ = false;
+    Time drainingSince_ {};
     bool isFlushing_ = false;
     bool isStoreReachable_ = true;
     Time lastTick_ {};
+    Time nextConfigurationRequest_ {};
     Counter &submitted_;
     std::array<Counter *, 4> resultCounters_ {};
     LatencyHistogram &latency_;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -36,7 +36,7 @@
         job.firstTask.push_back(static_cast<uint32_t>(job.tasks.size()));
         job.unfinished.push_back(offer.job.steps[step].count);
         for (uint32_t index = 0; index < offer.job.steps[step].count; ++index)
-            job.tasks.push_back({step, index});
+            job.tasks.push_back({step, offer.firstIndex + index});
     }
     job.left = job.tasks.size();
     job.offer = std::move(offer);
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -54,7 +54,7 @@
     ShardGrants grants_;
     std::unordered_map<JobNumber, Job> jobs_;
     std::map<JobTicket, JobNumber> jobsByTicket_;
-    std::map<std::string, JobNumber> jobsById_;
+    std::multimap<std::string, JobNumber> jobsById_; // several parts of one job
     JobNumber nextJob_ = 1;
     bool isPlacementDue_ = false;
 
@@ -106,6 +106,8 @@
     void forget(JobNumber number, Time now);
     void stopRunsOf(JobNumber number, Time now);
     Time giveUpAt(const Job &job) const;
+    // Whether another request of the caller has a job with this id open.
+    bool isRepeated(const JobOffer &offer) const;
     void note(std::string event, const std::string &job, std::string details);
 
     // Cores of the latest task of each service, in which free room is counted.
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -50,11 +50,10 @@
         answer(job, JobResult::Refused, "draining", now);
         return;
     }
-    const auto known = jobsById_.find(id);
-    if (known != jobsById_.end()) {
+    if (isRepeated(job.offer)) {
         // The caller sends the id again because it lost its connection. The runs of the first one
         // may not have ended yet, so a second start could overlap with them.
-        note("job-repeated", id, fmt::format("first={}", jobs_.at(known->second).offer.ticket.vm));
+        note("job-repeated", id, fmt::format("vm={}", job.offer.ticket.vm));
         answer(job, JobResult::Abandoned, "already-open", now);
         return;
     }
@@ -84,6 +83,16 @@
     isPlacementDue_ = true;
 }
 
+bool Pool::Implementation::isRepeated(const JobOffer &offer) const
+{
+    const auto [begin, end] = jobsById_.equal_range(offer.job.id);
+    return std::any_of(begin, end, [&](const auto &entry) {
+        JobTicket other = jobs_.at(entry.second).offer.ticket;
+        other.part = offer.ticket.part;
+        return other != offer.ticket;
+    });
+}
+
 void Pool::Implementation::answer(Job &job, JobResult result, std::string reason, Time now,
                                   Duration retryAfter)
 {
@@ -119,7 +128,9 @@
         return;
     stopRunsOf(number, now);
     jobsByTicket_.erase(found->second.offer.ticket);
-    jobsById_.erase(found->second.offer.job.id);
+    const auto [begin, end] = jobsById_.equal_range(found->second.offer.job.id);
+    jobsById_.erase(
+            std::find_if(begin, end, [&](const auto &entry) { return entry.second == number; }));
     jobs_.erase(found);
     isPlacementDue_ = true;
 }
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -28,7 +28,7 @@
 // Share of the servers whose speed counts as that of the fast ones.
 constexpr double fastShare = 0.25;
 // Standard deviations of the run time by which a task should end before the objective.
-constexpr double comfort = 0.7;
+constexpr double comfort = 1.2;
 // A typical demand before the first job.
 constexpr uint32_t defaultMilliCores = 1000;
 
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -353,9 +353,12 @@
     if (hasRoomInTime(job, run, ordinary, target, now)) {
         job.predicted[job.tasks[run.task].step] = ordinary;
         moveRun(server, row, run, "slow", now);
-    } else if (end > job.deadlineAt + scaled(total, projectionError)) {
-        answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
+        return;
     }
+    const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fast);
+    const bool couldBeMoved = now + options_.stopTime + fastest <= job.deadlineAt;
+    if (!couldBeMoved && end > job.deadlineAt + scaled(total, projectionError))
+        answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
 }
 
 // Whether some server with room ends the task by the target.
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -58,13 +58,14 @@
 template<class Archive>
 void serialize(Archive &archive, JobTicket &ticket)
 {
-    archive(ticket.vm, ticket.incarnation, ticket.number);
+    archive(ticket.vm, ticket.incarnation, ticket.number, ticket.part);
 }
 
 template<class Archive>
 void serialize(Archive &archive, JobOffer &offer)
 {
-    archive(offer.ticket, offer.job, offer.queue, offer.service, offer.priority, offer.attempts);
+    archive(offer.ticket, offer.job, offer.firstIndex, offer.queue, offer.service, offer.priority,
+            offer.attempts);
     archive(offer.stretchFactor);
     durationField(archive, offer.objectiveSlack);
     durationField(archive, offer.elapsed);
@@ -112,7 +113,7 @@
 template<class Archive>
 void serialize(Archive &archive, AnswerMessage &message)
 {
-    archive(message.vm, message.answer);
+    archive(message.vm, message.answer, message.loads);
 }
 
 template<class Archive>
@@ -127,6 +128,27 @@
     archive(message.vms);
 }
 
+template<class Archive>
+void serialize(Archive &archive, Queue &queue)
+{
+    archive(queue.name, queue.host, queue.pathPrefix, queue.service, queue.priority, queue.attempts,
+            queue.stretchFactor);
+    durationField(archive, queue.objectiveSlack);
+    durationField(archive, queue.timeout);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ConfigurationRequest &message)
+{
+    archive(message.vm);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ConfigurationMessage &message)
+{
+    archive(message.configuration.version, message.configuration.queues);
+}
+
 namespace {
 
 template<size_t Index = 0>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -55,8 +55,12 @@
     request.offer = std::move(offer);
     request.offer.ticket = {vms_.self().name, vms_.self().incarnation, number};
     request.arrived = now;
+    request.parts = divide(request.offer, now);
+    request.open = request.parts.size();
+    const size_t parts = request.parts.size();
     requests_.emplace(number, std::move(request));
-    offerNext(number, now);
+    for (size_t part = 0; part < parts && requests_.contains(number); ++part)
+        offerPart(number, part, now);
 }
 
 void Router::withdraw(uint64_t number, Time now)
@@ -64,58 +68,120 @@
     const auto found = requests_.find(number);
     if (found == requests_.end())
         return;
-    notes_.push_back({"caller-gone", found->second.offer.job.id,
-                      fmt::format("number={} vm={} after_us={}", number, found->second.vm,
-                                  (now - found->second.arrived).count())});
-    actions_.emplace_back(SendWithdraw {found->second.vm, found->second.offer.ticket});
+    notes_.push_back(
+            {"caller-gone", found->second.offer.job.id,
+             fmt::format("number={} after_us={}", number, (now - found->second.arrived).count())});
+    withdrawOpen(found->second);
     requests_.erase(found);
 }
 
-std::optional<Router::Candidate> Router::choose(const Request &request, Time now)
+void Router::withdrawOpen(const Request &request)
 {
-    std::optional<Candidate> best;
+    for (size_t part = 0; part < request.parts.size(); ++part) {
+        if (request.parts[part].vm.empty())
+            continue;
+        JobTicket ticket = request.offer.ticket;
+        ticket.part = static_cast<uint32_t>(part);
+        actions_.emplace_back(SendWithdraw {request.parts[part].vm, ticket});
+    }
+}
+
+// Pools that could run the job, the one with the shortest wait first.
+std::vector<Router::Candidate> Router::candidates(const JobOffer &offer,
+                                                  const std::vector<std::string> &without, Time now)
+{
+    std::vector<Candidate> found;
     const auto consider = [&](const std::string &vm, std::vector<ServiceLoad> &loads, bool isNear) {
-        ServiceLoad *load = findLoad(loads, request.offer.service);
-        const auto &refused = request.refusedBy;
+        ServiceLoad *load = findLoad(loads, offer.service);
         if (!load || load->rate <= 0
-            || std::find(refused.begin(), refused.end(), vm) != refused.end())
+            || std::find(without.begin(), without.end(), vm) != without.end())
             return;
-        const Duration wait = expectedWait(*load, request.offer.job)
+        const Duration wait = expectedWait(*load, offer.job)
                 + (isNear ? Duration::zero() : options_.remotePenalty);
-        if (!best || wait < best->wait)
-            best = Candidate {vm, load, wait};
+        found.push_back({vm, load, isNear, wait});
     };
     consider(vms_.self().name, ownLoads_, true);
     for (auto &[name, row] : vms_.rows()) {
         if (vms_.isHeard(row, now) && !row.report.isDraining)
             consider(name, row.report.loads, row.report.vm.dataCentre == vms_.self().dataCentre);
     }
-    return best;
+    std::stable_sort(found.begin(), found.end(), [](const Candidate &left, const Candidate &right) {
+        return left.wait < right.wait;
+    });
+    return found;
 }
 
-void Router::offerNext(uint64_t number, Time now)
+// One part, unless the best pool has no room for all tasks at once and others have.
+std::vector<Router::Part> Router::divide(const JobOffer &offer, Time now)
 {
-    Request &request = requests_.at(number);
-    if (request.refusedBy.size() >= options_.maxOffers) {
-        respond(number, JobResult::Refused, "no-pool-has-room", request.retryAfter);
-        return;
-    }
-    const auto candidate = choose(request, now);
-    if (!candidate) {
-        respond(number, JobResult::Refused,
-                request.refusedBy.empty() ? "no-pool" : "no-pool-has-room", request.retryAfter);
-        return;
+    const std::vector<Part> whole {{0, 0}};
+    auto pools = candidates(offer, {}, now);
+    const Step &step = offer.job.steps.front();
+    const bool isDivisible = offer.job.steps.size() == 1 && step.maxPerServer == 0 && !step.sameRack
+            && step.demand.milliCores > 0;
+    if (!isDivisible || pools.size() < 2 || pools.front().wait <= options_.remotePenalty)
+        return whole;
+    std::stable_sort(pools.begin(), pools.end(), [](const Candidate &left, const Candidate &right) {
+        return left.isNear > right.isNear
+                || (left.isNear == right.isNear
+                    && left.load->freeMilliCores > right.load->freeMilliCores);
+    });
+    std::vector<Part> parts;
+    uint32_t next = 0;
+    for (const Candidate &pool : pools) {
+        const auto room = static_cast<uint32_t>(pool.load->freeMilliCores / step.demand.milliCores);
+        const uint32_t count = std::min(room, step.count - next);
+        if (count == 0)
+            continue;
+        parts.push_back({next, count, pool.vm});
+        next += count;
     }
-    noteOffered(*candidate->load, request.offer.job);
-    request.vm = candidate->vm;
+    if (next == 0 || parts.size() < 2)
+        return whole;
+    parts.front().count += step.count - next; // waits where most of the job runs
+    for (size_t i = 1; i < parts.size(); ++i)
+        parts[i].firstIndex += step.count - next;
+    return parts;
+}
+
+JobOffer Router::offerOf(const Request &request, size_t part, Time now) const
+{
     JobOffer offer = request.offer;
     const Duration elapsed = now - request.arrived;
     offer.elapsed += elapsed;
     offer.deadline -= elapsed;
+    offer.ticket.part = static_cast<uint32_t>(part);
+    offer.firstIndex = request.parts[part].firstIndex;
+    if (request.parts[part].count > 0)
+        offer.job.steps.front().count = request.parts[part].count;
+    return offer;
+}
+
+void Router::offerPart(uint64_t number, size_t index, Time now)
+{
+    Request &request = requests_.at(number);
+    Part &part = request.parts[index];
+    JobOffer offer = offerOf(request, index, now);
+    const auto pools = candidates(offer, part.refusedBy, now);
+    const auto planned = std::find_if(pools.begin(), pools.end(),
+                                      [&](const Candidate &pool) { return pool.vm == part.vm; });
+    if (pools.empty() || part.refusedBy.size() >= options_.maxOffers) {
+        part.vm.clear();
+        const bool isOnly = request.parts.size() == 1;
+        withdrawOpen(request);
+        // Other parts may have begun.
+        respond(number, isOnly ? JobResult::Refused : JobResult::Abandoned,
+                part.refusedBy.empty() ? "no-pool" : "no-pool-has-room", request.retryAfter);
+        return;
+    }
+    const Candidate &pool = planned != pools.end() ? *planned : pools.front();
+    noteOffered(*pool.load, offer.job);
+    part.vm = pool.vm;
     notes_.push_back({"job-offered", offer.job.id,
-                      fmt::format("number={} vm={} wait_us={} refusals={}", number, candidate->vm,
-                                  candidate->wait.count(), request.refusedBy.size())});
-    actions_.emplace_back(SendOffer {candidate->vm, std::move(offer)});
+                      fmt::format("number={} part={}/{} tasks={} vm={} wait_us={} refusals={}",
+                                  number, index, request.parts.size(), taskCount(offer.job),
+                                  pool.vm, pool.wait.count(), part.refusedBy.size())});
+    actions_.emplace_back(SendOffer {pool.vm, std::move(offer)});
 }
 
 void Router::respond(uint64_t number, JobResult result, std::string reason, Duration retryAfter)
@@ -134,39 +200,56 @@
 void Router::onAnswer(const std::string &vm, JobAnswer answer, Time now)
 {
     const auto found = requests_.find(answer.ticket.number);
-    if (found == requests_.end() || found->second.offer.ticket != answer.ticket
-        || found->second.vm != vm)
+    JobTicket ticket = answer.ticket;
+    ticket.part = 0;
+    if (found == requests_.end() || found->second.offer.ticket != ticket
+        || answer.ticket.part >= found->second.parts.size()
+        || found->second.parts[answer.ticket.part].vm != vm)
         return;
-    if (answer.result != JobResult::Refused) {
-        respond(answer.ticket.number, answer.result, std::move(answer.reason), Duration::zero());
+    Request &request = found->second;
+    if (answer.result == JobResult::Refused) {
+        onRefused(found->first, answer.ticket.part, answer, now);
         return;
     }
-    Request &request = found->second;
-    const bool isFirst = request.refusedBy.empty();
+    request.parts[answer.ticket.part].vm.clear();
+    if (answer.result == JobResult::Completed && --request.open > 0)
+        return;
+    withdrawOpen(request);
+    respond(answer.ticket.number, answer.result, std::move(answer.reason), Duration::zero());
+}
+
+void Router::onRefused(uint64_t number, size_t part, const JobAnswer &answer, Time now)
+{
+    Request &request = requests_.at(number);
+    const bool isFirst = request.retryAfter <= Duration::zero();
     request.retryAfter =
             isFirst ? answer.retryAfter : std::min(request.retryAfter, answer.retryAfter);
-    request.refusedBy.push_back(vm);
-    offerNext(answer.ticket.number, now);
+    request.parts[part].refusedBy.push_back(request.parts[part].vm);
+    offerPart(number, part, now);
 }
 
-void Router::onOfferUnsent(const std::string &vm, uint64_t number, Time now)
+void Router::onOfferUnsent(const std::string &vm, const JobTicket &ticket, Time now)
 {
-    const auto found = requests_.find(number);
-    if (found == requests_.end() || found->second.vm != vm)
+    const auto found = requests_.find(ticket.number);
+    if (found == requests_.end() || ticket.part >= found->second.parts.size()
+        || found->second.parts[ticket.part].vm != vm)
         return;
-    found->second.refusedBy.push_back(vm);
-    offerNext(number, now);
+    found->second.parts[ticket.part].refusedBy.push_back(vm);
+    offerPart(ticket.number, ticket.part, now);
 }
 
 void Router::onVmLost(const std::string &vm, Time now)
 {
     std::vector<uint64_t> numbers;
     for (const auto &[number, request] : requests_) {
-        if (request.vm == vm)
+        if (std::any_of(request.parts.begin(), request.parts.end(),
+                        [&](const Part &part) { return part.vm == vm; }))
             numbers.push_back(number);
     }
-    for (const uint64_t number : numbers)
+    for (const uint64_t number : numbers) {
+        withdrawOpen(requests_.at(number));
         respond(number, JobResult::Abandoned, "vm-lost", Duration::zero());
+    }
 }
 
 // The pool answers in time; this bounds the wait for one that does not.
@@ -178,8 +261,7 @@
             overdue.push_back(number);
     }
     for (const uint64_t number : overdue) {
-        const Request &request = requests_.at(number);
-        actions_.emplace_back(SendWithdraw {request.vm, request.offer.ticket});
+        withdrawOpen(requests_.at(number));
         respond(number, JobResult::Abandoned, "deadline", Duration::zero());
     }
 }
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -25,6 +25,13 @@
     return isRestarted ? News::Restarted : News::Known;
 }
 
+void VmTable::noteLoads(const std::string &vm, std::vector<ServiceLoad> loads)
+{
+    const auto found = rows_.find(vm);
+    if (found != rows_.end())
+        found->second.report.loads = std::move(loads);
+}
+
 void VmTable::noteUnreachable(const std::string &vm, Time now)
 {
     const auto found = rows_.find(vm);
