--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -259,7 +259,8 @@
     void drain();
 
     void offer(JobOffer offer, Time now);
-    // The caller is gone: its job is dropped and its runs are stopped.
+    // The caller is gone or does without: its job is dropped and its runs are stopped. The answer
+    // says whether a task was ordered to start.
     void withdraw(const JobTicket &ticket, Time now);
     // Same for all jobs of a VM; of all its incarnations but the given one, if that is not 0.
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -192,7 +192,8 @@
     {
         uint32_t firstIndex = 0;
         uint32_t count = 0; // of the first step; 0: the whole job
-        std::string vm {};  // that has the offer; empty once it has completed
+        std::string vm {};  // that has the offer, or will get it; empty once it has answered
+        bool isOffered = false;
         std::vector<std::string> refusedBy {};
     };
     struct Request
@@ -202,6 +203,9 @@
         std::vector<Part> parts {};
         size_t open = 0; // parts that have not completed
         Duration retryAfter {};
+        // A part found no pool: the others are withdrawn, and the answer waits for theirs.
+        bool isGivenUp = false;
+        bool mayHaveRun = false; // some part was begun
     };
     struct Candidate
     {
@@ -217,6 +221,8 @@
     void offerPart(uint64_t number, size_t part, Time now);
     JobOffer offerOf(const Request &request, size_t part, Time now) const;
     void onRefused(uint64_t number, size_t part, const JobAnswer &answer, Time now);
+    void giveUp(uint64_t number, size_t part);
+    void onAnswerOfGivenUp(uint64_t number, const JobAnswer &answer);
     // Withdraws the parts that pools still have.
     void withdrawOpen(const Request &request);
     void respond(uint64_t number, JobResult result, std::string reason, Duration retryAfter);
--- a/src/pool/health.cpp
+++ b/src/pool/health.cpp
@@ -69,13 +69,20 @@
     server.lastSuspectJob = job;
     if (server.suspicions < faultsToAvoid || now < server.avoidUntil)
         return false;
+    avoid(server, options, now);
+    return true;
+}
+
+void avoid(LeasedServer &server, const PoolOptions &options, Time now)
+{
+    if (now < server.avoidUntil)
+        return;
     server.avoidance =
             std::clamp(server.avoidance * 2, options.firstAvoidance, options.lastAvoidance);
     server.avoidUntil = now + server.avoidance;
     // The first run after the pause is a probe: one more fault closes the server again.
     server.suspicions = faultsToAvoid - 1;
     server.lastSuspectJob.clear();
-    return true;
 }
 
 void forgiveFault(LeasedServer &server)
--- a/src/pool/health.h
+++ b/src/pool/health.h
@@ -18,6 +18,8 @@
 // A run of the job has failed, stood still or vanished. Several in a row, of different jobs, close
 // the server for a while: one job alone may be at fault itself. Returns whether it was closed now.
 bool noteFault(LeasedServer &server, const std::string &job, const PoolOptions &options, Time now);
+// Closes the server for a while, twice as long as the last time.
+void avoid(LeasedServer &server, const PoolOptions &options, Time now);
 // The task that failed there failed elsewhere as well, so the server is not to blame.
 void forgiveFault(LeasedServer &server);
 
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -91,6 +91,7 @@
 {
     const auto slowest = Duration(static_cast<int64_t>(static_cast<double>(options_.lease.count())
                                                        * (1 + 2 * options_.clockError)));
+    previousLeaseEnd_ = leaseEnd_;
     leaseEnd_ = std::max(leaseEnd_, now + slowest + options_.stopTime);
     return clockMs(now).value_or(0) + toMillis(options_.lease);
 }
@@ -138,6 +139,8 @@
     lookAck_ = 0;
     clockMs_.reset();
     leaseEnd_ = {};
+    previousLeaseEnd_ = {};
+    unansweredLooks = 0;
     closedUntil = {};
 }
 
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -71,6 +71,8 @@
     // The server's time, a little early; nullopt before its first answer.
     std::optional<int64_t> clockMs(Time now) const;
     int64_t leaseFor(Time now);
+    // The order that carried the latest lease did not reach the server.
+    void noteLeaseUnsent() { leaseEnd_ = previousLeaseEnd_; }
     // Everything that was started there has ended by then, if nothing was ordered since.
     bool hasLapsed(Time now) const { return now > leaseEnd_; }
 
@@ -78,6 +80,7 @@
     bool isLookPending = false;
     Time lookSentAt {};
     Time nextLookAt {};
+    uint32_t unansweredLooks = 0; // in a row
     bool wantsLook(Time now) const;
     Duration lookWait(Time now) const;
 
@@ -115,6 +118,7 @@
     std::optional<int64_t> clockMs_;
     Time clockReadAt_ {};
     Time leaseEnd_ {};
+    Time previousLeaseEnd_ {};
     uint64_t seenThrough_ = 0;
     uint64_t acknowledged_ = 0;
     uint64_t lookAck_ = 0;
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -66,17 +66,24 @@
         double common = 0;
         double fast = 1;
     };
+    // When the last waiting task of a job starts and when the last one ends.
+    struct Span
+    {
+        Time lastStart;
+        Time end;
+    };
     // What a job would meet in the queue.
     struct Forecast
     {
-        bool hasServer = false; // some server could run every task
-        Duration wait {};       // until its last task starts
-        Duration run {};        // of the longest chain
+        std::optional<Span> job;   // nothing if it cannot run here
+        bool isDisplacing = false; // a job that was accepted would miss its objective
     };
 
     ServiceSpeed speedOf(const std::string &service) const;
     double rateOf(const std::string &service, Time now) const;
-    Forecast forecast(const Job &job, Time now) const;
+    Forecast forecast(const Job &job, Time now);
+    std::optional<Span> simulate(const Job &job, pool::Timetable &timetable, size_t &budget,
+                                 Time now) const;
 
     void adoptGrant(Server &server, Time now);
     void startLife(Server &server, Time now);
@@ -124,7 +131,12 @@
     pool::Timetable makeTimetable(const std::string &service, Time now);
     std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
                                       pool::Timetable &timetable, Time now) const;
-    bool placeJob(Job &job, pool::Timetable &timetable, Time now);
+    struct Placed
+    {
+        bool isComplete = true; // no task waits any more
+        Time expectedEnd {};    // of the tasks that were waiting
+    };
+    Placed placeJob(Job &job, pool::Timetable &timetable, Time now);
     // Whether a task with this prediction can still end by then, unless it takes much longer than
     // predicted.
     bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Share by which a forecast wait may be too short, because runs take longer than predicted and more
+// urgent jobs come.
+constexpr double waitError = 0.5;
 constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
 
 Duration scaled(Duration duration, double factor)
@@ -58,22 +61,26 @@
         return;
     }
     const Forecast forecast = this->forecast(job, now);
-    const Time expectedEnd = now + forecast.wait + forecast.run;
-    const std::string inputs = fmt::format(
-            "queue={} tasks={} wait_ms={:.0f} run_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
-            job.offer.queue, job.tasks.size(), toMillis(forecast.wait), toMillis(forecast.run),
-            toMillis(job.objective()), toMillis(job.offer.deadline));
-    if (!forecast.hasServer) {
-        note("job-refused", id, inputs + " cause=no-server");
+    if (!forecast.job) {
+        note("job-refused", id, fmt::format("queue={} cause=no-server", job.offer.queue));
         answer(job, JobResult::Refused, "no-server", now, shortestRetryAfter);
         return;
     }
-    // An idle pool takes the job even if the estimate says that it will be late: estimates are
-    // often off, and nobody else needs the room.
-    if (forecast.wait > Duration::zero() && expectedEnd > job.objectiveAt) {
-        note("job-refused", id, inputs + " cause=backlog");
-        answer(job, JobResult::Refused, "backlog", now,
-               std::max(forecast.wait, shortestRetryAfter));
+    // Steps that wait for others add what is left of the longest chain.
+    const Time end = forecast.job->end + (job.chain - pool::longestWaiting(job));
+    const Duration wait = forecast.job->lastStart - now;
+    const std::string inputs = fmt::format(
+            "queue={} tasks={} wait_ms={:.0f} end_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
+            job.offer.queue, job.tasks.size(), toMillis(wait), toMillis(end - now),
+            toMillis(job.objective()), toMillis(job.offer.deadline));
+    // A job that can start at once is taken even if the prediction says that it will be late:
+    // predictions are often off, and nobody else needs the room.
+    const bool isLate = wait > Duration::zero()
+            && end + scaled(wait, waitError) > std::min(job.objectiveAt, job.deadlineAt);
+    if (isLate || forecast.isDisplacing) {
+        note("job-refused", id,
+             inputs + (isLate ? " cause=backlog" : " cause=would-delay-accepted-jobs"));
+        answer(job, JobResult::Refused, "backlog", now, std::max(wait, shortestRetryAfter));
         return;
     }
     note("job-accepted", id, inputs);
@@ -157,6 +164,9 @@
     note("job-withdrawn", job.offer.job.id,
          fmt::format("vm={} after_ms={:.0f} begun={}", ticket.vm, toMillis(now - job.arrived),
                      job.isBegun));
+    actions_.emplace_back(JobAnswer {ticket,
+                                     job.isBegun ? JobResult::Abandoned : JobResult::Refused,
+                                     "withdrawn", Duration::zero()});
     forget(found->second, now);
 }
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <queue>
 
 namespace lovage {
 
@@ -21,14 +20,16 @@
 constexpr double milliCoreMicros = 1e9;
 // Jobs that are tried for room in one pass after the first that finds none.
 constexpr size_t maxMisses = 32;
-// Tasks that a forecast schedules; a queue beyond it is too long in any case.
-constexpr size_t maxForecastTasks = 4000;
 // Share of a server's cores that whole tasks fill, on average.
 constexpr double packing = 0.85;
 // Share of the servers whose speed counts as that of the fast ones.
 constexpr double fastShare = 0.25;
 // Standard deviations of the run time by which a task should end before the objective.
 constexpr double comfort = 1.2;
+// When a job that was accepted is refused after all, its queue is full of work that is more urgent.
+constexpr Duration retryAfterOverload = std::chrono::seconds(1);
+// Tasks that a forecast places; a queue beyond it is too long in any case.
+constexpr size_t maxForecastTasks = 1000;
 // A typical demand before the first job.
 constexpr uint32_t defaultMilliCores = 1000;
 
@@ -102,62 +103,59 @@
     return result;
 }
 
-// Runs the queue up to this job on the room as it is, in portions of its own demand.
-Pool::Implementation::Forecast Pool::Implementation::forecast(const Job &job, Time now) const
+// Plays the queue with this job in it on the room as it is, by the rules of placement.
+Pool::Implementation::Forecast Pool::Implementation::forecast(const Job &job, Time now)
 {
-    using Release = std::pair<Time, uint64_t>; // when, milli-cores
-    std::priority_queue<Release, std::vector<Release>, std::greater<>> releases;
-    const ServiceSpeed speed = speedOf(job.offer.service);
-    const Task &first = job.tasks.front();
-    const uint64_t portion = std::max<uint32_t>(job.stepOf(first).demand.milliCores, 1);
+    const double fast = speedOf(job.offer.service).fast;
+    std::vector<std::pair<QueueKey, const Job *>> queue {{queueKey(job, fast, now), &job}};
+    for (const auto &[number, other] : jobs_) {
+        if (other.queued > 0 && other.offer.service == job.offer.service)
+            queue.emplace_back(queueKey(other, fast, now), &other);
+    }
+    std::sort(queue.begin(), queue.end(),
+              [](const auto &left, const auto &right) { return left.first < right.first; });
     Forecast forecast;
-    uint64_t free = 0;
-    for (const auto &[id, server] : servers_) {
-        if (server.info().service != job.offer.service || !server.isOpen(now)
-            || server.info().capacity.milliCores < portion || !isAllowed(server, job, first))
+    pool::Timetable timetable = makeTimetable(job.offer.service, now);
+    std::optional<pool::Timetable> without;
+    size_t budget = maxForecastTasks;
+    for (const auto &[key, waiting] : queue) {
+        if (waiting == &job) {
+            without = timetable;
+            forecast.job = simulate(job, timetable, budget, now);
             continue;
-        forecast.hasServer = true;
-        free += server.freeMilliCores() / portion * portion;
-        for (const auto &[task, run] : server.runs()) {
-            releases.emplace(pool::expectedEnd(run, now), run.demand.milliCores);
         }
-    }
-    forecast.run = scaled(job.chain, std::exp(speed.common));
-    Time start = now;
-    size_t scheduled = 0;
-    const auto schedule = [&](const Job &waiting) {
-        for (const Task &task : waiting.tasks) {
-            if (task.state != TaskState::Queued || ++scheduled > maxForecastTasks)
-                continue;
-            const Step &step = waiting.stepOf(task);
-            while (free < step.demand.milliCores && !releases.empty()) {
-                start = std::max(start, releases.top().first);
-                free += releases.top().second;
-                releases.pop();
-            }
-            free -= std::min<uint64_t>(free, step.demand.milliCores);
-            releases.emplace(start + scaled(waiting.predictedFor(task), std::exp(speed.common)),
-                             step.demand.milliCores);
-        }
-    };
-    const QueueKey own = queueKey(job, speed.fast, now);
-    std::vector<std::pair<QueueKey, const Job *>> ahead;
-    for (const auto &[number, other] : jobs_) {
-        if (other.queued == 0 || other.offer.service != job.offer.service)
+        const auto span = simulate(*waiting, timetable, budget, now);
+        if (!without || !span)
             continue;
-        const QueueKey key = queueKey(other, speed.fast, now);
-        if (key < own)
-            ahead.emplace_back(key, &other);
+        const auto alone = simulate(*waiting, *without, budget, now);
+        forecast.isDisplacing |=
+                alone && alone->end <= waiting->objectiveAt && span->end > waiting->objectiveAt;
     }
-    std::sort(ahead.begin(), ahead.end(),
-              [](const auto &left, const auto &right) { return left.first < right.first; });
-    for (const auto &[key, other] : ahead)
-        schedule(*other);
-    schedule(job);
-    forecast.wait = start - now;
     return forecast;
 }
 
+// Keeps room for the waiting tasks of a job. Nothing if some task fits no server, or if the budget
+// of tasks is used up.
+std::optional<Pool::Implementation::Span> Pool::Implementation::simulate(const Job &job,
+                                                                         pool::Timetable &timetable,
+                                                                         size_t &budget,
+                                                                         Time now) const
+{
+    Span span {now, now};
+    for (const Task &task : job.tasks) {
+        if (task.state != TaskState::Queued)
+            continue;
+        const auto choice = choosePlace(job, task, timetable, now);
+        if (!choice || budget == 0)
+            return std::nullopt;
+        --budget;
+        choice->place->reserve(job.stepOf(task).demand, choice->start, choice->end);
+        span.lastStart = std::max(span.lastStart, choice->start);
+        span.end = std::max(span.end, choice->end);
+    }
+    return span;
+}
+
 void Pool::Implementation::placeQueued(Time now)
 {
     isPlacementDue_ = false;
@@ -167,15 +165,22 @@
             waiting[job.offer.service].push_back(
                     queueKey(job, speedOf(job.offer.service).fast, now));
     }
+    std::vector<JobNumber> hopeless;
     for (auto &[service, keys] : waiting) {
         std::sort(keys.begin(), keys.end());
         pool::Timetable timetable = makeTimetable(service, now);
         size_t misses = 0;
         for (const QueueKey &key : keys) {
-            if (!placeJob(jobs_.at(key.job), timetable, now) && ++misses > maxMisses)
+            Job &job = jobs_.at(key.job);
+            const Placed placed = placeJob(job, timetable, now);
+            if (placed.expectedEnd > giveUpAt(job) && !job.isBegun)
+                hopeless.push_back(key.job);
+            if (!placed.isComplete && ++misses > maxMisses)
                 break;
         }
     }
+    for (const JobNumber number : hopeless)
+        answer(jobs_.at(number), JobResult::Refused, "no-room-in-time", now, retryAfterOverload);
 }
 
 pool::Timetable Pool::Implementation::makeTimetable(const std::string &service, Time now)
@@ -189,25 +194,29 @@
     return timetable;
 }
 
-// Starts what can start now and keeps room for the rest. Returns whether no task waits any more.
-bool Pool::Implementation::placeJob(Job &job, pool::Timetable &timetable, Time now)
+// Starts what can start now and keeps room for the rest.
+Pool::Implementation::Placed Pool::Implementation::placeJob(Job &job, pool::Timetable &timetable,
+                                                            Time now)
 {
-    bool isComplete = true;
+    Placed placed;
     for (size_t i = 0; i < job.tasks.size() && job.queued > 0; ++i) {
         if (job.tasks[i].state != TaskState::Queued)
             continue;
         const auto choice = choosePlace(job, job.tasks[i], timetable, now);
-        if (!choice)
-            return false;
+        if (!choice) {
+            placed.isComplete = false;
+            return placed;
+        }
+        placed.expectedEnd = std::max(placed.expectedEnd, choice->end);
         if (choice->start > now) {
             choice->place->reserve(job.stepOf(job.tasks[i]).demand, choice->start, choice->end);
-            isComplete = false;
+            placed.isComplete = false;
             continue;
         }
         choice->place->reserve(job.stepOf(job.tasks[i]).demand, now, choice->end);
         order(choice->place->server(), job, i, now);
     }
-    return isComplete;
+    return placed;
 }
 
 // Servers with room where the task would end well before it is late are all as good; the slowest of
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -20,6 +20,7 @@
 constexpr Duration reconnectDelay = std::chrono::milliseconds(50);
 // No new work while a look is overdue; the next answer reopens the server.
 constexpr Duration closedWhenSilent = std::chrono::milliseconds(500);
+constexpr uint32_t looksBeforeLapse = 2;
 // Runs of an unregistered server whose order was never answered are forgotten after this time.
 constexpr Duration forgetAfter = std::chrono::seconds(15);
 // A run that shows no progress after this share of its expected time, and this time more, hangs.
@@ -161,7 +162,10 @@
     ++counters_.looks;
     server.isLookPending = true;
     server.lookSentAt = now;
-    const bool extendsLease = server.tenure == Tenure::Held && !server.runs().empty();
+    // A server that does not answer may still hear: its lease runs out, so that its tasks can be
+    // started elsewhere.
+    const bool extendsLease = server.tenure == Tenure::Held && !server.runs().empty()
+            && server.unansweredLooks < looksBeforeLapse;
     OrderLook look;
     look.server = server.info().id;
     look.address = server.info().address;
@@ -227,6 +231,7 @@
         return;
     }
     server.noteAcknowledged();
+    server.unansweredLooks = 0;
     server.nextLookAt = now;
     server.closedUntil = {};
     if (!checkIncarnation(server, reply.reading, now))
@@ -246,7 +251,12 @@
 
 void Pool::Implementation::noteLookFailure(Server &server, OrderResult result, Time now)
 {
+    ++server.unansweredLooks;
     switch (result) {
+    case OrderResult::NotSent:
+        server.noteLeaseUnsent();
+        server.nextLookAt = now + reconnectDelay;
+        break;
     case OrderResult::Fenced:
         loseServer(server, "fenced", now);
         return;
@@ -330,8 +340,8 @@
     const Duration elapsed = now - run.confirmedAt;
     const bool isOverdue = elapsed >= scaled(run.expected, hangFactor) + hangSlack;
     if (isOverdue && row.percent < hangPercent) {
-        if (pool::noteFault(server, job.offer.job.id, options_, now))
-            note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
+        pool::avoid(server, options_, now);
+        note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
         moveRun(server, row, run, "hanging", now);
         return;
     }
@@ -383,6 +393,8 @@
          fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", row.task,
                      row.run, server.info().id, cause, row.percent,
                      (now - run.confirmedAt).count()));
+    Job &job = jobs_.at(run.job);
+    job.tasks[run.task].avoid = server.info().id;
     sendStop(server, row.task, run, now);
 }
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -59,8 +59,12 @@
     request.open = request.parts.size();
     const size_t parts = request.parts.size();
     requests_.emplace(number, std::move(request));
-    for (size_t part = 0; part < parts && requests_.contains(number); ++part)
+    for (size_t part = 0; part < parts; ++part) {
+        const auto open = requests_.find(number);
+        if (open == requests_.end() || open->second.isGivenUp)
+            return;
         offerPart(number, part, now);
+    }
 }
 
 void Router::withdraw(uint64_t number, Time now)
@@ -78,7 +82,7 @@
 void Router::withdrawOpen(const Request &request)
 {
     for (size_t part = 0; part < request.parts.size(); ++part) {
-        if (request.parts[part].vm.empty())
+        if (request.parts[part].vm.empty() || !request.parts[part].isOffered)
             continue;
         JobTicket ticket = request.offer.ticket;
         ticket.part = static_cast<uint32_t>(part);
@@ -166,17 +170,13 @@
     const auto planned = std::find_if(pools.begin(), pools.end(),
                                       [&](const Candidate &pool) { return pool.vm == part.vm; });
     if (pools.empty() || part.refusedBy.size() >= options_.maxOffers) {
-        part.vm.clear();
-        const bool isOnly = request.parts.size() == 1;
-        withdrawOpen(request);
-        // Other parts may have begun.
-        respond(number, isOnly ? JobResult::Refused : JobResult::Abandoned,
-                part.refusedBy.empty() ? "no-pool" : "no-pool-has-room", request.retryAfter);
+        giveUp(number, index);
         return;
     }
     const Candidate &pool = planned != pools.end() ? *planned : pools.front();
     noteOffered(*pool.load, offer.job);
     part.vm = pool.vm;
+    part.isOffered = true;
     notes_.push_back({"job-offered", offer.job.id,
                       fmt::format("number={} part={}/{} tasks={} vm={} wait_us={} refusals={}",
                                   number, index, request.parts.size(), taskCount(offer.job),
@@ -184,6 +184,34 @@
     actions_.emplace_back(SendOffer {pool.vm, std::move(offer)});
 }
 
+// Whether the job has run is known when every pool that has a part of it has answered.
+void Router::giveUp(uint64_t number, size_t index)
+{
+    Request &request = requests_.at(number);
+    const bool isFirst = request.parts[index].refusedBy.empty();
+    request.parts[index].vm.clear();
+    request.isGivenUp = true;
+    request.open = static_cast<size_t>(
+            std::count_if(request.parts.begin(), request.parts.end(),
+                          [](const Part &part) { return part.isOffered && !part.vm.empty(); }));
+    if (request.open > 0) {
+        withdrawOpen(request);
+        return;
+    }
+    respond(number, request.mayHaveRun ? JobResult::Abandoned : JobResult::Refused,
+            isFirst ? "no-pool" : "no-pool-has-room", request.retryAfter);
+}
+
+void Router::onAnswerOfGivenUp(uint64_t number, const JobAnswer &answer)
+{
+    Request &request = requests_.at(number);
+    request.parts[answer.ticket.part].vm.clear();
+    request.mayHaveRun |= answer.result != JobResult::Refused;
+    if (--request.open == 0)
+        respond(number, request.mayHaveRun ? JobResult::Abandoned : JobResult::Refused,
+                "no-pool-has-room", request.retryAfter);
+}
+
 void Router::respond(uint64_t number, JobResult result, std::string reason, Duration retryAfter)
 {
     const auto found = requests_.find(number);
@@ -207,11 +235,16 @@
         || found->second.parts[answer.ticket.part].vm != vm)
         return;
     Request &request = found->second;
+    if (request.isGivenUp) {
+        onAnswerOfGivenUp(found->first, answer);
+        return;
+    }
     if (answer.result == JobResult::Refused) {
         onRefused(found->first, answer.ticket.part, answer, now);
         return;
     }
     request.parts[answer.ticket.part].vm.clear();
+    request.mayHaveRun = true;
     if (answer.result == JobResult::Completed && --request.open > 0)
         return;
     withdrawOpen(request);
@@ -234,6 +267,10 @@
     if (found == requests_.end() || ticket.part >= found->second.parts.size()
         || found->second.parts[ticket.part].vm != vm)
         return;
+    if (found->second.isGivenUp) {
+        onAnswerOfGivenUp(ticket.number, {ticket, JobResult::Refused, "unsent", {}});
+        return;
+    }
     found->second.parts[ticket.part].refusedBy.push_back(vm);
     offerPart(ticket.number, ticket.part, now);
 }
--- /dev/null
+++ b/tests/pool_load_test.cpp
@@ -0,0 +1,242 @@
+// Placement, waiting and refusal under load: each test replays the load that its rule answers.
+#define BOOST_TEST_MODULE pool_load
+#include "pool_world.h"
+
+#include <cmath>
+
+using namespace lovage;
+using namespace lovage::test;
+
+namespace {
+
+constexpr Duration day = std::chrono::seconds(20);
+
+// Declared times of a job are off by a common factor; true ones spread around the mean of a kind.
+struct Kind
+{
+    std::string name;
+    uint32_t width;
+    Duration work;
+    double perSecond;
+};
+
+double normal(Random &random)
+{
+    return std::sqrt(-2 * std::log(1 - random.unit())) * std::cos(6.283185307 * random.unit());
+}
+
+struct DayResult
+{
+    size_t offered = 0;
+    size_t inTime = 0;
+    size_t refused = 0;
+    size_t refusedLate = 0; // later than 5 ms after the offer
+    double coreSecondsOffered = 0;
+    double coreSecondsInTime = 0;
+};
+
+// Plays seeded arrivals on 16 servers, a third of them large and fast.
+DayResult playDay(uint64_t seed, double load, const std::vector<Kind> &kinds)
+{
+    constexpr double spread = 0.4;
+    constexpr uint32_t taskMilliCores = 14000;
+    Random random(seed);
+    PoolWorld world;
+    for (int i = 0; i < 16; ++i)
+        world.addServer("s" + std::to_string(i), i % 3 == 2 ? 48000 : 32000,
+                        i % 3 == 2 ? 1 / 1.7 : 1 / 0.7);
+    std::map<std::string, Duration> works;
+    std::map<uint64_t, std::pair<std::string, Time>> offeredAt;
+    std::map<std::string, uint32_t> widths;
+    world.workOf = [&](const std::string &task) {
+        return works.at(task.substr(0, task.find('.')));
+    };
+    world.begin();
+    DayResult result;
+    std::vector<Time> next;
+    for (const Kind &kind : kinds)
+        next.push_back(world.now
+                       + Duration(static_cast<int64_t>(
+                               random.exponential(1e6 / (kind.perSecond * load)))));
+    const Time end = world.now + day;
+    size_t counter = 0;
+    while (world.now < end) {
+        for (size_t k = 0; k < kinds.size(); ++k) {
+            while (next[k] <= world.now) {
+                const Kind &kind = kinds[k];
+                next[k] += Duration(
+                        static_cast<int64_t>(random.exponential(1e6 / (kind.perSecond * load))));
+                const auto id = "job" + std::to_string(counter++);
+                const double factor = std::exp(spread * normal(random));
+                const Duration work(
+                        static_cast<int64_t>(static_cast<double>(kind.work.count()) * factor));
+                const Duration declared(static_cast<int64_t>(static_cast<double>(work.count())
+                                                             * std::exp(spread * normal(random))));
+                works[id] = work;
+                widths[id] = kind.width;
+                JobOffer offer = PoolWorld::makeOffer(id, kind.width, taskMilliCores, declared,
+                                                      milliseconds(1500));
+                offer.queue = kind.name;
+                offeredAt[offer.ticket.number] = {id, world.now};
+                ++result.offered;
+                result.coreSecondsOffered +=
+                        kind.width * 14 * static_cast<double>(work.count()) / 1e6;
+                world.offer(offer);
+            }
+        }
+        world.run(milliseconds(1));
+    }
+    world.run(std::chrono::seconds(2));
+    for (const auto &[at, answer] : world.answers) {
+        const auto &[id, offered] = offeredAt.at(answer.ticket.number);
+        const Duration took = at - offered;
+        const auto objective = works[id] * 16 / 10 + milliseconds(60);
+        if (answer.result == JobResult::Completed && took <= objective) {
+            ++result.inTime;
+            result.coreSecondsInTime +=
+                    widths[id] * 14 * static_cast<double>(works[id].count()) / 1e6;
+        }
+        if (answer.result == JobResult::Refused) {
+            ++result.refused;
+            if (took > milliseconds(5))
+                ++result.refusedLate;
+        }
+    }
+    BOOST_TEST(world.overlappingRuns == 0U);
+    return result;
+}
+
+const std::vector<Kind> mixedKinds {{"quick", 8, milliseconds(60), 12},
+                                    {"heavy", 4, milliseconds(900), 2.1},
+                                    {"lookup", 2, milliseconds(200), 35}};
+
+double shareInTime(const DayResult &result)
+{
+    return static_cast<double>(result.inTime) / static_cast<double>(result.offered);
+}
+
+} // namespace
+
+// Guards against declared run times that are believed although they are off by 40%, and against
+// slow servers for work that cannot end there in time.
+BOOST_AUTO_TEST_CASE(mixed_load_is_served_in_time)
+{
+    const DayResult result = playDay(7, 0.7, mixedKinds);
+    BOOST_TEST_MESSAGE("in time: " << shareInTime(result));
+    BOOST_TEST(shareInTime(result) >= 0.9);
+}
+
+// Guards against a collapse under overload: work that cannot be met in time takes no room.
+BOOST_AUTO_TEST_CASE(goodput_holds_under_overload)
+{
+    const DayResult full = playDay(11, 1.0, mixedKinds);
+    for (const double load : {1.5, 2.0, 4.0}) {
+        const DayResult over = playDay(11, load, mixedKinds);
+        BOOST_TEST_MESSAGE("load " << load << ": " << over.coreSecondsInTime << " core-s in time, "
+                                   << full.coreSecondsInTime << " at full load, refused "
+                                   << over.refused << " of them late " << over.refusedLate);
+        BOOST_TEST(over.coreSecondsInTime >= 0.95 * full.coreSecondsInTime);
+    }
+}
+
+// Guards against refusals that come late: what cannot be served is known at the door.
+BOOST_AUTO_TEST_CASE(refusals_come_at_once)
+{
+    const DayResult over = playDay(13, 2.0, mixedKinds);
+    BOOST_TEST(over.refused > 0U);
+    BOOST_TEST(static_cast<double>(over.refusedLate) <= 0.05 * static_cast<double>(over.refused));
+}
+
+// Guards against a server that fails everything and so always has room.
+BOOST_AUTO_TEST_CASE(failing_server_is_avoided_after_a_few_failures)
+{
+    PoolWorld world;
+    for (int i = 0; i < 4; ++i)
+        world.addServer(std::string(1, static_cast<char>('a' + i)), 32000);
+    world.servers.at("b").failsAll = true;
+    world.begin();
+    for (int i = 0; i < 40; ++i) {
+        world.offer(PoolWorld::makeOffer("job" + std::to_string(i), 2, 14000, milliseconds(100)));
+        world.run(milliseconds(50));
+    }
+    world.run(std::chrono::seconds(2));
+    size_t completed = 0;
+    for (const auto &[at, answer] : world.answers)
+        completed += answer.result == JobResult::Completed ? 1 : 0;
+    BOOST_TEST(completed == 40U);
+    // Five failures before it is out, and a probe with each return.
+    BOOST_TEST(world.servers.at("b").endedRuns.size() <= 8U);
+}
+
+// Guards against tasks that wait behind one that hangs.
+BOOST_AUTO_TEST_CASE(hanging_run_is_moved)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.addServer("b", 32000);
+    world.begin();
+    world.servers.at("a").hangsAll = true;
+    world.offer(PoolWorld::makeOffer("job1", 4, 14000, milliseconds(100)));
+    world.run(std::chrono::seconds(1));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(world.overlappingRuns == 0U);
+}
+
+// Guards against servers that are blamed for jobs that can never be done.
+BOOST_AUTO_TEST_CASE(poison_job_fails_and_blames_no_server)
+{
+    PoolWorld world;
+    for (int i = 0; i < 4; ++i)
+        world.addServer(std::string(1, static_cast<char>('a' + i)), 32000);
+    world.isPoison = [](const std::string &task) { return task.starts_with("bad"); };
+    world.begin();
+    for (int i = 0; i < 10; ++i) {
+        world.offer(PoolWorld::makeOffer("bad" + std::to_string(i), 2, 14000, milliseconds(100)));
+        world.offer(PoolWorld::makeOffer("good" + std::to_string(i), 2, 14000, milliseconds(100)));
+        world.run(milliseconds(200));
+    }
+    for (int i = 0; i < 10; ++i) {
+        BOOST_TEST((world.resultOf("bad" + std::to_string(i)) == JobResult::Failed));
+        BOOST_TEST((world.resultOf("good" + std::to_string(i)) == JobResult::Completed));
+    }
+}
+
+// Guards the order of steps and the limits of a step.
+BOOST_AUTO_TEST_CASE(steps_follow_each_other_and_requirements_hold)
+{
+    PoolWorld world;
+    for (int i = 0; i < 3; ++i)
+        world.addServer(std::string(1, static_cast<char>('a' + i)), 64000);
+    world.servers.at("b").info.labels = {"special"};
+    world.begin();
+    JobOffer offer = PoolWorld::makeOffer("job1", 2, 1000, milliseconds(100));
+    Step second = offer.job.steps.front();
+    second.after = {0};
+    second.requiredLabel = "special";
+    offer.job.steps.push_back(second);
+    Step third = offer.job.steps.front();
+    third.after = {1};
+    third.count = 3;
+    third.maxPerServer = 1;
+    offer.job.steps.push_back(third);
+    world.offer(offer);
+    world.run(milliseconds(150));
+    BOOST_TEST(world.runningCount() == 2U);
+    BOOST_TEST(world.servers.at("b").running.size() == 2U);
+    world.run(milliseconds(100));
+    for (const auto &[id, server] : world.servers)
+        BOOST_TEST(server.running.size() == 1U);
+    world.run(milliseconds(200));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+}
+
+// Guards against accepting what no server can ever run.
+BOOST_AUTO_TEST_CASE(job_that_fits_no_server_is_refused_at_once)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.begin();
+    world.offer(PoolWorld::makeOffer("job1", 1, 64000, milliseconds(100)));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Refused));
+    BOOST_TEST(world.starts == 0U);
+}
--- /dev/null
+++ b/tests/pool_orders_test.cpp
@@ -0,0 +1,233 @@
+// Orders of a pool to its servers and what follows when they are lost, late or refused.
+#define BOOST_TEST_MODULE pool_orders
+#include "pool_world.h"
+
+using namespace lovage;
+using namespace lovage::test;
+
+namespace {
+
+struct TwoServers : PoolWorld
+{
+    TwoServers()
+    {
+        addServer("a", 32000);
+        addServer("b", 32000);
+        begin();
+    }
+};
+
+} // namespace
+
+// Guards against ends that the server lists for ever.
+BOOST_FIXTURE_TEST_CASE(job_completes_and_its_ends_are_acknowledged, TwoServers)
+{
+    offer(makeOffer("job1", 4, 14000, milliseconds(100)));
+    run(milliseconds(300));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(starts == 4U);
+    BOOST_TEST(servers.at("a").ended.empty());
+    BOOST_TEST(servers.at("b").ended.empty());
+}
+
+// Guards against a second start elsewhere while the first one may still run.
+BOOST_FIXTURE_TEST_CASE(start_without_answer_does_not_run_twice, TwoServers)
+{
+    size_t orders = 0;
+    fate = [&](const std::string &) {
+        OrderFate fate;
+        fate.isAnswered = ++orders > 2; // both starts of the job
+        return fate;
+    };
+    offer(makeOffer("job1", 2, 14000, milliseconds(200)));
+    run(std::chrono::seconds(2));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(overlappingRuns == 0U);
+}
+
+// Guards against a lost start that the server carries out only after it was given up.
+BOOST_FIXTURE_TEST_CASE(late_start_is_refused_by_its_lease, TwoServers)
+{
+    bool isFirst = true;
+    fate = [&](const std::string &) {
+        OrderFate fate;
+        if (std::exchange(isFirst, false))
+            fate = {false, std::chrono::seconds(3)};
+        return fate;
+    };
+    offer(makeOffer("job1", 1, 14000, milliseconds(100)));
+    run(std::chrono::seconds(4));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(starts == 1U);
+    BOOST_TEST(runningCount() == 0U);
+}
+
+// Guards against an order with a token that another VM has passed, and against a repeat of tasks
+// that the next holder may still find running.
+BOOST_FIXTURE_TEST_CASE(fenced_holder_gives_its_jobs_up, TwoServers)
+{
+    offer(makeOffer("job1", 4, 14000, milliseconds(500)));
+    run(milliseconds(50));
+    servers.at("a").token = 9;
+    servers.at("b").token = 9;
+    const uint64_t before = starts;
+    run(milliseconds(400));
+    BOOST_TEST((resultOf("job1") == JobResult::Abandoned));
+    BOOST_TEST(starts == before);
+    BOOST_TEST(pool.serverCount() == 0U);
+}
+
+// Guards against placing on a server that still runs what its last holder started.
+BOOST_AUTO_TEST_CASE(new_holder_stops_what_it_finds)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    auto &server = world.servers.at("a");
+    server.token = 4;
+    server.leaseUntil = world.now + std::chrono::seconds(1);
+    server.running["old.0.0.0"] = {"old.0.0.0",       1,
+                                   world.now,         world.now + std::chrono::seconds(9),
+                                   RunEnd::Succeeded, 20000};
+    world.registerServers();
+    world.grantAll(5);
+    world.run(milliseconds(100));
+    BOOST_TEST(world.runningCount() == 0U);
+    world.offer(PoolWorld::makeOffer("job1", 2, 14000, milliseconds(100)));
+    world.run(milliseconds(300));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(world.pool.counters().startsTurnedAway == 0U);
+}
+
+// Guards against waiting for runs that ended with the server's process.
+BOOST_FIXTURE_TEST_CASE(tasks_of_a_restarted_server_start_again, TwoServers)
+{
+    offer(makeOffer("job1", 4, 14000, milliseconds(400)));
+    run(milliseconds(100));
+    servers.at("a").restart();
+    registerServers();
+    run(std::chrono::seconds(2));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(overlappingRuns == 0U);
+}
+
+// Guards against a crashed server that holds its job for ever.
+BOOST_FIXTURE_TEST_CASE(tasks_of_a_dead_server_start_again_after_the_lease, TwoServers)
+{
+    offer(makeOffer("job1", 4, 14000, milliseconds(200)));
+    run(milliseconds(50));
+    servers.at("a").isUp = false;
+    run(std::chrono::seconds(3));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+}
+
+// Guards against work for a caller that has left.
+BOOST_FIXTURE_TEST_CASE(withdrawn_job_is_stopped, TwoServers)
+{
+    JobOffer offered = makeOffer("job1", 4, 14000, milliseconds(2000));
+    offer(offered);
+    run(milliseconds(50));
+    BOOST_TEST(runningCount() == 4U);
+    pool.withdraw(offered.ticket, now);
+    run(milliseconds(60));
+    BOOST_TEST(runningCount() == 0U);
+    BOOST_TEST(pool.isIdle());
+    BOOST_TEST((resultOf("job1") == JobResult::Abandoned));
+}
+
+// Guards against two runs of one task when a caller sends a job again.
+BOOST_FIXTURE_TEST_CASE(repeated_id_is_not_started_while_the_first_is_open, TwoServers)
+{
+    offer(makeOffer("job1", 2, 14000, milliseconds(300)));
+    run(milliseconds(20));
+    JobOffer again = makeOffer("job1", 2, 14000, milliseconds(300));
+    again.ticket.vm = "vm2";
+    offer(again);
+    run(milliseconds(10));
+    BOOST_REQUIRE_EQUAL(answers.size(), 1U);
+    BOOST_TEST((answers.front().second.result == JobResult::Abandoned));
+    run(milliseconds(500));
+    BOOST_TEST(starts == 2U);
+}
+
+// Guards against new work on a server that is leaving.
+BOOST_FIXTURE_TEST_CASE(leaving_server_gets_no_new_work, TwoServers)
+{
+    servers.at("a").info.isLeaving = true;
+    registerServers();
+    offer(makeOffer("job1", 2, 14000, milliseconds(100)));
+    run(milliseconds(500));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(servers.at("a").endedRuns.empty());
+}
+
+// Guards against two holders of a shard: nothing new starts on servers that are being released,
+// and the release waits for what runs there.
+BOOST_FIXTURE_TEST_CASE(released_shards_are_given_up_when_they_are_idle, TwoServers)
+{
+    offer(makeOffer("job1", 4, 14000, milliseconds(200)));
+    run(milliseconds(20));
+    ShardGrants grants;
+    for (uint32_t shard = 0; shard < PoolOptions {}.shardCount; ++shard)
+        grants[shard] = {1, true};
+    pool.setGrants(grants, now);
+    BOOST_TEST(!pool.isReleaseReady());
+    offer(makeOffer("job2", 1, 14000, milliseconds(100)));
+    run(milliseconds(300));
+    BOOST_TEST(pool.isReleaseReady());
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(!startedJobs.contains("job2"));
+}
+
+// Guards every order against lost answers, late execution, restarts and silence, in seeded mixes.
+BOOST_AUTO_TEST_CASE(random_faults_start_no_task_twice)
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            Random random(seed);
+            PoolWorld world;
+            for (int i = 0; i < 6; ++i)
+                world.addServer(std::string(1, static_cast<char>('a' + i)), 32000,
+                                0.6 + random.unit());
+            world.workOf = [](const std::string &task) {
+                return Duration(milliseconds(40 + stableHash(task.substr(0, 6)) % 400));
+            };
+            world.fate = [&](const std::string &) {
+                OrderFate fate;
+                fate.isAnswered = random.unit() > 0.05;
+                if (!fate.isAnswered && random.unit() < 0.5)
+                    fate.delay = milliseconds(200 + random.below(3000));
+                return fate;
+            };
+            world.begin();
+            size_t offered = 0;
+            for (int step = 0; step < 100; ++step) {
+                const auto id = "job" + std::to_string(seed * 1000 + step);
+                world.offer(PoolWorld::makeOffer(id, 1 + static_cast<uint32_t>(random.below(5)),
+                                                 14000, milliseconds(50 + random.below(400)),
+                                                 milliseconds(1500)));
+                ++offered;
+                if (random.unit() < 0.03) {
+                    auto server = world.servers.begin();
+                    std::advance(server, static_cast<long>(random.below(6)));
+                    server->second.restart();
+                    world.registerServers();
+                }
+                world.run(milliseconds(random.below(60)));
+            }
+            world.fate = [](const std::string &) { return OrderFate {}; };
+            world.run(std::chrono::seconds(6));
+            BOOST_TEST(world.overlappingRuns == 0U);
+            BOOST_TEST(world.answers.size() == offered);
+            for (const auto &[time, answer] : world.answers) {
+                for (int step = 0; step < 100; ++step) {
+                    const auto id = "job" + std::to_string(seed * 1000 + step);
+                    if (answer.ticket.number == std::hash<std::string> {}(id)
+                        && answer.result == JobResult::Refused)
+                        BOOST_TEST(!world.startedJobs.contains(id));
+                }
+            }
+            BOOST_TEST(world.runningCount() == 0U);
+        }
+    }
+}
