Learn by how much forecast waits are too short

Change: the allowance rises with each accepted job that is refused later and falls with each one that waited and was in time, so that one in twenty may fail.

--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -39,7 +39,8 @@
     size_t queued = 0;
     size_t active = 0;
     size_t left = 0;
-    bool isBegun = false; // some task was ordered to start
+    bool hadToWait = false; // there was no room for all of its tasks at once
+    bool isBegun = false;   // some task was ordered to start
 
     const Step &stepOf(const Task &task) const { return offer.job.steps[task.step]; }
     Duration predictedFor(const Task &task) const { return predicted[task.step]; }
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -117,6 +117,8 @@
     bool isRepeated(const JobOffer &offer) const;
     void note(std::string event, const std::string &job, std::string details);
 
+    // Share by which a forecast wait is taken to be too short.
+    double waitError_ = 0.5;
     // Cores of the latest task of each service, in which free room is counted.
     std::map<std::string, uint32_t> typicalMilliCores_;
 
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -15,9 +15,14 @@
 
 namespace {
 
-// Share by which a forecast wait may be too short, because runs take longer than predicted and more
-// urgent jobs come.
-constexpr double waitError = 0.5;
+// A forecast wait may be too short, because runs take longer than predicted and more urgent jobs
+// come. The share that is added grows with each job that was accepted in vain and shrinks with each
+// one that had to wait and was still in time, so that one in twenty of them may fail.
+constexpr double leastWaitError = 0.2;
+constexpr double largestWaitError = 1.5;
+constexpr double waitErrorRise = 0.05;
+constexpr double waitErrorFall = waitErrorRise / 20;
+
 constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
 
 Duration scaled(Duration duration, double factor)
@@ -76,7 +81,7 @@
     // A job that can start at once is taken even if the prediction says that it will be late:
     // predictions are often off, and nobody else needs the room.
     const bool isLate = wait > Duration::zero()
-            && end + scaled(wait, waitError) > std::min(job.objectiveAt, job.deadlineAt);
+            && end + scaled(wait, waitError_) > std::min(job.objectiveAt, job.deadlineAt);
     if (isLate || forecast.isDisplacing) {
         note("job-refused", id,
              inputs + (isLate ? " cause=backlog" : " cause=would-delay-accepted-jobs"));
@@ -84,6 +89,7 @@
         return;
     }
     note("job-accepted", id, inputs);
+    job.hadToWait = wait > Duration::zero();
     jobsByTicket_.emplace(job.offer.ticket, job.number);
     jobsById_.emplace(id, job.number);
     jobs_.emplace(job.number, std::move(job));
@@ -106,6 +112,8 @@
     switch (result) {
     case JobResult::Completed:
         ++counters_.completed;
+        if (job.hadToWait && now <= job.objectiveAt)
+            waitError_ = std::max(leastWaitError, waitError_ - waitErrorFall);
         break;
     case JobResult::Failed:
         ++counters_.failed;
@@ -114,6 +122,8 @@
         ++counters_.refused;
         // A refusal says that the job has not run and never will.
         LOVAGE_ASSERT_INVARIANT(Promise::TrueNotRun, !job.isBegun, job.offer.job.id);
+        if (job.hadToWait)
+            waitError_ = std::min(largestWaitError, waitError_ + waitErrorRise);
         break;
     case JobResult::Abandoned:
         ++counters_.abandoned;
