--- /dev/null
+++ b/tests/platform_records_test.cpp
@@ -0,0 +1,152 @@
+// Decoding of what the platform's operator, servers and callers write.
+#define BOOST_TEST_MODULE platform_records
+#include "records.h"
+
+#include "lovage/node.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fstream>
+
+using namespace lovage;
+using namespace lovage::platform;
+
+namespace {
+
+const std::string entry =
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,)"
+        R"("state":"ready","cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+        R"("labels":["a","r1-3"],"clock_ms":482113,"seq":4,"born":1700000000000})";
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const size_t at = text.find(from);
+    BOOST_REQUIRE(at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+std::string jobWith(const std::string &field)
+{
+    return R"({"spec":"p","best_effort":true,"steps":[{"count":2,"cpu":500,"estimate_ms":90)"
+            + field + "}]}";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(server_entry_is_decoded)
+{
+    const auto server = decodeServer("i-1", entry);
+    BOOST_REQUIRE(server.has_value());
+    BOOST_TEST(server->id == "i-1");
+    BOOST_TEST(server->capacity.milliCores == 16000U);
+    BOOST_TEST(server->incarnation == 1700000000000U);
+    BOOST_TEST(!server->isLeaving);
+    BOOST_TEST(decodeServer("i-1", replaced(entry, "ready", "draining"))->isLeaving);
+}
+
+// Guards against entries of other writers, which name no server to use.
+BOOST_AUTO_TEST_CASE(damaged_server_entries_name_no_server)
+{
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+                 {"\"service\":\"s\"", "\"service\":7"},
+                 {"\"address\":\"10.0.0.9:8080\"", "\"address\":\"nowhere\""},
+                 {"\"state\":\"ready\"", "\"state\":\"odd\""},
+                 {"\"capacity\":{\"cpu\":16000", "\"capacity\":{\"cpu\":\"many\""},
+                 {"\"zone\":\"z\",", ""},
+                 {"{\"service\"", "\xff\xfe{\"service\""}})
+        BOOST_TEST(!decodeServer("i-1", replaced(entry, from, to)).has_value());
+    BOOST_TEST(!decodeServer("i-1", "").has_value());
+    BOOST_TEST(!decodeServer("i-1", "[]").has_value());
+}
+
+// Guards against a configuration in force of which a part is missing.
+BOOST_AUTO_TEST_CASE(configuration_is_taken_whole_or_not_at_all)
+{
+    const std::string document =
+            R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","timeout_ms":1500,)"
+            R"("slo_ms":60,"priority":2,"service":"s","attempts":3,"stretch_factor":1.6}],)"
+            R"("services":[],"limits":{}})";
+    const auto configuration = decodeConfiguration(document);
+    BOOST_REQUIRE(configuration.has_value());
+    BOOST_TEST(configuration.value().version == 7U);
+    const Queue &queue = configuration.value().queues.front();
+    BOOST_TEST(queue.attempts == 3U);
+    BOOST_TEST((queue.timeout == std::chrono::milliseconds(1500)));
+    BOOST_TEST((queue.objectiveSlack == std::chrono::milliseconds(60)));
+    BOOST_TEST(!decodeConfiguration(replaced(document, "\"service\":\"s\",", "")).has_value());
+    BOOST_TEST(!decodeConfiguration(replaced(document, "\"version\":7,", "")).has_value());
+    BOOST_TEST(!decodeConfiguration(document.substr(0, document.size() / 2)).has_value());
+}
+
+// Guards against jobs that are accepted and then not run as they ask.
+BOOST_AUTO_TEST_CASE(unsupported_jobs_are_refused_as_impossible)
+{
+    BOOST_REQUIRE(decodeJob("0123456789abcdef", jobWith("")).has_value());
+    for (const std::string field :
+         {R"(,"gang":true)", R"(,"speculative":true)", R"(,"long_running":true)",
+          R"(,"fills":true)", R"(,"target_ms":10)", R"(,"may_miss":1)"}) {
+        const auto job = decodeJob("0123456789abcdef", jobWith(field));
+        BOOST_REQUIRE(!job.has_value());
+        BOOST_TEST((job.error().code == ErrorCode::Impossible));
+        BOOST_TEST((job.error().verdict == Verdict::NotRun));
+    }
+    const auto kept = decodeJob("0123456789abcdef", replaced(jobWith(""), "true", "false"));
+    BOOST_REQUIRE(!kept.has_value());
+    BOOST_TEST((kept.error().code == ErrorCode::Impossible));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_jobs_are_refused)
+{
+    for (const std::string body :
+         {std::string("{"), std::string(R"({"spec":"p","best_effort":true,"steps":[]})"),
+          jobWith(R"(,"after":[0])"), jobWith(R"(,"after":[-1])"), jobWith(R"(,"mem_mb":"x")"),
+          replaced(jobWith(""), "\"count\":2", "\"count\":0"),
+          replaced(jobWith(""), "\"count\":2", "\"count\":100000")}) {
+        const auto job = decodeJob("0123456789abcdef", body);
+        BOOST_REQUIRE(!job.has_value());
+        BOOST_TEST((job.error().code != ErrorCode::Impossible));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(member_entry_round_trip)
+{
+    const VmInfo vm {"vm1", "dc1", "10.0.0.1:7000", 1700000000000000};
+    BOOST_TEST((decodeMember(encodeMember(vm)) == vm));
+    BOOST_TEST(!decodeMember("{}").has_value());
+}
+
+// Guards the template against a name that the product does not know, or one it needs and lacks.
+BOOST_AUTO_TEST_CASE(rendered_settings_are_valid)
+{
+    std::ifstream stream(LOVAGE_SOURCE_DIR "/deploy/settings.json.template");
+    std::string text((std::istreambuf_iterator<char>(stream)), std::istreambuf_iterator<char>());
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+                 {"{{node_name|json}}", "\"edge-a-1\""},
+                 {"{{zone|json}}", "\"a\""},
+                 {"{{listen.http|json}}", "\"10.0.0.1:1\""},
+                 {"{{listen.readiness|json}}", "\"10.0.0.1:2\""},
+                 {"{{ip}}:{{port_range.0}}", "10.0.0.1:3"},
+                 {"{{platform.address|json}}", "\"10.0.0.2:4\""},
+                 {"{{#seeds}}{ \"address\": {{.|json}} }{{,}}{{/seeds}}",
+                  R"({ "address": "10.0.0.3:5" })"},
+                 {"{{limits.cpu_share|json}}", "0.25"},
+                 {"{{limits.cores|json}}", "1"},
+                 {"{{platform.parts|json}}", "24"},
+                 {"{{bounds.hold_max_ms|json}}", "1000"},
+                 {"{{bounds.stop_ms|json}}", "50"},
+                 {"{{platform.ttl_min_ms|json}}", "1000"},
+                 {"{{bounds.grace_s|json}}", "6.5"}})
+        text = replaced(text, from, to);
+    const auto settings = parseNodeSettings(text);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings.value().cpuMilliCores == 250U);
+    BOOST_TEST((settings.value().stopLimit == std::chrono::milliseconds(6500)));
+}
+
+// Guards against settings whose faults come to light one by one.
+BOOST_AUTO_TEST_CASE(every_fault_of_the_settings_is_reported)
+{
+    const auto settings = parseNodeSettings(R"({"name": "UP", "http": "nowhere", "odd": 1})");
+    BOOST_REQUIRE(!settings.has_value());
+    BOOST_TEST(settings.error().errors.size() >= 6U);
+}
