Let pools say how many tasks of a refused job they could run in time

Each pool alone lacked fast servers for all tasks, and a job that had to wait 34 ms was refused for a predicted end 150 ms after the deadline although predictions are off by 30%.

Change: a refusal carries the tasks that could end in time; when all pools have refused the whole, the router divides the job accordingly. The forecast end takes run times from the better side. A job is given up by projection only from 10% of progress on.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -73,6 +73,7 @@
     JobResult result = JobResult::Refused;
     std::string reason;
     Duration retryAfter {}; // of Refused: when room is expected
+    uint32_t couldRun = 0;  // of Refused: tasks of the first step that could end in time
 
     auto operator<=>(const JobAnswer &) const = default;
 };
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -201,7 +201,8 @@
         JobOffer offer; // with the times that were left at arrival
         Time arrived {};
         std::vector<Part> parts {};
-        size_t open = 0; // parts that have not completed
+        size_t open = 0;                             // parts that have not completed
+        std::map<std::string, uint32_t> couldRun {}; // tasks that pools offered to run in time
         Duration retryAfter {};
         // A part found no pool: the others are withdrawn, and the answer waits for theirs.
         bool isGivenUp = false;
@@ -221,6 +222,10 @@
     void offerPart(uint64_t number, size_t part, Time now);
     JobOffer offerOf(const Request &request, size_t part, Time now) const;
     void onRefused(uint64_t number, size_t part, const JobAnswer &answer, Time now);
+    // Divides a job that no pool could run as a whole by what they said they could run. Returns
+    // whether that covers the job.
+    bool divideByOffers(uint64_t number, Time now);
+    void offerParts(uint64_t number, Time now);
     void giveUp(uint64_t number, size_t part);
     void onAnswerOfGivenUp(uint64_t number, const JobAnswer &answer);
     // Withdraws the parts that pools still have.
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -71,6 +71,7 @@
     {
         Time lastStart;
         Time end;
+        uint32_t inTime = 0; // tasks that end before they are late
     };
     // What a job would meet in the queue.
     struct Forecast
@@ -141,6 +142,8 @@
     Placed placeJob(Job &job, pool::Timetable &timetable, Time now);
     // Whether a task with this prediction can still end by then, unless it takes much longer than
     // predicted.
+    double optimismFor(const Job &job) const;
+    Time likelyEnd(const Job &job, Time start, Time end, Time now) const;
     bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
     bool isAllowed(const Server &server, const Job &job, const pool::Task &task) const;
     void order(Server &server, Job &job, size_t task, Time now);
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -80,12 +80,16 @@
             toMillis(job.objective()), toMillis(job.offer.deadline));
     // A job that can start at once is taken even if the prediction says that it will be late:
     // predictions are often off, and nobody else needs the room.
-    const bool isLate = wait > Duration::zero()
-            && end + scaled(wait, waitError_) > std::min(job.objectiveAt, job.deadlineAt);
+    const Time target = std::min(job.objectiveAt, job.deadlineAt);
+    const bool isLate =
+            wait > Duration::zero() && likelyEnd(job, forecast.job->lastStart, end, now) > target;
     if (isLate || forecast.isDisplacing) {
         note("job-refused", id,
-             inputs + (isLate ? " cause=backlog" : " cause=would-delay-accepted-jobs"));
-        answer(job, JobResult::Refused, "backlog", now, std::max(wait, shortestRetryAfter));
+             fmt::format("{} could_run={} cause={}", inputs, forecast.job->inTime,
+                         isLate ? "backlog" : "would-delay-accepted-jobs"));
+        ++counters_.refused;
+        actions_.emplace_back(JobAnswer {job.offer.ticket, JobResult::Refused, "backlog",
+                                         std::max(wait, shortestRetryAfter), forecast.job->inTime});
         return;
     }
     note("job-accepted", id, inputs);
@@ -193,13 +197,24 @@
 
 bool Pool::Implementation::canEndBy(const Job &job, Duration predicted, Time limit, Time now) const
 {
-    // One in three tasks takes less than the prediction by this many standard deviations.
-    constexpr double optimism = 0.4;
-    const double factor = speedOf(job.offer.service).fast
-            * std::exp(-optimism * model_.deviation(job.offer.queue));
+    const double factor = speedOf(job.offer.service).fast * optimismFor(job);
     return now + scaled(predicted, factor) <= limit;
 }
 
+// One in three tasks takes less than this share of the prediction.
+double Pool::Implementation::optimismFor(const Job &job) const
+{
+    constexpr double deviations = 0.4;
+    return std::exp(-deviations * model_.deviation(job.offer.queue));
+}
+
+// A forecast end with an allowance for the errors of the wait and of the run time. Run times are
+// taken from the better side: work is worth a try as long as it succeeds about as often as not.
+Time Pool::Implementation::likelyEnd(const Job &job, Time start, Time end, Time now) const
+{
+    return start + scaled(start - now, waitError_) + scaled(end - start, optimismFor(job));
+}
+
 // Answers jobs that cannot be done in time any more as soon as that is known.
 void Pool::Implementation::dropOverdue(Time now)
 {
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -141,6 +141,7 @@
                                                                          size_t &budget,
                                                                          Time now) const
 {
+    const Time target = std::min(job.objectiveAt, job.deadlineAt);
     Span span {now, now};
     for (const Task &task : job.tasks) {
         if (task.state != TaskState::Queued)
@@ -152,6 +153,8 @@
         choice->place->reserve(job.stepOf(task).demand, choice->start, choice->end);
         span.lastStart = std::max(span.lastStart, choice->start);
         span.end = std::max(span.end, choice->end);
+        if (likelyEnd(job, choice->start, choice->end, now) <= target)
+            ++span.inTime;
     }
     return span;
 }
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -32,6 +32,8 @@
 constexpr uint32_t leastPercent = 3;
 // Servers cut the figure off to whole percents.
 constexpr double halfPercent = 0.5;
+// Progress from which on a projection is good enough to give a job up.
+constexpr uint32_t percentToGiveUp = 10;
 // Largest error of a run time that is projected from its progress, as a share.
 constexpr double projectionError = 0.1;
 // A run is started again elsewhere only if it ends in time with this share to spare.
@@ -367,7 +369,8 @@
     }
     const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fast);
     const bool couldBeMoved = now + options_.stopTime + fastest <= job.deadlineAt;
-    if (!couldBeMoved && end > job.deadlineAt + scaled(total, projectionError))
+    if (!couldBeMoved && row.percent >= percentToGiveUp
+        && end > job.deadlineAt + scaled(total, projectionError))
         answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
 }
 
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -81,6 +81,7 @@
         throw cereal::Exception("unknown job result");
     answer.result = static_cast<JobResult>(result);
     durationField(archive, answer.retryAfter);
+    archive(answer.couldRun);
 }
 
 template<class Archive>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -47,6 +47,14 @@
     load.freeMilliCores -= std::min(need, load.freeMilliCores);
 }
 
+// Tasks of one step that do not care where the others run.
+bool isDivisible(const JobSpec &job)
+{
+    const Step &step = job.steps.front();
+    return job.steps.size() == 1 && step.maxPerServer == 0 && !step.sameRack
+            && step.demand.milliCores > 0;
+}
+
 } // namespace
 
 void Router::submit(uint64_t number, JobOffer offer, Time now)
@@ -57,8 +65,13 @@
     request.arrived = now;
     request.parts = divide(request.offer, now);
     request.open = request.parts.size();
-    const size_t parts = request.parts.size();
     requests_.emplace(number, std::move(request));
+    offerParts(number, now);
+}
+
+void Router::offerParts(uint64_t number, Time now)
+{
+    const size_t parts = requests_.at(number).parts.size();
     for (size_t part = 0; part < parts; ++part) {
         const auto open = requests_.find(number);
         if (open == requests_.end() || open->second.isGivenUp)
@@ -170,7 +183,8 @@
     const auto planned = std::find_if(pools.begin(), pools.end(),
                                       [&](const Candidate &pool) { return pool.vm == part.vm; });
     if (pools.empty() || part.refusedBy.size() >= options_.maxOffers) {
-        giveUp(number, index);
+        if (!divideByOffers(number, now))
+            giveUp(number, index);
         return;
     }
     const Candidate &pool = planned != pools.end() ? *planned : pools.front();
@@ -184,6 +198,29 @@
     actions_.emplace_back(SendOffer {pool.vm, std::move(offer)});
 }
 
+bool Router::divideByOffers(uint64_t number, Time now)
+{
+    Request &request = requests_.at(number);
+    const uint32_t count = request.offer.job.steps.front().count;
+    uint32_t total = 0;
+    for (const auto &[vm, tasks] : request.couldRun)
+        total += tasks;
+    if (request.parts.size() > 1 || !isDivisible(request.offer.job) || total < count)
+        return false;
+    std::vector<Part> parts;
+    uint32_t next = 0;
+    for (const auto &[vm, tasks] : std::exchange(request.couldRun, {})) {
+        const uint32_t share = std::min(tasks, count - next);
+        if (share > 0)
+            parts.push_back({next, share, vm});
+        next += share;
+    }
+    request.parts = std::move(parts);
+    request.open = request.parts.size();
+    offerParts(number, now);
+    return true;
+}
+
 // Whether the job has run is known when every pool that has a part of it has answered.
 void Router::giveUp(uint64_t number, size_t index)
 {
@@ -257,6 +294,7 @@
     const bool isFirst = request.retryAfter <= Duration::zero();
     request.retryAfter =
             isFirst ? answer.retryAfter : std::min(request.retryAfter, answer.retryAfter);
+    request.couldRun[request.parts[part].vm] = answer.couldRun;
     request.parts[part].refusedBy.push_back(request.parts[part].vm);
     offerPart(number, part, now);
 }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -147,6 +147,28 @@
     }
 }
 
+// Guards against refusing a job that no pool can run in time alone but several can together.
+BOOST_FIXTURE_TEST_CASE(refused_whole_is_divided_by_what_pools_could_run, Vms)
+{
+    report("near", "dc1", 8);
+    report("far", "dc2", 8);
+    submit(6);
+    for (size_t i = 0; i < 2; ++i) {
+        router.onAnswer(offers[i].vm,
+                        {offers[i].offer.ticket, JobResult::Refused, "", milliseconds(500), 4},
+                        now);
+        collect();
+    }
+    BOOST_REQUIRE_EQUAL(offers.size(), 4U);
+    BOOST_TEST(offers[2].offer.job.steps.front().count + offers[3].offer.job.steps.front().count
+               == 6U);
+    BOOST_TEST(offers[2].vm != offers[3].vm);
+    answer(offers[2], JobResult::Completed);
+    answer(offers[3], JobResult::Completed);
+    BOOST_REQUIRE_EQUAL(responses.size(), 1U);
+    BOOST_TEST((responses[0].answer.result == JobResult::Completed));
+}
+
 // Guards against a second run elsewhere of tasks whose pool may go on with them.
 BOOST_FIXTURE_TEST_CASE(job_of_a_lost_vm_is_abandoned, Vms)
 {
