--- a/include/lovage/job.h
+++ b/include/lovage/job.h
@@ -70,7 +70,8 @@
     uint32_t attempts = 1;    // runs of a task that may fail before the job fails
     double stretchFactor = 1; // latency objective: this times the longest chain, plus
     Duration objectiveSlack {};
-    Duration timeout {}; // longest time to an answer; 0 for none
+    Duration timeout {};      // longest time to an answer; 0 for none
+    bool needsAdvice = false; // a service of the platform decides where its tasks may run
 
     auto operator<=>(const Queue &) const = default;
 };
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -126,7 +126,8 @@
     const auto to = parseEndpoint(address);
     if (!to || *to == self_)
         return;
-    contacts_.try_emplace(*to);
+    // From now on it is heard, and must hear this VM as often.
+    contacts_[*to].nextReportAt = {};
     IntroductionMessage introduction;
     for (const auto &[name, row] : vms_.rows())
         introduction.vms.push_back(row.report.vm);
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -136,6 +136,7 @@
             queue.stretchFactor);
     durationField(archive, queue.objectiveSlack);
     durationField(archive, queue.timeout);
+    flagField(archive, queue.needsAdvice);
 }
 
 template<class Archive>
--- /dev/null
+++ b/tests/platform_path_test.cpp
@@ -0,0 +1,224 @@
+// The whole path on the platform over real sockets: two VMs, the store and executors as stand-ins.
+#define BOOST_TEST_MODULE platform_path
+#include "support/platform_standin.h"
+
+#include "executors.h"
+#include "ingress.h"
+#include "records.h"
+#include "store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <array>
+#include <thread>
+
+using namespace lovage;
+using namespace lovage::test;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string configuration =
+        R"({"version":7,"routes":[{"name":"r","host":"work.example","path_prefix":"/a/",)"
+        R"("timeout_ms":3000,"slo_ms":60,"service":"s","attempts":3,"stretch_factor":1.6}]})";
+
+// Ports for peers are chosen before the nodes exist, because each must know the other's. Both are
+// held until both are known, so that they differ.
+std::array<uint16_t, 2> freePorts()
+{
+    using boost::asio::ip::tcp;
+    boost::asio::io_context context;
+    const tcp::endpoint any(boost::asio::ip::make_address("127.0.0.1"), 0);
+    tcp::acceptor first(context, any);
+    tcp::acceptor second(context, any);
+    return {first.local_endpoint().port(), second.local_endpoint().port()};
+}
+
+// One VM: the node with the adapter around it, as in the daemon.
+struct Vm
+{
+    Vm(IoThreads &threads, const std::string &name, uint16_t port, const Endpoint &storeAddress,
+       const std::vector<Endpoint> &seeds)
+        : store(threads, storeAddress), group(store, "shards-z", name),
+          executors(threads, milliseconds(500)),
+          configurations(threads, store, "keyed.op", Duration::zero(), milliseconds(20),
+                         [this](const auto &values) { onConfiguration(values); }),
+          servers(threads, store, "keyed.servers", Duration::zero(), milliseconds(20),
+                  [this](const auto &values) { onServers(values); })
+    {
+        NodeSettings settings;
+        settings.name = name;
+        settings.dataCentre = "z";
+        settings.peer = {"127.0.0.1", port};
+        settings.seeds = seeds;
+        settings.groupLease = milliseconds(1000);
+        node = std::move(Node::open(settings, threads, executors, group, metrics).value());
+        ingress = std::make_unique<platform::Ingress>(*node);
+        http = std::move(
+                HttpServer::listen(threads, {"127.0.0.1", 0}, {},
+                                   [this](const HttpRequest &request, HttpServer::Reply reply) {
+                                       ingress->handle(request, std::move(reply));
+                                   })
+                        .value());
+        threads.post(0, [this] {
+            configurations.start();
+            servers.start();
+            node->start();
+        });
+    }
+
+    void onConfiguration(const std::map<std::string, std::string> &values)
+    {
+        if (const auto found = values.find("config"); found != values.end())
+            node->setConfiguration(platform::decodeConfiguration(found->second).value());
+    }
+    void onServers(const std::map<std::string, std::string> &values)
+    {
+        std::vector<ServerInfo> list;
+        for (const auto &[id, text] : values) {
+            if (auto server = platform::decodeServer(id, text))
+                list.push_back(*server);
+        }
+        node->setServers(list);
+    }
+    Result<HttpResponse> send(const std::string &method, const std::string &target,
+                              const std::string &body = {}) const
+    {
+        return sendHttp({"127.0.0.1", http->port()},
+                        {method, target, {{"Host", "work.example"}}, body}, milliseconds(5000));
+    }
+
+    Metrics metrics;
+    platform::Store store;
+    platform::Group group;
+    platform::Executors executors;
+    platform::TopicFollower configurations;
+    platform::TopicFollower servers;
+    std::unique_ptr<Node> node;
+    std::unique_ptr<platform::Ingress> ingress;
+    std::unique_ptr<HttpServer> http;
+};
+
+struct Deployment
+{
+    Deployment()
+    {
+        store.put("keyed.op", "config", configuration);
+        store.put("keyed.servers", "e1", executor1.entry("s", "z"));
+        store.put("keyed.servers", "e2", executor2.entry("s", "z"));
+        store.put("keyed.servers", "odd", "\xff not json");
+        const auto [first, second] = freePorts();
+        const std::vector<Endpoint> seeds {{"127.0.0.1", first}, {"127.0.0.1", second}};
+        vm1 = std::make_unique<Vm>(threads, "vm1", first, store.endpoint(), seeds);
+        vm2 = std::make_unique<Vm>(threads, "vm2", second, store.endpoint(), seeds);
+    }
+    ~Deployment() { threads.stop(); }
+
+    static std::string job(uint32_t count)
+    {
+        return fmt::format(
+                R"({{"spec":"p","best_effort":true,"steps":[{{"count":{},"cpu":10000,"mem_mb":1,"estimate_ms":60}}]}})",
+                count);
+    }
+    // Repeats until the deployment has settled; a refusal has not run, so the id may be used again.
+    int submitUntilServed(const Vm &vm, const std::string &id)
+    {
+        int status = 0;
+        for (int i = 0; i < 200; ++i) {
+            const auto response = vm.send("POST", "/a/" + id, job(2));
+            status = response.has_value() ? response.value().status : 0;
+            if (status == 200)
+                break;
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        return status;
+    }
+    size_t startsOf(const std::string &id)
+    {
+        size_t count = 0;
+        for (ExecutorStandin *executor : {&executor1, &executor2}) {
+            for (const auto &[task, starts] : executor->starts())
+                count += task.starts_with(id) ? static_cast<size_t>(starts) : 0;
+        }
+        return count;
+    }
+
+    IoThreads platformThreads {1};
+    StoreStandin store {platformThreads};
+    ExecutorStandin executor1 {platformThreads, "e1", milliseconds(60)};
+    ExecutorStandin executor2 {platformThreads, "e2", milliseconds(60)};
+    IoThreads threads {1};
+    std::unique_ptr<Vm> vm1;
+    std::unique_ptr<Vm> vm2;
+};
+
+} // namespace
+
+// Guards the path of a job through either VM, of which one holds the servers.
+BOOST_FIXTURE_TEST_CASE(job_is_served_through_either_vm, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000a1") == 200);
+    BOOST_TEST(submitUntilServed(*vm2, "00000000000000a2") == 200);
+    BOOST_TEST(startsOf("00000000000000a1") == 2U);
+    BOOST_TEST(startsOf("00000000000000a2") == 2U);
+    BOOST_TEST(store.memberCount() == 1U);
+}
+
+// Guards against a data centre that stops when the store does, and a VM that misses a new version.
+BOOST_FIXTURE_TEST_CASE(work_goes_on_without_the_store, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000b1") == 200);
+    store.setDown(true);
+    std::this_thread::sleep_for(milliseconds(300));
+    const auto response = vm2->send("POST", "/a/00000000000000b2", job(2));
+    BOOST_REQUIRE(response.has_value());
+    BOOST_TEST(response.value().status == 200);
+    store.setDown(false);
+    std::string next = configuration;
+    next.replace(next.find("\"version\":7"), 11, "\"version\":9");
+    next.replace(next.find("/a/"), 3, "/b/");
+    store.put("keyed.op", "config", next);
+    store.forget("keyed.op");
+    int status = 0;
+    for (int i = 0; i < 100 && status != 200; ++i) {
+        std::this_thread::sleep_for(milliseconds(50));
+        status = vm2->send("GET", "/b/").value().status;
+    }
+    BOOST_TEST(status == 200);
+    BOOST_TEST(vm2->send("GET", "/a/").value().status == 404);
+}
+
+// Guards the answers that callers act on.
+BOOST_FIXTURE_TEST_CASE(requests_that_run_nothing_say_so, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000c1") == 200);
+    BOOST_TEST(vm1->send("POST", "/none/00000000000000c2", job(1)).value().status == 404);
+    BOOST_TEST(vm1->send("POST", "/a/short", job(1)).value().status == 400);
+    BOOST_TEST(vm1->send("POST", "/a/00000000000000c2", "{").value().status == 400);
+    const auto kept = vm1->send("POST", "/a/00000000000000c2",
+                                R"({"spec":"p","steps":[{"count":1,"cpu":1}]})");
+    BOOST_TEST(kept.value().status == 503);
+    BOOST_TEST(kept.value().body.find("not-run") != std::string::npos);
+    BOOST_TEST(vm1->send("GET", "/a/00000000000000c1").value().status == 410);
+    BOOST_TEST(vm1->send("GET", "/a/").value().body == R"({"pending":0})");
+    const auto wide = vm1->send("POST", "/a/00000000000000c3", job(400));
+    BOOST_TEST(wide.value().status == 503);
+    BOOST_TEST(!wide.value().header("Retry-After").empty());
+    BOOST_TEST(startsOf("00000000000000c2") + startsOf("00000000000000c3") == 0U);
+}
+
+// Guards against work that goes on for a caller that closed its connection.
+BOOST_FIXTURE_TEST_CASE(closed_connection_stops_the_job, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm2, "00000000000000d1") == 200);
+    const auto response =
+            sendHttp({"127.0.0.1", vm2->http->port()},
+                     {"POST", "/a/00000000000000d2", {{"Host", "work.example"}}, job(4)},
+                     milliseconds(20)); // gives up before the tasks end
+    BOOST_TEST(!response.has_value());
+    for (int i = 0; i < 100 && executor1.stops() + executor2.stops() < 4; ++i)
+        std::this_thread::sleep_for(milliseconds(5));
+    BOOST_TEST(executor1.stops() + executor2.stops() == 4U);
+}
