Let jobs wait for a pool right after a start

Change: for one second after its start a VM keeps jobs for which no pool is known, and offers them when one shows.

Ruled out: a shorter time to settle, which would make two holders.

--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -172,6 +172,10 @@
     // The load of the pool on this VM, which needs no message.
     void setOwnLoad(std::vector<ServiceLoad> loads) { ownLoads_ = std::move(loads); }
 
+    // Until then a job for which no pool is known waits: the VM has just started, and pools show
+    // within that time.
+    void holdUntil(Time time) { holdUntil_ = time; }
+
     // `number` is unique within this incarnation of the VM.
     void submit(uint64_t number, JobOffer offer, Time now);
     void withdraw(uint64_t number, Time now);
@@ -226,6 +230,7 @@
     // whether that covers the job.
     bool divideByOffers(uint64_t number, Time now);
     void offerParts(uint64_t number, Time now);
+    void releaseHeld(Time now);
     void giveUp(uint64_t number, size_t part);
     void onAnswerOfGivenUp(uint64_t number, const JobAnswer &answer);
     // Withdraws the parts that pools still have.
@@ -235,6 +240,8 @@
     RouterOptions options_;
     VmTable &vms_;
     std::vector<ServiceLoad> ownLoads_;
+    Time holdUntil_ {};
+    std::vector<uint64_t> held_; // requests that wait for a pool
     std::map<uint64_t, Request> requests_;
     std::vector<RouterAction> actions_;
     std::vector<RouterNote> notes_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+// After a start, pools show when their holders have settled and have read the list of servers.
+constexpr Duration startupHold = std::chrono::milliseconds(1000);
 // Another VM takes the request at once.
 constexpr Duration drainingRetryAfter = std::chrono::seconds(1);
 constexpr Duration busyTick = std::chrono::milliseconds(10);
@@ -78,6 +80,7 @@
 
     void start()
     {
+        router_.holdUntil(started_ + startupHold);
         logEvent(LogLevel::Info, "started",
                  {{"vm", self_.name},
                   {"data_centre", self_.dataCentre},
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -63,10 +63,26 @@
     request.offer = std::move(offer);
     request.offer.ticket = {vms_.self().name, vms_.self().incarnation, number};
     request.arrived = now;
-    request.parts = divide(request.offer, now);
-    request.open = request.parts.size();
     requests_.emplace(number, std::move(request));
-    offerParts(number, now);
+    held_.push_back(number);
+    releaseHeld(now);
+}
+
+void Router::releaseHeld(Time now)
+{
+    for (const uint64_t number : std::exchange(held_, {})) {
+        const auto found = requests_.find(number);
+        if (found == requests_.end())
+            continue;
+        Request &request = found->second;
+        if (now < holdUntil_ && candidates(request.offer, {}, now).empty()) {
+            held_.push_back(number);
+            continue;
+        }
+        request.parts = divide(request.offer, now);
+        request.open = request.parts.size();
+        offerParts(number, now);
+    }
 }
 
 void Router::offerParts(uint64_t number, Time now)
@@ -330,6 +346,7 @@
 // The pool answers in time; this bounds the wait for one that does not.
 void Router::tick(Time now)
 {
+    releaseHeld(now);
     std::vector<uint64_t> overdue;
     for (const auto &[number, request] : requests_) {
         if (now > request.arrived + request.offer.deadline)
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -217,6 +217,35 @@
     BOOST_TEST((responses[0].answer.result == JobResult::Refused));
 }
 
+// Guards against refusals by a VM that has just started and has not heard of the pools yet.
+BOOST_FIXTURE_TEST_CASE(job_waits_for_a_pool_after_the_start, Vms)
+{
+    router.holdUntil(now + milliseconds(1000));
+    submit(4);
+    BOOST_TEST(responses.empty());
+    now += milliseconds(300);
+    report("near", "dc1", 8);
+    router.tick(now);
+    collect();
+    BOOST_REQUIRE_EQUAL(offers.size(), 1U);
+    BOOST_TEST((offers[0].offer.elapsed == milliseconds(300)));
+    answer(offers[0], JobResult::Completed);
+    router.submit(2, makeOffer(4), now);
+    router.withdraw(2, now);
+    BOOST_TEST(router.openCount() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(job_is_refused_when_no_pool_shows_after_the_start, Vms)
+{
+    router.holdUntil(now + milliseconds(1000));
+    submit(4);
+    now += milliseconds(1000);
+    router.tick(now);
+    collect();
+    BOOST_REQUIRE_EQUAL(responses.size(), 1U);
+    BOOST_TEST((responses[0].answer.result == JobResult::Refused));
+}
+
 // Guards against work that goes on for a caller that has left.
 BOOST_FIXTURE_TEST_CASE(withdrawal_reaches_the_pool, Vms)
 {
