--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -4,7 +4,8 @@
 
 #include <fmt/format.h>
 
-#include <deque>
+#include <algorithm>
+#include <array>
 #include <unordered_map>
 
 namespace lovage {
--- a/src/pool/health.cpp
+++ b/src/pool/health.cpp
@@ -1,5 +1,7 @@
 #include "health.h"
 
+#include "durations.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -46,8 +48,7 @@
 
 Duration expectedRunTime(const LeasedServer &server, Duration predicted, double common)
 {
-    return Duration(static_cast<int64_t>(static_cast<double>(predicted.count())
-                                         * slownessOf(server, common)));
+    return scaled(predicted, slownessOf(server, common));
 }
 
 void noteSuccess(LeasedServer &server, Duration predicted, Duration ran)
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -1,5 +1,7 @@
 #include "leased_server.h"
 
+#include "durations.h"
+
 #include <algorithm>
 
 namespace lovage::pool {
@@ -132,9 +134,7 @@
             wait = std::min(wait, shortestLookWait);
             continue;
         }
-        const auto due = run.confirmedAt + overdueSlack
-                + Duration(static_cast<int64_t>(static_cast<double>(run.expected.count())
-                                                * overdueFactor));
+        const auto due = run.confirmedAt + overdueSlack + scaled(run.expected, overdueFactor);
         if (due > now)
             wait = std::min(wait, std::max(due - now, shortestLookWait));
     }
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -106,8 +106,10 @@
     bool checkIncarnation(Server &server, const ServerReading &reading, Time now);
 
     // The run does not execute any more and will not: its task waits again, or its job gives up.
-    void requeue(const pool::Run &run, Time now);
+    void requeue(const pool::Run &run);
+    Job *jobOfActive(const pool::Run &run);
 
+    void admit(Job job, const Span &span, bool isDisplacing, Time now);
     void completeTask(Job &job, size_t task, Time now);
     void answer(Job &job, JobResult result, std::string reason, Time now,
                 Duration retryAfter = Duration::zero());
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -1,4 +1,5 @@
 // Jobs of a pool: admission, completion and giving up.
+#include "durations.h"
 #include "pool_impl.h"
 
 #include <fmt/format.h>
@@ -10,6 +11,7 @@
 
 using pool::Run;
 using pool::RunState;
+using pool::scaled;
 using pool::Task;
 using pool::TaskState;
 
@@ -25,11 +27,6 @@
 
 constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 double toMillis(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1000;
@@ -71,31 +68,37 @@
         answer(job, JobResult::Refused, "no-server", now, shortestRetryAfter);
         return;
     }
+    admit(std::move(job), *forecast.job, forecast.isDisplacing, now);
+}
+
+// Accepts the job if it will be in time and delays no accepted one beyond its objective. A job that
+// can start at once is taken even if the prediction says that it will be late: predictions are
+// often off, and nobody else needs the room.
+void Pool::Implementation::admit(Job job, const Span &span, bool isDisplacing, Time now)
+{
     // Steps that wait for others add what is left of the longest chain.
-    const Time end = forecast.job->end + (job.chain - pool::longestWaiting(job));
-    const Duration wait = forecast.job->lastStart - now;
+    const Time end = span.end + (job.chain - pool::longestWaiting(job));
+    const Duration wait = span.lastStart - now;
+    const Time target = std::min(job.objectiveAt, job.deadlineAt);
+    const bool isLate =
+            wait > Duration::zero() && likelyEnd(job, span.lastStart, end, now) > target;
     const std::string inputs = fmt::format(
             "queue={} tasks={} wait_ms={:.0f} end_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
             job.offer.queue, job.tasks.size(), toMillis(wait), toMillis(end - now),
             toMillis(job.objective()), toMillis(job.offer.deadline));
-    // A job that can start at once is taken even if the prediction says that it will be late:
-    // predictions are often off, and nobody else needs the room.
-    const Time target = std::min(job.objectiveAt, job.deadlineAt);
-    const bool isLate =
-            wait > Duration::zero() && likelyEnd(job, forecast.job->lastStart, end, now) > target;
-    if (isLate || forecast.isDisplacing) {
-        note("job-refused", id,
-             fmt::format("{} could_run={} cause={}", inputs, forecast.job->inTime,
+    if (isLate || isDisplacing) {
+        note("job-refused", job.offer.job.id,
+             fmt::format("{} could_run={} cause={}", inputs, span.inTime,
                          isLate ? "backlog" : "would-delay-accepted-jobs"));
         ++counters_.refused;
         actions_.emplace_back(JobAnswer {job.offer.ticket, JobResult::Refused, "backlog",
-                                         std::max(wait, shortestRetryAfter), forecast.job->inTime});
+                                         std::max(wait, shortestRetryAfter), span.inTime});
         return;
     }
-    note("job-accepted", id, inputs);
+    note("job-accepted", job.offer.job.id, inputs);
     job.hadToWait = wait > Duration::zero();
     jobsByTicket_.emplace(job.offer.ticket, job.number);
-    jobsById_.emplace(id, job.number);
+    jobsById_.emplace(job.offer.job.id, job.number);
     jobs_.emplace(job.number, std::move(job));
     isPlacementDue_ = true;
 }
@@ -247,18 +250,14 @@
         answer(job, JobResult::Completed, "done", now);
 }
 
-void Pool::Implementation::requeue(const Run &run, Time now)
+void Pool::Implementation::requeue(const Run &run)
 {
-    const auto found = jobs_.find(run.job);
-    if (found == jobs_.end())
-        return;
-    Job &job = found->second;
-    Task &task = job.tasks[run.task];
-    if (task.state != TaskState::Active || task.lastRun != run.number)
+    Job *job = jobOfActive(run);
+    if (!job)
         return;
-    task.state = TaskState::Queued;
-    --job.active;
-    ++job.queued;
+    job->tasks[run.task].state = TaskState::Queued;
+    --job->active;
+    ++job->queued;
     isPlacementDue_ = true;
 }
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -1,4 +1,5 @@
 // Which waiting task runs on which server, and what a new job would meet.
+#include "durations.h"
 #include "pool_impl.h"
 
 #include <fmt/format.h>
@@ -11,6 +12,7 @@
 using pool::QueueKey;
 using pool::Run;
 using pool::RunState;
+using pool::scaled;
 using pool::Task;
 using pool::TaskState;
 using pool::Tenure;
@@ -33,11 +35,6 @@
 // A typical demand before the first job.
 constexpr uint32_t defaultMilliCores = 1000;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 bool hasLabel(const ServerInfo &info, const std::string &label)
 {
     return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -1,4 +1,5 @@
 // Servers of a pool: grants, looks, and what follows from what they show.
+#include "durations.h"
 #include "pool_impl.h"
 
 #include <fmt/format.h>
@@ -10,6 +11,7 @@
 
 using pool::Run;
 using pool::RunState;
+using pool::scaled;
 using pool::Task;
 using pool::Tenure;
 
@@ -39,11 +41,6 @@
 // A run is started again elsewhere only if it ends in time with this share to spare.
 constexpr double moveMargin = 0.1;
 
-Duration scaled(Duration duration, double factor)
-{
-    return Duration(static_cast<int64_t>(static_cast<double>(duration.count()) * factor));
-}
-
 } // namespace
 
 void Pool::Implementation::setServers(const std::vector<ServerInfo> &servers, Time now)
@@ -106,7 +103,7 @@
     for (const auto &[task, run] : server.runs())
         tasks.push_back(task);
     for (const std::string &task : tasks)
-        requeue(server.remove(task), now);
+        requeue(server.remove(task));
     server.resetLife();
     if (server.tenure != Tenure::None)
         server.tenure = Tenure::TakingOver;
@@ -213,7 +210,7 @@
             ++counters_.runsLost;
             const Run run = server.remove(task);
             note("run-lapsed", {}, fmt::format("task={} run={} server={}", task, run.number, id));
-            requeue(run, now);
+            requeue(run);
         }
     }
 }
@@ -311,7 +308,7 @@
         const Run run = server.remove(task);
         if (run.state == RunState::Running)
             ++counters_.runsLost;
-        requeue(run, now);
+        requeue(run);
     }
     for (const RunningRow &row : reply.running) {
         const auto known = server.runs().find(row.task);
@@ -426,18 +423,27 @@
         note("run-ended-early", {},
              fmt::format("task={} run={} server={} end={}", row.task, row.run, server.info().id,
                          static_cast<int>(row.end)));
-    requeue(run, now);
+    requeue(run);
 }
 
-void Pool::Implementation::noteSuccessfulEnd(Server &server, const Run &run, Time now)
+// The job of a run that is the latest of its task; null if the job is gone or goes on without it.
+Pool::Implementation::Job *Pool::Implementation::jobOfActive(const Run &run)
 {
     const auto found = jobs_.find(run.job);
     if (found == jobs_.end())
+        return nullptr;
+    const Task &task = found->second.tasks[run.task];
+    const bool isLatest = task.lastRun == run.number && task.state == pool::TaskState::Active;
+    return isLatest ? &found->second : nullptr;
+}
+
+void Pool::Implementation::noteSuccessfulEnd(Server &server, const Run &run, Time now)
+{
+    Job *open = jobOfActive(run);
+    if (!open)
         return;
-    Job &job = found->second;
+    Job &job = *open;
     Task &task = job.tasks[run.task];
-    if (task.lastRun != run.number || task.state != pool::TaskState::Active)
-        return;
     if (!task.avoid.empty())
         confirmFault(task.avoid, now);
     const Duration ran = now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt);
@@ -449,13 +455,11 @@
 
 void Pool::Implementation::noteFailedEnd(Server &server, const Run &run, Time now)
 {
-    const auto found = jobs_.find(run.job);
-    if (found == jobs_.end())
+    Job *open = jobOfActive(run);
+    if (!open)
         return;
-    Job &job = found->second;
+    Job &job = *open;
     Task &task = job.tasks[run.task];
-    if (task.lastRun != run.number || task.state != pool::TaskState::Active)
-        return;
     ++task.failures;
     note("run-failed", job.offer.job.id,
          fmt::format("task={} run={} server={} failures={} attempts={}",
@@ -471,7 +475,7 @@
         answer(job, JobResult::Failed, "attempts-used", now);
         return;
     }
-    requeue(run, now);
+    requeue(run);
 }
 
 // A task that failed on a server has succeeded elsewhere.
