Make the linter pass on the new code

It found moves of trivially copyable values and of forwarding references, and members of the pool's implementation that are public but named as private.

Change: the members are private, with Pool as a friend; the moves are gone. No behaviour changes.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -93,8 +93,7 @@
     // Events from peers.
     void onMessage(VmMessage message)
     {
-        std::visit([this](auto &&alternative) { onPeer(std::move(alternative)); },
-                   std::move(message));
+        std::visit([this](auto &alternative) { onPeer(std::move(alternative)); }, message);
         flush();
     }
     void onOfferUnsent(const std::string &vm, const JobOffer &offer)
@@ -359,9 +358,9 @@
             auto routerActions = router_.takeActions();
             isDone = poolActions.empty() && routerActions.empty();
             for (PoolAction &action : poolActions)
-                std::visit([this](auto &&order) { carryOut(std::move(order)); }, std::move(action));
+                std::visit([this](auto &order) { carryOut(std::move(order)); }, action);
             for (RouterAction &action : routerActions)
-                std::visit([this](auto &&order) { carryOut(std::move(order)); }, std::move(action));
+                std::visit([this](auto &order) { carryOut(std::move(order)); }, action);
         }
         isFlushing_ = false;
         printNotes();
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -49,13 +49,13 @@
     used_.milliCores += run.demand.milliCores;
     used_.memoryMb += run.demand.memoryMb;
     used_.accelerators += run.demand.accelerators;
-    runs_.insert_or_assign(task, std::move(run));
+    runs_.insert_or_assign(task, run);
 }
 
 Run LeasedServer::remove(const std::string &task)
 {
     const auto found = runs_.find(task);
-    Run run = std::move(found->second);
+    const Run run = found->second;
     used_.milliCores -= run.demand.milliCores;
     used_.memoryMb -= run.demand.memoryMb;
     used_.accelerators -= run.demand.accelerators;
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -39,26 +39,13 @@
     void placeQueued(Time now);
     std::vector<ServiceLoad> load(Time now) const;
 
-    PoolOptions options_;
-    std::vector<PoolAction> actions_;
-    std::vector<PoolNote> notes_;
-    PoolCounters counters_;
-    bool isDraining_ = false;
+private:
+    friend class Pool;
 
     using Server = pool::LeasedServer;
     using Job = pool::Job;
     using JobNumber = pool::JobNumber;
 
-    std::map<std::string, Server> servers_; // by id
-    pool::RunTimeModel model_;
-    ShardGrants grants_;
-    std::unordered_map<JobNumber, Job> jobs_;
-    std::map<JobTicket, JobNumber> jobsByTicket_;
-    std::multimap<std::string, JobNumber> jobsById_; // several parts of one job
-    JobNumber nextJob_ = 1;
-    bool isPlacementDue_ = false;
-
-private:
     // Speed of a service: mean logarithm of run time over prediction on its servers, and the ratio
     // on its faster servers.
     struct ServiceSpeed
@@ -149,6 +136,20 @@
     bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
     bool isAllowed(const Server &server, const Job &job, const pool::Task &task) const;
     void order(Server &server, Job &job, size_t task, Time now);
+    PoolOptions options_;
+    std::vector<PoolAction> actions_;
+    std::vector<PoolNote> notes_;
+    PoolCounters counters_;
+    bool isDraining_ = false;
+
+    std::map<std::string, Server> servers_; // by id
+    pool::RunTimeModel model_;
+    ShardGrants grants_;
+    std::unordered_map<JobNumber, Job> jobs_;
+    std::map<JobTicket, JobNumber> jobsByTicket_;
+    std::multimap<std::string, JobNumber> jobsById_; // several parts of one job
+    JobNumber nextJob_ = 1;
+    bool isPlacementDue_ = false;
 };
 
 } // namespace lovage
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -147,7 +147,7 @@
 // One part, unless the best pool has no room for all tasks at once and others have.
 std::vector<Router::Part> Router::divide(const JobOffer &offer, Time now)
 {
-    const std::vector<Part> whole {{0, 0}};
+    std::vector<Part> whole {{0, 0}};
     auto pools = candidates(offer, {}, now);
     const Step &step = offer.job.steps.front();
     const bool isDivisible = offer.job.steps.size() == 1 && step.maxPerServer == 0 && !step.sameRack
