Make the linter pass on the new tests

Cause: copies of loop variables and a vector that grows in a loop.

Change: references and a reserved capacity; the checks are the same.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -87,7 +87,7 @@
 BOOST_AUTO_TEST_CASE(unsupported_jobs_are_refused_as_impossible)
 {
     BOOST_REQUIRE(decodeJob("0123456789abcdef", jobWith("")).has_value());
-    for (const std::string field :
+    for (const char *field :
          {R"(,"gang":true)", R"(,"speculative":true)", R"(,"long_running":true)",
           R"(,"fills":true)", R"(,"target_ms":10)", R"(,"may_miss":1)"}) {
         const auto job = decodeJob("0123456789abcdef", jobWith(field));
@@ -102,7 +102,7 @@
 
 BOOST_AUTO_TEST_CASE(malformed_jobs_are_refused)
 {
-    for (const std::string body :
+    for (const std::string &body :
          {std::string("{"), std::string(R"({"spec":"p","best_effort":true,"steps":[]})"),
           jobWith(R"(,"after":[0])"), jobWith(R"(,"after":[-1])"), jobWith(R"(,"mem_mb":"x")"),
           replaced(jobWith(""), "\"count\":2", "\"count\":0"),
--- a/tests/pool_load_test.cpp
+++ b/tests/pool_load_test.cpp
@@ -54,6 +54,7 @@
     world.begin();
     DayResult result;
     std::vector<Time> next;
+    next.reserve(kinds.size());
     for (const Kind &kind : kinds)
         next.push_back(world.now
                        + Duration(static_cast<int64_t>(
