Let the test of a lost start fail when the start goes elsewhere at once

Cause: with the mechanism taken out, start_without_answer_does_not_run_twice passed: its tasks ended when the answer counted as lost, so nothing could overlap. Only the random test turned red.

Figures: with the mechanism the test passes; without it this test and random_faults_start_no_task_twice fail. Two further mutations (leaving servers, repeated ids) turn their test red. No product code changes.

--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -33,6 +33,8 @@
 // Guards against a second start elsewhere while the first one may still run.
 BOOST_FIXTURE_TEST_CASE(start_without_answer_does_not_run_twice, TwoServers)
 {
+    // Longer than the time after which an answer counts as lost, so that the first run goes on.
+    workOf = [](const std::string &) { return Duration(milliseconds(300)); };
     size_t orders = 0;
     fate = [&](const std::string &) {
         OrderFate fate;
