--- a/include/lovage/job.h
+++ b/include/lovage/job.h
@@ -19,16 +19,27 @@
     std::string dataRack {};        // tasks run slower on any other rack; empty for none
     uint32_t maxPerServer = 0;      // tasks of this step on one backend server at a time; 0 for any
     bool sameRack = false;          // tasks run slower when they are spread over racks
+    bool isGang = false;            // the tasks work only together and end together
+    bool isEndless = false;         // the tasks run until the job is cancelled
+    // The tasks get the cores that others leave unused; their demand does not count as occupied.
+    bool usesSpareCores = false;
+    // The tasks answer users of their own, whose response times others must not disturb.
+    bool isServing = false;
 
     auto operator<=>(const Step &) const = default;
 };
 
-// A job that is answered on the caller's connection and kept nowhere else.
+// A job as its caller submits it.
 struct JobSpec
 {
     std::string id;      // chosen by the caller
     std::string payload; // handed to every task
     std::vector<Step> steps;
+    // Stored jobs outlive the caller's connection; others are answered on it and kept nowhere else.
+    bool isStored = false;
+    uint32_t repeatCount = 0;   // of a stored job: how often the steps run; 0: once, at once
+    int64_t firstDueMs = 0;     // Unix time of the first repetition
+    Duration repeatInterval {}; // between the times at which two repetitions are due
 
     auto operator<=>(const JobSpec &) const = default;
 };
--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -2,6 +2,7 @@
 // peers and with the ports to servers and the store that an adapter provides.
 #pragma once
 
+#include "lovage/keeper.h"
 #include "lovage/net.h"
 #include "lovage/routing.h"
 #include "lovage/settings.h"
@@ -30,6 +31,9 @@
     Duration stopTime = std::chrono::milliseconds(50);     // a server stops a task within it
     Duration groupLease = std::chrono::milliseconds(1000); // shortest one of a group member
     Duration stopLimit = std::chrono::seconds(6); // the process is killed so long after SIGTERM
+    Duration jobRetention = std::chrono::seconds(120);   // stored jobs are known so long after
+                                                         // they have ended
+    Duration journalHistory = std::chrono::seconds(300); // the store drops older records
     LogLevel logLevel = LogLevel::Info;
 
     auto operator<=>(const NodeSettings &) const = default;
@@ -54,7 +58,7 @@
     virtual void look(const OrderLook &order, LookAnswer done) = 0;
 };
 
-// The store's group of holders of this data centre.
+// A group of the store whose members share numbered partitions.
 class GroupPort
 {
 public:
@@ -64,16 +68,44 @@
     virtual void leave(std::function<void(Result<void>)> done) = 0;
 };
 
-// Single-threaded: everything is called, and calls back, on thread 0 of the I/O threads. Ports must
-// outlive the node.
+// The journal of stored jobs. Every call but trim and announce is answered by one call of its
+// callback on the node's thread. Error Fenced: the epoch is not the latest of the partition.
+class JournalPort
+{
+public:
+    virtual ~JournalPort() = default;
+    // Returns the end of the partition.
+    virtual void open(uint32_t partition, uint64_t epoch,
+                      std::function<void(Result<uint64_t>)> done) = 0;
+    virtual void read(uint32_t partition, uint64_t from,
+                      std::function<void(Result<JournalPage>)> done) = 0;
+    // Returns the offset of the first record.
+    virtual void append(const AppendRecords &records,
+                        std::function<void(Result<uint64_t>)> done) = 0;
+    virtual void trim(uint32_t partition, uint64_t before) = 0;
+    // Lets every VM know that stored jobs exist, by Node::setStoredJobsExist.
+    virtual void announce() = 0;
+};
+
+// What an adapter provides. Ports must outlive the node.
+struct NodePorts
+{
+    ServerPort &servers;
+    GroupPort &holders; // of the servers of this data centre
+    GroupPort &keepers; // of the journal's partitions
+    JournalPort &journal;
+};
+
+// Single-threaded: everything is called, and calls back, on thread 0 of the I/O threads.
 class Node
 {
 public:
     using Respond = std::function<void(const JobAnswer &)>;
+    // An error says whether the job may have been stored, or cancelled.
+    using StoredRespond = std::function<void(const Result<KeeperAnswer> &)>;
 
     static Result<std::unique_ptr<Node>> open(NodeSettings settings, IoThreads &threads,
-                                              ServerPort &servers, GroupPort &group,
-                                              Metrics &metrics);
+                                              const NodePorts &ports, Metrics &metrics);
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
@@ -91,6 +123,14 @@
     // The caller has closed its connection.
     void withdraw(uint64_t number);
 
+    // Stored jobs. Each call is answered once, at the latest after the deadline.
+    void storeJob(JobSpec job, const Queue &queue, Duration deadline, StoredRespond respond);
+    void queryJob(const std::string &job, Duration deadline, StoredRespond respond);
+    void cancelJob(const std::string &job, Duration deadline, StoredRespond respond);
+    // Jobs of the queue none of whose tasks has been started; some tenths of a second old.
+    uint32_t pendingJobs(const std::string &queue) const;
+    void setStoredJobsExist();
+
     // Whether the servers of the data centre must be followed, because this VM holds shards or is
     // about to.
     bool needsServers() const;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -78,6 +78,53 @@
     auto operator<=>(const JobAnswer &) const = default;
 };
 
+// One run of a task of a stored job that is to be started.
+struct TaskStart
+{
+    uint32_t index = 0; // of the task within its step
+    uint32_t run = 0;
+    std::string checkpoint {}; // to go on from; empty for none
+
+    auto operator<=>(const TaskStart &) const = default;
+};
+
+// The VM that keeps a stored job: only the holder of the job's partition of the journal may have
+// its tasks started, and the epoch of that hold only rises.
+struct KeeperRef
+{
+    std::string vm;
+    uint64_t incarnation = 0;
+    uint32_t partition = 0;
+    uint64_t epoch = 0;
+
+    auto operator<=>(const KeeperRef &) const = default;
+};
+
+// Tasks of one step of a stored job. What cannot start at once is given back.
+struct TaskBatch
+{
+    KeeperRef keeper;
+    std::string job;
+    std::string payload;
+    std::string queue;
+    std::string service;
+    Step step;
+    uint32_t stepNumber = 0;
+    uint32_t occurrence = 0;
+    std::vector<TaskStart> tasks;
+
+    auto operator<=>(const TaskBatch &) const = default;
+};
+
+// Ends the runs of a stored job.
+struct StopJob
+{
+    KeeperRef keeper;
+    std::string job;
+
+    auto operator<=>(const StopJob &) const = default;
+};
+
 // Names one run of a task on a server.
 struct RunRef
 {
@@ -95,7 +142,8 @@
     std::string address;
     uint64_t incarnation = 0;
     std::string payload;
-    int64_t leaseUntilMs = 0; // on the server's clock
+    std::string checkpoint {}; // to go on from; empty for none
+    int64_t leaseUntilMs = 0;  // on the server's clock
     uint64_t token = 0;
 };
 struct OrderStop
@@ -115,7 +163,6 @@
     Duration wait {};         // the answer waits for an end for so long
     Duration timeout {};      // no answer by then counts as lost
 };
-using PoolAction = std::variant<OrderStart, OrderStop, OrderLook, JobAnswer>;
 
 // What a server said to an order.
 enum class OrderResult {
@@ -142,11 +189,35 @@
 
 enum class RunEnd { Succeeded, Failed, Stopped, Lapsed, Broken };
 
+std::string_view toString(RunEnd end);
+
+// What became of a run of a stored job. Repeated until the keeper confirms it; the server is told
+// to forget an end only then.
+struct TaskOutcome
+{
+    enum class Kind {
+        NotStarted, // and never will
+        Lost,       // does not run any more; no end was listed
+        Ended,
+    };
+
+    std::string task; // text form of TaskName
+    uint32_t run = 0;
+    Kind kind = Kind::NotStarted;
+    RunEnd end = RunEnd::Stopped;
+    std::string checkpoint {};
+
+    auto operator<=>(const TaskOutcome &) const = default;
+};
+
+using PoolAction = std::variant<OrderStart, OrderStop, OrderLook, JobAnswer, TaskOutcome>;
+
 struct RunningRow
 {
     std::string task;
     uint32_t run = 0;
     uint32_t percent = 0; // of its work that is done
+    std::string checkpoint {};
 
     auto operator<=>(const RunningRow &) const = default;
 };
@@ -156,6 +227,7 @@
     std::string task;
     uint32_t run = 0;
     RunEnd end = RunEnd::Failed;
+    std::string checkpoint {};
 
     auto operator<=>(const EndedRow &) const = default;
 };
@@ -231,6 +303,7 @@
     uint64_t looksUnanswered = 0;
     uint64_t serversLost = 0; // to a higher token
     uint64_t runsLost = 0;    // lapsed or vanished
+    uint64_t outcomes = 0;    // of runs of stored jobs
 };
 
 // A line for the log: a decision with the inputs that led to it.
@@ -266,6 +339,15 @@
     // Same for all jobs of a VM; of all its incarnations but the given one, if that is not 0.
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
 
+    // From now on ends that this pool knows nothing of are reported before they are acknowledged.
+    void expectStoredJobs();
+    void startBatch(TaskBatch batch, Time now);
+    void stopJob(const StopJob &stop, Time now);
+    // A VM has become the keeper of a partition: what an earlier one had started is stopped.
+    void noteKeeper(uint32_t partition, uint64_t epoch, Time now);
+    // The keeper has stored what it needs of the outcome.
+    void confirmOutcome(const std::string &task, uint32_t run, Time now);
+
     void onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
                          Time now);
     void onStopAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -24,6 +24,93 @@
     auto operator<=>(const VmInfo &) const = default;
 };
 
+// How the queue of a stored job runs it; taken over when the job is accepted.
+struct QueueTerms
+{
+    std::string queue;
+    std::string service;
+    uint32_t priority = 0;
+    uint32_t attempts = 1;
+
+    auto operator<=>(const QueueTerms &) const = default;
+};
+
+// A caller's request about a stored job, for the keeper of its partition. Requests are repeated
+// until they are answered; each has the same effect however often it arrives.
+struct CallerRef
+{
+    std::string vm; // with the connection
+    uint64_t incarnation = 0;
+    uint64_t number = 0;
+
+    auto operator<=>(const CallerRef &) const = default;
+};
+struct StoreJob
+{
+    CallerRef caller;
+    JobSpec job;
+    QueueTerms terms;
+
+    auto operator<=>(const StoreJob &) const = default;
+};
+struct QueryJob
+{
+    CallerRef caller;
+    std::string job;
+
+    auto operator<=>(const QueryJob &) const = default;
+};
+struct CancelJob
+{
+    CallerRef caller;
+    std::string job;
+
+    auto operator<=>(const CancelJob &) const = default;
+};
+using KeeperRequest = std::variant<StoreJob, QueryJob, CancelJob>;
+
+const CallerRef &callerOf(const KeeperRequest &request);
+const std::string &jobIdOf(const KeeperRequest &request);
+
+enum class JobState { Queued, Running, Completed, Failed, Cancelled };
+
+std::string_view toString(JobState state);
+
+struct KeeperAnswer
+{
+    enum class Kind {
+        Stored,      // the job is in the journal
+        State,       // see state
+        Cancelled,   // no task of it will start any more
+        Unknown,     // no such job
+        Unavailable, // nothing was stored; not the keeper, or the store is out of reach
+    };
+
+    CallerRef caller;
+    Kind kind = Kind::Unavailable;
+    JobState state = JobState::Queued;
+
+    auto operator<=>(const KeeperAnswer &) const = default;
+};
+
+// A partition of the journal that a VM holds, and since when.
+struct PartitionClaim
+{
+    uint32_t partition = 0;
+    uint64_t epoch = 0;
+
+    auto operator<=>(const PartitionClaim &) const = default;
+};
+
+// Stored jobs of a queue that wait for their first task to start.
+struct QueueBacklog
+{
+    std::string queue;
+    uint32_t jobs = 0;
+
+    auto operator<=>(const QueueBacklog &) const = default;
+};
+
 // Sent to peers at a fixed interval and after changes. Carries liveness and the load of the pool.
 struct VmReport
 {
@@ -34,6 +121,11 @@
     uint64_t configurationVersion = 0;
     uint32_t knownServers = 0; // of its data centre; 0 if it does not follow them
     std::vector<ServiceLoad> loads;
+    // VMs that were lost lately. One that hears this although it is alive gives up the sender's
+    // work: the link between them is cut in one direction, and the sender has given it up too.
+    std::vector<std::string> lostVms {};
+    std::vector<PartitionClaim> claims {};
+    std::vector<QueueBacklog> backlog {}; // of the partitions it keeps
 
     auto operator<=>(const VmReport &) const = default;
 };
@@ -79,8 +171,43 @@
 
     auto operator<=>(const ConfigurationMessage &) const = default;
 };
-using VmMessage = std::variant<VmReport, OfferMessage, AnswerMessage, WithdrawMessage,
-                               IntroductionMessage, ConfigurationRequest, ConfigurationMessage>;
+// Between VMs with callers, keepers of stored jobs, and pools.
+struct KeeperRequestMessage
+{
+    KeeperRequest request;
+
+    auto operator<=>(const KeeperRequestMessage &) const = default;
+};
+struct BatchMessage
+{
+    TaskBatch batch;
+
+    auto operator<=>(const BatchMessage &) const = default;
+};
+struct StopJobMessage
+{
+    StopJob stop;
+
+    auto operator<=>(const StopJobMessage &) const = default;
+};
+struct OutcomeMessage
+{
+    std::string vm; // of the pool
+    TaskOutcome outcome;
+
+    auto operator<=>(const OutcomeMessage &) const = default;
+};
+struct ConfirmOutcome
+{
+    std::string task;
+    uint32_t run = 0;
+
+    auto operator<=>(const ConfirmOutcome &) const = default;
+};
+using VmMessage =
+        std::variant<VmReport, OfferMessage, AnswerMessage, WithdrawMessage, IntroductionMessage,
+                     ConfigurationRequest, ConfigurationMessage, KeeperRequestMessage, KeeperAnswer,
+                     BatchMessage, StopJobMessage, OutcomeMessage, ConfirmOutcome>;
 
 std::string encodeMessage(const VmMessage &message);
 // Error DecodeFailed for anything that is not exactly one message.
@@ -114,7 +241,9 @@
     void noteUnreachable(const std::string &vm, Time now);
     // Removes VMs that are lost and returns their names.
     std::vector<std::string> removeLost(Time now);
-    void remove(const std::string &vm) { rows_.erase(vm); }
+    void remove(const std::string &vm, Time now);
+    // VMs that were lost lately and have not been heard since.
+    std::vector<std::string> lostLately(Time now) const;
 
     bool isHeard(const Row &row, Time now) const;
     const Row *find(const std::string &vm) const;
@@ -126,8 +255,21 @@
     VmTableOptions options_;
     VmInfo self_;
     std::map<std::string, Row> rows_; // by name, without this VM
+    std::map<std::string, Time> lostAt_;
 };
 
+// A pool with servers of a service, as this VM knows it.
+struct PoolView
+{
+    std::string vm;
+    ServiceLoad *load = nullptr;
+    bool isNear = false; // in this data centre
+};
+
+// The pools that take work for the service now, that of this VM first.
+std::vector<PoolView> poolsFor(const std::string &service, std::vector<ServiceLoad> &ownLoads,
+                               VmTable &vms, Time now);
+
 struct RouterOptions
 {
     size_t maxOffers = 3; // pools that are asked for one job
--- /dev/null
+++ b/src/keeper/keeper.cpp
@@ -0,0 +1,330 @@
+// Requests about stored jobs, outcomes of their runs, and the partitions of this VM.
+#include "lovage/keeper.h"
+
+#include "partition.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lovage {
+
+using keeper::StoredJob;
+using keeper::StoredTask;
+
+namespace {
+
+// A VM that was asked to stop a closed job's runs is asked again until it reports their ends.
+constexpr Duration stopRepeat = std::chrono::milliseconds(200);
+// Before work without an end is started again.
+constexpr Duration endlessPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+JobKeeper::JobKeeper(KeeperOptions options, VmTable &vms) : options_(options), vms_(vms) { }
+
+JobKeeper::~JobKeeper() = default;
+
+void JobKeeper::note(std::string event, const std::string &job, std::string details)
+{
+    notes_.push_back({std::move(event), job, std::move(details)});
+}
+
+JobKeeper::Partition *JobKeeper::partitionOf(std::string_view job)
+{
+    const auto found = partitions_.find(shardOf(job, options_.partitions));
+    return found == partitions_.end() ? nullptr : found->second.get();
+}
+
+void JobKeeper::setPartitions(const std::vector<uint32_t> &partitions, uint64_t generation,
+                              Time now)
+{
+    std::erase_if(partitions_, [&](const auto &entry) {
+        const bool isKept =
+                std::find(partitions.begin(), partitions.end(), entry.first) != partitions.end()
+                && (entry.second->stage() != Partition::Stage::Lost
+                    || entry.second->epoch() >= generation);
+        if (!isKept)
+            note("partition-released", {},
+                 fmt::format("partition={} epoch={}", entry.first, entry.second->epoch()));
+        return !isKept;
+    });
+    for (const uint32_t number : partitions) {
+        if (partitions_.contains(number))
+            continue;
+        partitions_.emplace(number, std::make_unique<Partition>(number, generation));
+        note("partition-taken", {}, fmt::format("partition={} epoch={}", number, generation));
+    }
+}
+
+void JobKeeper::giveUpLease(Time now)
+{
+    if (partitions_.empty())
+        return;
+    note("keeper-lease-lost", {}, fmt::format("partitions={}", partitions_.size()));
+    for (auto &[number, partition] : partitions_) {
+        for (auto &[id, job] : partition->jobs()) {
+            const KeeperRef self {vms_.self().name, vms_.self().incarnation, number,
+                                  partition->epoch()};
+            for (const std::string &vm : job.pools())
+                actions_.emplace_back(SendStopJob {vm, {self, id}});
+        }
+    }
+    partitions_.clear();
+}
+
+void JobKeeper::answer(const CallerRef &caller, KeeperAnswer::Kind kind, JobState state)
+{
+    actions_.emplace_back(KeeperAnswer {caller, kind, state});
+}
+
+// Whether no other keeper can have taken the partition.
+bool JobKeeper::mayAct(const Partition &partition, Time now) const
+{
+    return partition.isServing() && now < leaseUntil_;
+}
+
+void JobKeeper::onRequest(KeeperRequest request, Time now)
+{
+    Partition *partition = partitionOf(jobIdOf(request));
+    if (!partition || !mayAct(*partition, now)) {
+        answer(callerOf(request), KeeperAnswer::Kind::Unavailable);
+        return;
+    }
+    std::visit([&](auto &alternative) { handle(std::move(alternative), now); }, request);
+}
+
+void JobKeeper::handle(StoreJob request, Time now)
+{
+    Partition &partition = *partitionOf(request.job.id);
+    const KeeperAnswer stored {request.caller, KeeperAnswer::Kind::Stored};
+    if (partition.find(request.job.id)) {
+        actions_.emplace_back(stored);
+        return;
+    }
+    if (partition.isPending(request.job.id))
+        return; // the caller's VM asks again
+    note("job-stored", request.job.id,
+         fmt::format("queue={} tasks={} partition={} epoch={}", request.terms.queue,
+                     taskCount(request.job), partition.number(), partition.epoch()));
+    JobAccepted record {toUnixMillis(now), partition.epoch(), std::move(request.job),
+                        std::move(request.terms)};
+    partition.write(std::move(record), stored);
+}
+
+void JobKeeper::handle(const QueryJob &request, Time now)
+{
+    Partition &partition = *partitionOf(request.job);
+    const StoredJob *job = partition.find(request.job);
+    if (job)
+        answer(request.caller, KeeperAnswer::Kind::State, job->state());
+    else if (!partition.isPending(request.job))
+        answer(request.caller, KeeperAnswer::Kind::Unknown);
+}
+
+void JobKeeper::handle(const CancelJob &request, Time now)
+{
+    Partition &partition = *partitionOf(request.job);
+    StoredJob *job = partition.find(request.job);
+    if (!job) {
+        if (!partition.isPending(request.job))
+            answer(request.caller, KeeperAnswer::Kind::Unknown);
+        return;
+    }
+    if (job->isClosed()) {
+        answer(request.caller, KeeperAnswer::Kind::Cancelled, job->state());
+        return;
+    }
+    note("job-cancelled", request.job, fmt::format("begun={}", job->isBegun));
+    partition.write(
+            JobCancelled {toUnixMillis(now), request.job},
+            KeeperAnswer {request.caller, KeeperAnswer::Kind::Cancelled, JobState::Cancelled});
+}
+
+void JobKeeper::onOpened(uint32_t partition, uint64_t epoch, const Result<uint64_t> &end, Time now)
+{
+    const auto found = partitions_.find(partition);
+    if (found != partitions_.end() && found->second->epoch() == epoch)
+        found->second->onOpened(end, now);
+}
+
+void JobKeeper::onRead(uint32_t partition, uint64_t epoch, const Result<JournalPage> &page,
+                       Time now)
+{
+    const auto found = partitions_.find(partition);
+    if (found == partitions_.end() || found->second->epoch() != epoch)
+        return;
+    found->second->onRead(page, options_.takeover, now);
+    if (found->second->isServing())
+        note("partition-served", {},
+             fmt::format("partition={} epoch={} jobs={}", partition, epoch,
+                         found->second->jobs().size()));
+}
+
+void JobKeeper::onAppended(uint32_t partition, uint64_t epoch, const Result<uint64_t> &offset,
+                           Time now)
+{
+    const auto found = partitions_.find(partition);
+    if (found != partitions_.end() && found->second->epoch() == epoch)
+        found->second->onAppended(offset, now);
+    isPlacementDue_ = true;
+}
+
+void JobKeeper::onOutcome(const std::string &vm, const TaskOutcome &outcome, Time now)
+{
+    const auto name = parseTaskName(outcome.task);
+    Partition *partition = name ? partitionOf(name->job) : nullptr;
+    if (!partition || !partition->isServing())
+        return; // the pool reports it again
+    const ConfirmOutcome confirm {outcome.task, outcome.run};
+    StoredJob *job = partition->find(name->job);
+    StoredTask *task = job ? job->find(*name) : nullptr;
+    if (!task || task->isDone) {
+        actions_.emplace_back(SendConfirm {vm, confirm});
+        if (task && outcome.run >= task->lastRun)
+            task->pool.clear();
+        return;
+    }
+    if (outcome.kind == TaskOutcome::Kind::Ended)
+        job->isBegun = true;
+    if (!outcome.checkpoint.empty())
+        task->checkpoint = outcome.checkpoint;
+    const bool isLatest = outcome.run >= task->lastRun;
+    const bool isEndless = job->spec().steps[name->step].isEndless;
+    const bool isWritten = outcome.kind == TaskOutcome::Kind::Ended && !isEndless
+            && (outcome.end == RunEnd::Succeeded || outcome.end == RunEnd::Failed
+                || (isLatest && !outcome.checkpoint.empty()));
+    note("outcome", name->job,
+         fmt::format("task={} run={} vm={} kind={} end={} written={}", outcome.task, outcome.run,
+                     vm, static_cast<int>(outcome.kind), toString(outcome.end), isWritten));
+    if (isWritten) {
+        if (task->isEndPending && isLatest && outcome.run == task->pendingRun)
+            return; // being written; the pool will be told
+        task->isEndPending = true;
+        task->pendingRun = outcome.run;
+        partition->write(
+                TaskEnded {toUnixMillis(now), *name, outcome.run, outcome.end, outcome.checkpoint},
+                Partition::Confirmation {vm, confirm});
+        return;
+    }
+    if (isLatest) {
+        task->lastRun = outcome.run;
+        task->pool.clear();
+        task->presumedEnded = Time::max();
+        if (outcome.kind == TaskOutcome::Kind::NotStarted)
+            job->noteRefusal(vm, now);
+        if (isEndless && outcome.kind == TaskOutcome::Kind::Ended) {
+            task->notBefore = now + endlessPause;
+            partition->wakeAt(task->notBefore, name->job);
+        }
+        partition->refresh(name->job, now);
+    }
+    actions_.emplace_back(SendConfirm {vm, confirm});
+}
+
+void JobKeeper::onBatchUnsent(const std::string &vm, const TaskBatch &batch, Time now)
+{
+    for (const TaskStart &start : batch.tasks) {
+        const TaskName name {batch.job, batch.occurrence, batch.stepNumber, start.index};
+        onOutcome(vm, {toString(name), start.run, TaskOutcome::Kind::NotStarted}, now);
+    }
+}
+
+void JobKeeper::onVmLost(const std::string &vm, Time now)
+{
+    for (auto &[number, partition] : partitions_) {
+        for (auto &[id, job] : partition->jobs()) {
+            bool isConcerned = false;
+            for (auto &[occurrenceNumber, occurrence] : job.occurrences()) {
+                for (keeper::StepState &step : occurrence.steps) {
+                    for (StoredTask &task : step.tasks) {
+                        if (task.pool != vm || task.presumedEnded != Time::max())
+                            continue;
+                        task.presumedEnded = now + options_.lostRunTime;
+                        isConcerned = true;
+                    }
+                }
+            }
+            if (isConcerned)
+                partition->wakeAt(now + options_.lostRunTime, id);
+        }
+    }
+}
+
+void JobKeeper::tick(Time now)
+{
+    for (auto &[number, partition] : partitions_) {
+        partition->tick(options_, now);
+        stopClosed(*partition, now);
+    }
+    isPlacementDue_ = true;
+}
+
+// Ends what still runs of jobs that were cancelled or have failed.
+void JobKeeper::stopClosed(Partition &partition, Time now)
+{
+    for (auto job = partition.stopping().begin(); job != partition.stopping().end();) {
+        StoredJob *closed = partition.find(*job);
+        const auto pools = closed ? closed->pools() : std::vector<std::string> {};
+        if (pools.empty()) {
+            job = partition.stopping().erase(job);
+            continue;
+        }
+        if (now >= closed->stopRepeatAt) {
+            closed->stopRepeatAt = now + stopRepeat;
+            const KeeperRef self {vms_.self().name, vms_.self().incarnation, partition.number(),
+                                  partition.epoch()};
+            for (const std::string &vm : pools)
+                actions_.emplace_back(SendStopJob {vm, {self, *job}});
+        }
+        ++job;
+    }
+}
+
+std::vector<KeeperAction> JobKeeper::takeActions(Time now)
+{
+    for (auto &[number, partition] : partitions_) {
+        for (Partition::Reply &reply : partition->takeReplies()) {
+            if (auto *answer = std::get_if<KeeperAnswer>(&reply))
+                actions_.emplace_back(std::move(*answer));
+            else if (auto *confirmation = std::get_if<Partition::Confirmation>(&reply))
+                actions_.emplace_back(SendConfirm {confirmation->vm, confirmation->confirm});
+        }
+        while (auto call = partition->nextCall(now))
+            actions_.push_back(std::move(*call));
+    }
+    if (isPlacementDue_)
+        placeWaiting(now);
+    return std::exchange(actions_, {});
+}
+
+std::vector<PartitionClaim> JobKeeper::claims() const
+{
+    std::vector<PartitionClaim> claims;
+    for (const auto &[number, partition] : partitions_) {
+        if (partition->stage() != Partition::Stage::Lost)
+            claims.push_back({number, partition->epoch()});
+    }
+    return claims;
+}
+
+std::vector<QueueBacklog> JobKeeper::backlog() const
+{
+    std::map<std::string, uint32_t> queues;
+    for (const auto &[number, partition] : partitions_) {
+        for (const std::string &id : partition->unbegun())
+            ++queues[partition->jobs().at(id).terms().queue];
+    }
+    std::vector<QueueBacklog> backlog;
+    for (const auto &[queue, jobs] : queues)
+        backlog.push_back({queue, jobs});
+    return backlog;
+}
+
+bool JobKeeper::hasOpenJobs() const
+{
+    return std::any_of(partitions_.begin(), partitions_.end(),
+                       [](const auto &entry) { return entry.second->openCount() > 0; });
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/keeper/placement.cpp
@@ -0,0 +1,160 @@
+// Which waiting tasks of stored jobs are handed to which pool.
+#include "lovage/keeper.h"
+
+#include "partition.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lovage {
+
+using keeper::Occurrence;
+using keeper::StoredJob;
+using keeper::StoredTask;
+
+namespace {
+
+// Jobs that find no room in one pass; those behind them are not looked at.
+constexpr size_t maxMisses = 32;
+// Tasks in one batch.
+constexpr size_t maxBatchTasks = 200;
+// Work that occupies no cores is offered in batches of this size.
+constexpr size_t tasksWithoutCores = 20;
+
+std::vector<uint32_t> readyTasks(const std::vector<StoredTask> &tasks, Time now)
+{
+    std::vector<uint32_t> ready;
+    for (uint32_t index = 0; index < tasks.size(); ++index) {
+        const StoredTask &task = tasks[index];
+        if (!task.isDone && !task.isPlaced() && !task.isEndPending && task.notBefore <= now)
+            ready.push_back(index);
+    }
+    return ready;
+}
+
+size_t roomFor(const Step &step, const ServiceLoad &load)
+{
+    if (step.demand.milliCores == 0 || step.usesSpareCores)
+        return tasksWithoutCores;
+    return load.freeMilliCores / step.demand.milliCores;
+}
+
+} // namespace
+
+// Hands out waiting tasks in the order of their jobs' turns, over all partitions.
+void JobKeeper::placeWaiting(Time now)
+{
+    isPlacementDue_ = false;
+    std::vector<std::pair<Partition::Turn, Partition *>> turns;
+    for (auto &[number, partition] : partitions_) {
+        if (!mayAct(*partition, now) || now < partition->startsFrom())
+            continue;
+        size_t count = 0;
+        for (const Partition::Turn &turn : partition->waiting()) {
+            turns.emplace_back(turn, partition.get());
+            if (++count > maxMisses)
+                break;
+        }
+    }
+    std::sort(turns.begin(), turns.end());
+    PoolsByService pools;
+    size_t misses = 0;
+    for (auto &[turn, partition] : turns) {
+        misses += placeJob(*partition, turn.job, pools, now) ? 0 : 1;
+        if (misses > maxMisses)
+            return;
+    }
+}
+
+bool JobKeeper::placeJob(Partition &partition, const std::string &id, PoolsByService &pools,
+                         Time now)
+{
+    StoredJob *job = partition.find(id);
+    if (!job)
+        return true;
+    const std::string &service = job->terms().service;
+    auto found = pools.find(service);
+    if (found == pools.end())
+        found = pools.emplace(service, poolsFor(service, ownLoads_, vms_, now)).first;
+    bool isWhole = true;
+    if (!job->isClosed()) {
+        for (auto &[number, occurrence] : job->occurrences()) {
+            for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+                if (occurrence.steps[step].unfinished > 0 && job->isStepReady(occurrence, step))
+                    isWhole &= placeStep(partition, *job, number, step, found->second, now);
+            }
+        }
+    }
+    if (isWhole)
+        partition.refresh(id, now);
+    return isWhole;
+}
+
+// Returns whether every task that is ready was handed to a pool.
+bool JobKeeper::placeStep(Partition &partition, StoredJob &job, uint32_t occurrence, uint32_t step,
+                          std::vector<PoolView> &pools, Time now)
+{
+    const Step &spec = job.spec().steps[step];
+    auto &tasks = job.occurrences().at(occurrence).steps[step].tasks;
+    std::vector<uint32_t> ready = readyTasks(tasks, now);
+    // The members of a gang start together, so all of the last run must have ended.
+    if (ready.empty() || (spec.isGang && ready.size() < tasks.size()))
+        return ready.empty();
+    std::stable_sort(pools.begin(), pools.end(), [](const PoolView &left, const PoolView &right) {
+        return left.load->freeMilliCores > right.load->freeMilliCores;
+    });
+    for (const PoolView &pool : pools) {
+        const size_t room = std::min(roomFor(spec, *pool.load), maxBatchTasks);
+        if (ready.empty())
+            break;
+        if (room == 0 || job.isRefusedBy(pool.vm, now) || (spec.isGang && room < ready.size()))
+            continue;
+        const size_t count = std::min(room, ready.size());
+        const std::vector<uint32_t> chosen(ready.begin(), ready.begin() + static_cast<long>(count));
+        ready.erase(ready.begin(), ready.begin() + static_cast<long>(count));
+        const uint64_t used = uint64_t {spec.demand.milliCores} * count;
+        pool.load->freeMilliCores -= std::min(used, pool.load->freeMilliCores);
+        sendBatch(partition, job, {job.spec().id, occurrence, step, 0}, chosen, pool.vm);
+    }
+    return ready.empty();
+}
+
+void JobKeeper::sendBatch(Partition &partition, StoredJob &job, const TaskName &first,
+                          const std::vector<uint32_t> &indexes, const std::string &vm)
+{
+    TaskBatch batch;
+    batch.keeper = {vms_.self().name, vms_.self().incarnation, partition.number(),
+                    partition.epoch()};
+    batch.job = job.spec().id;
+    batch.payload = job.spec().payload;
+    batch.queue = job.terms().queue;
+    batch.service = job.terms().service;
+    batch.step = job.spec().steps[first.step];
+    batch.stepNumber = first.step;
+    batch.occurrence = first.occurrence;
+    auto &tasks = job.occurrences().at(first.occurrence).steps[first.step].tasks;
+    // One number for all, as the members of a gang need it.
+    uint32_t run = 0;
+    for (const uint32_t index : indexes)
+        run = std::max(run, job.nextRun(tasks[index], partition.epoch()));
+    std::string checkpoint;
+    for (const uint32_t index : indexes) {
+        StoredTask &task = tasks[index];
+        if (batch.step.isGang && !checkpoint.empty())
+            task.checkpoint = checkpoint;
+        checkpoint = task.checkpoint;
+        task.lastRun = run;
+        task.pool = vm;
+        task.presumedEnded = Time::max();
+        batch.tasks.push_back({index, run, task.checkpoint});
+    }
+    job.isBegun = true;
+    note("batch-sent", batch.job,
+         fmt::format("step={} occurrence={} tasks={} run={} vm={} partition={} epoch={}",
+                     first.step, first.occurrence, indexes.size(), run, vm, partition.number(),
+                     partition.epoch()));
+    actions_.emplace_back(SendBatch {vm, std::move(batch)});
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/keeper/stored_job.cpp
@@ -0,0 +1,214 @@
+#include "stored_job.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lovage::keeper {
+
+namespace {
+
+// Runs that one hold of a partition may start of one task.
+constexpr uint32_t runsPerEpochBits = 10;
+constexpr Duration refusalPause = std::chrono::milliseconds(100);
+
+} // namespace
+
+StoredJob::StoredJob(JobAccepted record, uint64_t offset)
+    : writtenAtMs(record.atMs), accepted_(std::move(record)), firstOffset_(offset)
+{
+    if (spec().repeatCount == 0)
+        occurrences_.emplace(0, makeOccurrence());
+}
+
+Occurrence StoredJob::makeOccurrence() const
+{
+    Occurrence occurrence;
+    for (const Step &step : spec().steps) {
+        occurrence.steps.push_back({std::vector<StoredTask>(step.count), step.count});
+        ++occurrence.unfinishedSteps;
+    }
+    return occurrence;
+}
+
+JobState StoredJob::state() const
+{
+    if (isClosed())
+        return closedAs_;
+    return isBegun ? JobState::Running : JobState::Queued;
+}
+
+void StoredJob::close(JobState state, int64_t atMs)
+{
+    closedAs_ = state;
+    closedAtMs_ = std::max<int64_t>(atMs, 1);
+}
+
+StoredTask *StoredJob::find(const TaskName &name)
+{
+    const auto occurrence = occurrences_.find(name.occurrence);
+    if (occurrence == occurrences_.end() || name.step >= occurrence->second.steps.size()
+        || name.index >= occurrence->second.steps[name.step].tasks.size())
+        return nullptr;
+    return &occurrence->second.steps[name.step].tasks[name.index];
+}
+
+void StoredJob::apply(const TaskEnded &record)
+{
+    isBegun = true;
+    const TaskName &name = record.task;
+    if (!occurrences_.contains(name.occurrence) && name.occurrence < spec().repeatCount)
+        occurrences_.emplace(name.occurrence, makeOccurrence());
+    StoredTask *task = find(name);
+    if (!task || isClosed())
+        return;
+    task->lastRun = std::max(task->lastRun, record.run);
+    if (!record.checkpoint.empty())
+        task->checkpoint = record.checkpoint;
+    Occurrence &occurrence = occurrences_.at(name.occurrence);
+    if (record.end == RunEnd::Succeeded) {
+        if (spec().steps[name.step].isGang) {
+            for (StoredTask &member : occurrence.steps[name.step].tasks)
+                completeTask(occurrence, name.step, member);
+        } else {
+            completeTask(occurrence, name.step, *task);
+        }
+        if (occurrence.unfinishedSteps == 0 && !occurrence.steps.empty()) {
+            occurrence.steps.clear();
+            ++completeOccurrences_;
+        }
+        if (completeOccurrences_ == std::max<uint32_t>(1, spec().repeatCount))
+            close(JobState::Completed, record.atMs);
+        return;
+    }
+    if (record.end != RunEnd::Failed || record.run <= task->lastFailedRun)
+        return;
+    task->lastFailedRun = record.run;
+    ++task->failures;
+    // The members of a gang have the same runs, and one of them stands for all.
+    uint32_t failures = task->failures;
+    if (spec().steps[name.step].isGang) {
+        failures = 0;
+        for (const StoredTask &member : occurrence.steps[name.step].tasks)
+            failures += member.failures;
+    }
+    if (failures >= terms().attempts)
+        close(JobState::Failed, record.atMs);
+}
+
+void StoredJob::completeTask(Occurrence &occurrence, uint32_t step, StoredTask &task)
+{
+    if (task.isDone)
+        return;
+    task.isDone = true;
+    if (--occurrence.steps[step].unfinished == 0)
+        --occurrence.unfinishedSteps;
+}
+
+void StoredJob::apply(const JobCancelled &record)
+{
+    if (!isClosed())
+        close(JobState::Cancelled, record.atMs);
+}
+
+std::optional<Time> StoredJob::openDue(Time now)
+{
+    const auto dueAt = [&](uint32_t number) {
+        return fromUnixMillis(spec().firstDueMs) + number * spec().repeatInterval;
+    };
+    for (uint32_t number = 0; number < spec().repeatCount; ++number) {
+        if (dueAt(number) > now)
+            return dueAt(number);
+        if (!occurrences_.contains(number))
+            occurrences_.emplace(number, makeOccurrence());
+    }
+    return std::nullopt;
+}
+
+bool StoredJob::isStepReady(const Occurrence &occurrence, uint32_t step) const
+{
+    const auto &after = spec().steps[step].after;
+    return std::all_of(after.begin(), after.end(),
+                       [&](uint32_t earlier) { return occurrence.steps[earlier].unfinished == 0; });
+}
+
+bool StoredJob::hasReadyTask(Time now) const
+{
+    if (isClosed())
+        return false;
+    for (const auto &[number, occurrence] : occurrences_) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].unfinished == 0 || !isStepReady(occurrence, step))
+                continue;
+            const auto &tasks = occurrence.steps[step].tasks;
+            if (std::any_of(tasks.begin(), tasks.end(), [&](const StoredTask &task) {
+                    return !task.isDone && !task.isPlaced() && !task.isEndPending
+                            && task.notBefore <= now;
+                }))
+                return true;
+        }
+    }
+    return false;
+}
+
+std::vector<std::string> StoredJob::pools() const
+{
+    std::set<std::string> pools;
+    for (const auto &[number, occurrence] : occurrences_) {
+        for (const StepState &step : occurrence.steps) {
+            for (const StoredTask &task : step.tasks) {
+                if (task.isPlaced())
+                    pools.insert(task.pool);
+            }
+        }
+    }
+    return {pools.begin(), pools.end()};
+}
+
+uint32_t StoredJob::nextRun(const StoredTask &task, uint64_t epoch) const
+{
+    const uint64_t holds = epoch > accepted_.epoch ? epoch - accepted_.epoch : 0;
+    const auto first = static_cast<uint32_t>(holds << runsPerEpochBits);
+    return std::max(task.lastRun, first) + 1;
+}
+
+void StoredJob::noteRefusal(const std::string &vm, Time now)
+{
+    refusedUntil_[vm] = now + refusalPause;
+}
+
+bool StoredJob::isRefusedBy(const std::string &vm, Time now) const
+{
+    const auto found = refusedUntil_.find(vm);
+    return found != refusedUntil_.end() && now < found->second;
+}
+
+std::vector<JournalRecord> StoredJob::rewritten() const
+{
+    std::vector<JournalRecord> records {accepted_};
+    for (const auto &[number, occurrence] : occurrences_) {
+        for (uint32_t step = 0; step < spec().steps.size(); ++step) {
+            for (uint32_t index = 0; index < spec().steps[step].count; ++index) {
+                const TaskName name {spec().id, number, step, index};
+                const StoredTask task = occurrence.steps.empty()
+                        ? StoredTask {true}
+                        : occurrence.steps[step].tasks[index];
+                TaskEnded ended {closedAtMs_, name, task.lastRun, RunEnd::Succeeded, {}};
+                if (task.isDone)
+                    records.emplace_back(ended);
+                ended.end = RunEnd::Failed;
+                for (uint32_t failure = 1; !task.isDone && failure <= task.failures; ++failure) {
+                    ended.run = task.lastFailedRun - task.failures + failure;
+                    records.emplace_back(ended);
+                }
+                if (!task.isDone && !task.checkpoint.empty())
+                    records.emplace_back(
+                            TaskEnded {0, name, task.lastRun, RunEnd::Stopped, task.checkpoint});
+            }
+        }
+    }
+    if (isClosed() && closedAs_ == JobState::Cancelled)
+        records.emplace_back(JobCancelled {closedAtMs_, spec().id});
+    return records;
+}
+
+} // namespace lovage::keeper
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,4 +1,5 @@
 #include "peers.h"
+#include "stored_jobs.h"
 
 #include "lovage/node.h"
 
@@ -55,12 +56,16 @@
 class Node::Implementation
 {
 public:
-    Implementation(const NodeSettings &settings, IoThreads &threads, ServerPort &servers,
-                   GroupPort &group, Metrics &metrics)
+    Implementation(const NodeSettings &settings, IoThreads &threads, const NodePorts &ports,
+                   Metrics &metrics)
         : started_(currentTime()), self_(vmInfo(settings, started_)), threads_(threads),
-          servers_(servers), group_(group), settings_(settings), vms_({}, self_), router_({}, vms_),
-          pool_(poolOptions(settings)), holderOptions_(holderOptions(settings)),
+          servers_(ports.servers), group_(ports.holders), settings_(settings), vms_({}, self_),
+          router_({}, vms_), pool_(poolOptions(settings)), holderOptions_(holderOptions(settings)),
           membership_(holderOptions_, started_),
+          storedJobs_(settings, vms_, pool_, ports.keepers, ports.journal,
+                      [this](const std::string &vm, const VmMessage &message) {
+                          peers_->send(vm, message);
+                      }),
           submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
           latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
     {
@@ -105,12 +110,27 @@
     void onVmLost(const std::string &vm, std::string_view cause)
     {
         logEvent(LogLevel::Warning, "vm-lost", {{"vm", vm}, {"cause", cause}});
-        vms_.remove(vm);
+        vms_.remove(vm, currentTime());
         router_.onVmLost(vm, currentTime());
         pool_.withdrawAll(vm, 0, currentTime());
+        storedJobs_.onVmLost(vm);
+        flush();
+    }
+    void onBatchUnsent(const std::string &vm, const TaskBatch &batch)
+    {
+        vms_.noteUnreachable(vm, currentTime());
+        storedJobs_.onBatchUnsent(vm, batch);
         flush();
     }
 
+    void request(KeeperRequest request, Duration deadline, Node::StoredRespond respond)
+    {
+        storedJobs_.request(std::move(request), deadline, std::move(respond));
+        flush();
+    }
+    uint32_t pendingJobs(const std::string &queue) const { return storedJobs_.pendingJobs(queue); }
+    void setStoredJobsExist() { storedJobs_.setExist(); }
+
     uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
     {
         submitted_.add();
@@ -154,6 +174,8 @@
         report.configurationVersion = configuration_.version;
         report.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
         report.loads = pool_.load(currentTime());
+        report.lostVms = vms_.lostLately(currentTime());
+        storedJobs_.describe(report);
         return report;
     }
 
@@ -209,7 +231,8 @@
 
     bool isDrained() const
     {
-        return isDraining_ && router_.openCount() == 0 && pool_.isIdle() && !membership_.isMember();
+        return isDraining_ && router_.openCount() == 0 && pool_.isIdle() && !membership_.isMember()
+                && !storedJobs_.isMember();
     }
 
     const Configuration *configuration() const
@@ -234,6 +257,12 @@
         const uint64_t incarnation = report.vm.incarnation;
         if (report.configurationVersion > configuration_.version)
             askForConfiguration(vm);
+        if (std::find(report.lostVms.begin(), report.lostVms.end(), self_.name)
+            != report.lostVms.end()) {
+            // The sender does not hear this VM, and has given up what it had asked for.
+            pool_.withdrawAll(vm, 0, currentTime());
+        }
+        storedJobs_.onReport(report);
         const auto news = vms_.note(std::move(report), currentTime());
         if (news == VmTable::News::New || news == VmTable::News::Restarted) {
             logEvent(LogLevel::Info, "vm-heard", {{"vm", vm}, {"incarnation", incarnation}});
@@ -243,6 +272,12 @@
             return;
         router_.onVmLost(vm, currentTime());
         pool_.withdrawAll(vm, incarnation, currentTime());
+        storedJobs_.onVmLost(vm);
+    }
+    template<class Message>
+    void onPeer(Message message)
+    {
+        storedJobs_.onPeer(std::move(message));
     }
     void onPeer(OfferMessage message) { pool_.offer(std::move(message.offer), currentTime()); }
     void onPeer(AnswerMessage message)
@@ -274,7 +309,7 @@
 
     void scheduleTick()
     {
-        const bool isBusy = router_.openCount() > 0 || !pool_.isIdle();
+        const bool isBusy = router_.openCount() > 0 || !pool_.isIdle() || storedJobs_.isBusy();
         threads_.postAfter(0, isBusy ? busyTick : idleTick, [this] { onTick(); });
     }
 
@@ -290,6 +325,8 @@
         pool_.tick(now);
         router_.tick(now);
         requestGroup(now);
+        storedJobs_.setEligible(!isDraining_ && storedJobs_.exist() && membership_.isMember());
+        storedJobs_.tick(now);
         flush();
         peers_->sendReports(report(), false);
         scheduleTick();
@@ -356,6 +393,7 @@
             const Time now = currentTime();
             auto poolActions = pool_.takeActions(now);
             auto routerActions = router_.takeActions();
+            storedJobs_.flush();
             isDone = poolActions.empty() && routerActions.empty();
             for (PoolAction &action : poolActions)
                 std::visit([this](auto &order) { carryOut(std::move(order)); }, action);
@@ -418,6 +456,7 @@
         const std::string vm = answer.ticket.vm;
         peers_->send(vm, AnswerMessage {self_.name, std::move(answer), pool_.load(currentTime())});
     }
+    void carryOut(const TaskOutcome &outcome) { storedJobs_.onOutcome(outcome); }
     void carryOut(SendOffer send)
     {
         if (send.vm == self_.name)
@@ -455,6 +494,7 @@
     Pool pool_;
     HolderOptions holderOptions_;
     ShardMembership membership_;
+    node::StoredJobs storedJobs_;
     std::unique_ptr<node::Peers> peers_;
     Configuration configuration_;
     bool hasConfiguration_ = false;
@@ -478,10 +518,9 @@
 Node::~Node() = default;
 
 Result<std::unique_ptr<Node>> Node::open(NodeSettings settings, IoThreads &threads,
-                                         ServerPort &servers, GroupPort &group, Metrics &metrics)
+                                         const NodePorts &ports, Metrics &metrics)
 {
-    auto implementation =
-            std::make_unique<Implementation>(settings, threads, servers, group, metrics);
+    auto implementation = std::make_unique<Implementation>(settings, threads, ports, metrics);
     const Result<void> opened = implementation->open();
     if (!opened.has_value())
         return opened.error();
@@ -518,6 +557,33 @@
     implementation_->withdraw(number);
 }
 
+void Node::storeJob(JobSpec job, const Queue &queue, Duration deadline, StoredRespond respond)
+{
+    QueueTerms terms {queue.name, queue.service, queue.priority, queue.attempts};
+    implementation_->request(StoreJob {{}, std::move(job), std::move(terms)}, deadline,
+                             std::move(respond));
+}
+
+void Node::queryJob(const std::string &job, Duration deadline, StoredRespond respond)
+{
+    implementation_->request(QueryJob {{}, job}, deadline, std::move(respond));
+}
+
+void Node::cancelJob(const std::string &job, Duration deadline, StoredRespond respond)
+{
+    implementation_->request(CancelJob {{}, job}, deadline, std::move(respond));
+}
+
+uint32_t Node::pendingJobs(const std::string &queue) const
+{
+    return implementation_->pendingJobs(queue);
+}
+
+void Node::setStoredJobsExist()
+{
+    implementation_->setStoredJobsExist();
+}
+
 bool Node::needsServers() const
 {
     return implementation_->needsServers();
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -78,8 +78,20 @@
     const auto to = row ? parseEndpoint(row->report.vm.address) : std::nullopt;
     if (to)
         frames_->send(*to, encodeMessage(message));
-    else if (const auto *offer = std::get_if<OfferMessage>(&message))
+    else
+        reportUnsent(vm, message);
+}
+
+// Returns whether the sender of the message has been told.
+bool Peers::reportUnsent(const std::string &vm, const VmMessage &message)
+{
+    if (const auto *offer = std::get_if<OfferMessage>(&message))
         handlers_.onOfferUnsent(vm, offer->offer);
+    else if (const auto *batch = std::get_if<BatchMessage>(&message))
+        handlers_.onBatchUnsent(vm, batch->batch);
+    else
+        return false;
+    return true;
 }
 
 // Frames that were never sent may go again; an offer goes elsewhere.
@@ -94,9 +106,7 @@
         const auto message = decodeMessage(frame);
         if (!message.has_value())
             continue;
-        if (const auto *offer = std::get_if<OfferMessage>(&message.value()))
-            handlers_.onOfferUnsent(*vm, offer->offer);
-        else if (lost.wasConnected)
+        if (!reportUnsent(*vm, message.value()) && lost.wasConnected)
             frames_->send(lost.to, frame);
     }
 }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -19,6 +19,7 @@
     {
         std::function<void(VmMessage)> onMessage;
         std::function<void(const std::string &vm, const JobOffer &offer)> onOfferUnsent;
+        std::function<void(const std::string &vm, const TaskBatch &batch)> onBatchUnsent;
         std::function<void(const std::string &vm, std::string_view cause)> onVmLost;
     };
 
@@ -32,6 +33,9 @@
                               [&owner](const std::string &vm, const JobOffer &offer) {
                                   owner.onOfferUnsent(vm, offer);
                               },
+                              [&owner](const std::string &vm, const TaskBatch &batch) {
+                                  owner.onBatchUnsent(vm, batch);
+                              },
                               [&owner](const std::string &vm, std::string_view cause) {
                                   owner.onVmLost(vm, cause);
                               }});
@@ -55,6 +59,7 @@
 
     Peers(const NodeSettings &settings, VmTable &vms, Handlers handlers);
     Result<void> listen(const NodeSettings &settings, IoThreads &threads);
+    bool reportUnsent(const std::string &vm, const VmMessage &message);
     void onFramesLost(const FrameClient::Lost &lost);
     void onBytes(std::string_view bytes);
     bool isHeard(const Endpoint &contact, Time now) const;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -49,6 +49,8 @@
     reader.readMillis("stopTimeMs", settings.stopTime, 1, maxMillis);
     reader.readMillis("groupLeaseMs", settings.groupLease, 1, maxMillis);
     reader.readSeconds("stopLimitS", settings.stopLimit, 0, maxSeconds);
+    reader.readSeconds("jobRetentionS", settings.jobRetention, 1, maxSeconds);
+    reader.readSeconds("journalHistoryS", settings.journalHistory, 1, maxSeconds);
     reader.readOneOf("logLevel", logLevel, {"debug", "info", "warning", "error"});
     settings.logLevel = parseLogLevel(logLevel).value_or(LogLevel::Info);
 }
--- /dev/null
+++ b/src/node/stored_jobs.cpp
@@ -0,0 +1,390 @@
+#include "stored_jobs.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace lovage::node {
+
+namespace {
+
+// A request that its keeper has not answered is sent again, maybe to another one.
+constexpr Duration requestRepeat = std::chrono::milliseconds(300);
+constexpr Duration unavailableRetry = std::chrono::milliseconds(50);
+// Without a keeper that can store, a new job is refused after this time.
+constexpr Duration refuseAfter = std::chrono::milliseconds(500);
+// The same while no keeper is known, which is so for a moment after the first stored job.
+constexpr Duration refuseWithoutKeeperAfter = std::chrono::seconds(3);
+constexpr Duration announceInterval = std::chrono::seconds(1);
+
+HolderOptions holderOptions(const NodeSettings &settings)
+{
+    HolderOptions options;
+    options.groupLease = settings.groupLease;
+    options.joinInterval = settings.groupLease / 4;
+    options.settleTime = Duration::zero();
+    return options;
+}
+
+KeeperOptions keeperOptions(const NodeSettings &settings)
+{
+    KeeperOptions options;
+    options.partitions = settings.shardCount;
+    options.retention = settings.jobRetention;
+    options.history = settings.journalHistory;
+    return options;
+}
+
+} // namespace
+
+StoredJobs::StoredJobs(const NodeSettings &settings, VmTable &vms, Pool &pool, GroupPort &group,
+                       JournalPort &journal, Send send)
+    : vms_(vms), pool_(pool), group_(group), journal_(journal), send_(std::move(send)),
+      partitionCount_(settings.shardCount), groupLease_(settings.groupLease),
+      membership_(holderOptions(settings), Time {}), keeper_(keeperOptions(settings), vms)
+{ }
+
+void StoredJobs::setExist()
+{
+    isUsed_ = true;
+    isAnnounced_ = true;
+    pool_.expectStoredJobs();
+}
+
+void StoredJobs::request(KeeperRequest request, Duration deadline, Node::StoredRespond respond)
+{
+    const Time now = currentTime();
+    isUsed_ = true;
+    pool_.expectStoredJobs();
+    const uint64_t number = nextNumber_++;
+    const CallerRef caller {vms_.self().name, vms_.self().incarnation, number};
+    std::visit([&](auto &alternative) { alternative.caller = caller; }, request);
+    requests_.emplace(
+            number, Request {std::move(request), std::move(respond), now, now + deadline, now, 0});
+    sendDue(now);
+}
+
+// The VM that has held the job's partition for the shortest time, since an earlier one may not
+// know yet that it has lost it.
+std::optional<std::string> StoredJobs::keeperOf(const std::string &job) const
+{
+    const uint32_t partition = shardOf(job, partitionCount_);
+    std::optional<std::string> keeper;
+    uint64_t epoch = 0;
+    const auto consider = [&](const std::string &vm, const std::vector<PartitionClaim> &claims) {
+        for (const PartitionClaim &claim : claims) {
+            if (claim.partition == partition && claim.epoch >= epoch) {
+                keeper = vm;
+                epoch = claim.epoch;
+            }
+        }
+    };
+    consider(vms_.self().name, keeper_.claims());
+    for (const auto &[name, row] : vms_.rows())
+        consider(name, row.report.claims);
+    return keeper;
+}
+
+void StoredJobs::sendDue(Time now)
+{
+    std::vector<std::pair<uint64_t, Error>> failed;
+    for (auto &[number, request] : requests_) {
+        const bool isStore = std::holds_alternative<StoreJob>(request.request);
+        const auto keeper = keeperOf(jobIdOf(request.request));
+        const Duration patience = keeper ? refuseAfter : refuseWithoutKeeperAfter;
+        const bool isRefused =
+                isStore && request.unanswered == 0 && now > request.arrived + patience;
+        if (isRefused || now >= request.deadline) {
+            failed.emplace_back(
+                    number,
+                    request.unanswered == 0
+                            ? notRun(ErrorCode::LogUnavailable, "no keeper can store the job now")
+                            : mayHaveRun(ErrorCode::Timeout, "the keeper has not answered"));
+            continue;
+        }
+        if (!keeper || now < request.nextSendAt)
+            continue;
+        request.nextSendAt = now + requestRepeat;
+        ++request.unanswered;
+        if (*keeper == vms_.self().name)
+            keeper_.onRequest(request.request, now);
+        else
+            send_(*keeper, KeeperRequestMessage {request.request});
+    }
+    for (auto &[number, error] : failed)
+        finish(number, std::move(error));
+}
+
+void StoredJobs::finish(uint64_t number, Result<KeeperAnswer> result)
+{
+    const auto found = requests_.find(number);
+    if (found == requests_.end())
+        return;
+    const Request request = std::move(found->second);
+    requests_.erase(found);
+    logEvent(LogLevel::Info, "stored-job-answered",
+             {{"job", jobIdOf(request.request)},
+              {"request", request.request.index()},
+              {"result",
+               result.has_value() ? fmt::format("{}/{}", static_cast<int>(result.value().kind),
+                                                toString(result.value().state))
+                                  : result.error().reason},
+              {"after_us", (currentTime() - request.arrived).count()}});
+    request.respond(result);
+}
+
+void StoredJobs::onPeer(KeeperRequestMessage message)
+{
+    isUsed_ = true;
+    pool_.expectStoredJobs();
+    keeper_.onRequest(std::move(message.request), currentTime());
+}
+
+void StoredJobs::onPeer(const KeeperAnswer &answer)
+{
+    const auto found = requests_.find(answer.caller.number);
+    if (found == requests_.end() || answer.caller.incarnation != vms_.self().incarnation)
+        return;
+    if (answer.kind != KeeperAnswer::Kind::Unavailable) {
+        finish(answer.caller.number, answer);
+        return;
+    }
+    Request &request = found->second;
+    request.unanswered -= std::min<uint32_t>(1, request.unanswered);
+    request.nextSendAt = currentTime() + unavailableRetry;
+}
+
+void StoredJobs::onPeer(BatchMessage message)
+{
+    pool_.startBatch(std::move(message.batch), currentTime());
+}
+
+void StoredJobs::onPeer(const StopJobMessage &message)
+{
+    pool_.stopJob(message.stop, currentTime());
+}
+
+void StoredJobs::onPeer(const OutcomeMessage &message)
+{
+    keeper_.onOutcome(message.vm, message.outcome, currentTime());
+}
+
+void StoredJobs::onPeer(const ConfirmOutcome &message)
+{
+    pool_.confirmOutcome(message.task, message.run, currentTime());
+}
+
+void StoredJobs::onReport(const VmReport &report)
+{
+    for (const PartitionClaim &claim : report.claims)
+        pool_.noteKeeper(claim.partition, claim.epoch, currentTime());
+}
+
+void StoredJobs::onVmLost(const std::string &vm)
+{
+    keeper_.onVmLost(vm, currentTime());
+    for (auto &[number, request] : requests_)
+        request.nextSendAt = {};
+}
+
+void StoredJobs::onBatchUnsent(const std::string &vm, const TaskBatch &batch)
+{
+    keeper_.onBatchUnsent(vm, batch, currentTime());
+}
+
+void StoredJobs::onOutcome(const TaskOutcome &outcome)
+{
+    const auto name = parseTaskName(outcome.task);
+    const auto keeper = name ? keeperOf(name->job) : std::nullopt;
+    if (!keeper)
+        return; // the pool reports it again
+    if (*keeper == vms_.self().name)
+        keeper_.onOutcome(vms_.self().name, outcome, currentTime());
+    else
+        send_(*keeper, OutcomeMessage {vms_.self().name, outcome});
+}
+
+void StoredJobs::tick(Time now)
+{
+    if (!isUsed_)
+        return;
+    if (!isAnnounced_ && now >= nextAnnounceAt_) {
+        nextAnnounceAt_ = now + announceInterval;
+        journal_.announce();
+    }
+    checkLease(now);
+    join(now);
+    sendDue(now);
+    keeper_.tick(now);
+}
+
+// Without the store the group cannot have given the partitions to anybody as long as every VM that
+// could be a keeper is heard and none claims them. Nothing new is started meanwhile, but what runs
+// goes on.
+void StoredJobs::checkLease(Time now)
+{
+    keeper_.setLease(leaseUntil_);
+    if (now >= leaseUntil_ && !keeper_.isIdle() && !isEveryVmHeard(now)) {
+        keeper_.giveUpLease(now);
+        membership_.onLeft();
+    }
+}
+
+bool StoredJobs::isEveryVmHeard(Time now) const
+{
+    return std::all_of(vmsAtLease_.begin(), vmsAtLease_.end(), [&](const std::string &vm) {
+        const VmTable::Row *row = vms_.find(vm);
+        return row && vms_.isHeard(*row, now);
+    });
+}
+
+void StoredJobs::join(Time now)
+{
+    const auto request = membership_.next(isEligible_, true, now);
+    if (!request)
+        return;
+    if (const auto *joining = std::get_if<JoinGroup>(&*request)) {
+        group_.join(*joining, [this, now](const Result<GroupMembership> &reply) {
+            onJoined(reply, now);
+            flush();
+        });
+        return;
+    }
+    group_.leave([this](const Result<void> &reply) {
+        if (!reply.has_value()) {
+            membership_.onJoinFailed(currentTime());
+            return;
+        }
+        membership_.onLeft();
+        leaseUntil_ = {};
+        keeper_.setPartitions({}, 0, currentTime());
+        flush();
+    });
+}
+
+void StoredJobs::onJoined(const Result<GroupMembership> &reply, Time sentAt)
+{
+    const Time now = currentTime();
+    if (!reply.has_value()) {
+        membership_.onJoinFailed(now);
+        return;
+    }
+    // A hold that was interrupted may have been somebody else's in between.
+    if (now >= leaseUntil_ && !keeper_.isIdle())
+        keeper_.giveUpLease(now);
+    membership_.onJoined(reply.value(), now);
+    leaseUntil_ = sentAt + groupLease_;
+    vmsAtLease_.clear();
+    for (const auto &[name, row] : vms_.rows())
+        vmsAtLease_.push_back(name);
+    keeper_.setLease(leaseUntil_);
+    keeper_.setPartitions(reply.value().shards, reply.value().generation, now);
+    for (const PartitionClaim &claim : keeper_.claims())
+        pool_.noteKeeper(claim.partition, claim.epoch, now);
+}
+
+void StoredJobs::flush()
+{
+    if (!isUsed_)
+        return;
+    if (!keeper_.isIdle())
+        keeper_.setOwnLoad(pool_.load(currentTime()));
+    for (auto actions = keeper_.takeActions(currentTime()); !actions.empty();
+         actions = keeper_.takeActions(currentTime())) {
+        for (KeeperAction &action : actions)
+            std::visit([this](auto &call) { carryOut(std::move(call)); }, action);
+    }
+    printNotes();
+}
+
+void StoredJobs::printNotes()
+{
+    for (const RouterNote &note : keeper_.takeNotes())
+        logEvent(LogLevel::Info, note.event,
+                 note.job.empty() ? note.details
+                                  : fmt::format("job={} {}", note.job, note.details));
+}
+
+void StoredJobs::carryOut(const OpenPartition &call)
+{
+    journal_.open(call.partition, call.epoch, [this, call](const Result<uint64_t> &end) {
+        keeper_.onOpened(call.partition, call.epoch, end, currentTime());
+        flush();
+    });
+}
+
+void StoredJobs::carryOut(const ReadPartition &call)
+{
+    journal_.read(call.partition, call.from, [this, call](const Result<JournalPage> &page) {
+        keeper_.onRead(call.partition, call.epoch, page, currentTime());
+        flush();
+    });
+}
+
+void StoredJobs::carryOut(const AppendRecords &call)
+{
+    const uint32_t partition = call.partition;
+    const uint64_t epoch = call.epoch;
+    journal_.append(call, [this, partition, epoch](const Result<uint64_t> &offset) {
+        keeper_.onAppended(partition, epoch, offset, currentTime());
+        flush();
+    });
+}
+
+void StoredJobs::carryOut(const TrimPartition &call)
+{
+    journal_.trim(call.partition, call.before);
+}
+
+void StoredJobs::carryOut(SendBatch send)
+{
+    if (send.vm == vms_.self().name)
+        pool_.startBatch(std::move(send.batch), currentTime());
+    else
+        send_(send.vm, BatchMessage {std::move(send.batch)});
+}
+
+void StoredJobs::carryOut(SendStopJob send)
+{
+    if (send.vm == vms_.self().name)
+        pool_.stopJob(send.stop, currentTime());
+    else
+        send_(send.vm, StopJobMessage {std::move(send.stop)});
+}
+
+void StoredJobs::carryOut(SendConfirm send)
+{
+    if (send.vm == vms_.self().name)
+        pool_.confirmOutcome(send.confirm.task, send.confirm.run, currentTime());
+    else
+        send_(send.vm, std::move(send.confirm));
+}
+
+void StoredJobs::carryOut(const KeeperAnswer &answer)
+{
+    if (answer.caller.vm == vms_.self().name)
+        onPeer(answer);
+    else
+        send_(answer.caller.vm, answer);
+}
+
+void StoredJobs::describe(VmReport &report) const
+{
+    report.claims = keeper_.claims();
+    report.backlog = keeper_.backlog();
+}
+
+uint32_t StoredJobs::pendingJobs(const std::string &queue) const
+{
+    uint32_t jobs = 0;
+    const auto add = [&](const std::vector<QueueBacklog> &backlog) {
+        for (const QueueBacklog &entry : backlog)
+            jobs += entry.queue == queue ? entry.jobs : 0;
+    };
+    add(keeper_.backlog());
+    for (const auto &[name, row] : vms_.rows())
+        add(row.report.backlog);
+    return jobs;
+}
+
+} // namespace lovage::node
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -17,9 +17,15 @@
 constexpr double overdueFactor = 1.5;
 constexpr Duration overdueSlack = std::chrono::milliseconds(20);
 constexpr Duration shortestLookWait = std::chrono::milliseconds(20);
+constexpr Duration heldEndLookInterval = std::chrono::milliseconds(20);
 
 } // namespace
 
+bool hasLabel(const ServerInfo &info, const std::string &label)
+{
+    return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
 bool LeasedServer::fits(const Demand &demand) const
 {
     return used_.milliCores + demand.milliCores <= info_.capacity.milliCores
@@ -119,7 +125,12 @@
 {
     if (isLookPending || tenure == Tenure::None || now < nextLookAt)
         return false;
-    if (tenure == Tenure::TakingOver || !runs_.empty())
+    if (tenure == Tenure::TakingOver)
+        return true;
+    // The server answers at once while it lists an end.
+    if (!heldEnds_.empty() && now < lookSentAt + heldEndLookInterval)
+        return false;
+    if (!runs_.empty())
         return true;
     return hasUnacknowledged() && now >= endSeenAt + options_.idleAckDelay;
 }
@@ -154,6 +165,7 @@
     seenThrough_ = 0;
     acknowledged_ = 0;
     lookAck_ = 0;
+    heldEnds_.clear();
     clockMs_.reset();
     startLeaseEnd_ = {};
     lookLeaseEnd_ = {};
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -4,6 +4,7 @@
 #include "lovage/pool.h"
 
 #include <map>
+#include <set>
 
 namespace lovage::pool {
 
@@ -11,6 +12,19 @@
 using JobNumber = uint64_t;
 constexpr JobNumber foreignJob = 0;
 
+// Number of the runs of stored jobs, whose queue is elsewhere.
+constexpr JobNumber storedJob = UINT64_MAX;
+
+// Where a run of a stored job comes from.
+struct StoredOrigin
+{
+    KeeperRef keeper;
+    std::string job;
+    std::string queue;
+    Duration declared {};  // run time
+    Duration predicted {}; // on an ordinary server
+};
+
 enum class RunState {
     Starting, // ordered, not answered
     Running,
@@ -33,6 +47,10 @@
     bool isStopPending = false;
     Time stopConfirmedAt {}; // zero: not yet
     Time nextStopAt {};
+    std::optional<StoredOrigin> stored {};
+    std::string checkpoint {}; // latest that the server listed
+    bool isServing = false;
+    bool usesSpareCores = false;
 };
 
 // Whether the holder may place on the server.
@@ -42,6 +60,8 @@
     Held,
 };
 
+bool hasLabel(const ServerInfo &info, const std::string &label);
+
 class LeasedServer
 {
 public:
@@ -89,11 +109,17 @@
 
     // Ends. Returns false for one that was seen before.
     bool noteEnd(uint64_t number);
-    uint64_t ackedThrough() const { return seenThrough_; }
+    uint64_t ackedThrough() const
+    {
+        return heldEnds_.empty() ? seenThrough_ : *heldEnds_.begin() - 1;
+    }
+    // An end that may not be acknowledged yet, because its job's keeper has not stored it.
+    void holdEnd(uint64_t number) { heldEnds_.insert(number); }
+    void releaseEnd(uint64_t number) { heldEnds_.erase(number); }
     // The pending look acknowledges ends up to here; noteAcknowledged() when it is answered.
     void noteLookAck(uint64_t number) { lookAck_ = number; }
     void noteAcknowledged() { acknowledged_ = std::max(acknowledged_, lookAck_); }
-    bool hasUnacknowledged() const { return seenThrough_ > acknowledged_; }
+    bool hasUnacknowledged() const { return ackedThrough() > acknowledged_; }
 
     // Forgets what belongs to an incarnation that has ended.
     void resetLife();
@@ -130,6 +156,7 @@
     uint64_t seenThrough_ = 0;
     uint64_t acknowledged_ = 0;
     uint64_t lookAck_ = 0;
+    std::set<uint64_t> heldEnds_;
 };
 
 } // namespace lovage::pool
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -76,6 +76,38 @@
     implementation_->onLooked(reply, now);
 }
 
+std::string_view toString(RunEnd end)
+{
+    constexpr std::array<std::string_view, 5> names = {"succeeded", "failed", "stopped", "lapsed",
+                                                       "broken"};
+    return names.at(static_cast<size_t>(end));
+}
+
+void Pool::expectStoredJobs()
+{
+    implementation_->expectsStoredJobs_ = true;
+}
+
+void Pool::startBatch(TaskBatch batch, Time now)
+{
+    implementation_->startBatch(std::move(batch), now);
+}
+
+void Pool::stopJob(const StopJob &stop, Time now)
+{
+    implementation_->stopJob(stop, now);
+}
+
+void Pool::noteKeeper(uint32_t partition, uint64_t epoch, Time now)
+{
+    implementation_->noteKeeper(partition, epoch, now);
+}
+
+void Pool::confirmOutcome(const std::string &task, uint32_t run, Time now)
+{
+    implementation_->confirmOutcome(task, run, now);
+}
+
 void Pool::tick(Time now)
 {
     implementation_->dropOverdue(now);
@@ -86,6 +118,7 @@
 {
     if (implementation_->isPlacementDue_)
         implementation_->placeQueued(now);
+    implementation_->repeatOutcomes(now);
     implementation_->stopPending(now);
     implementation_->lookAround(now);
     return std::exchange(implementation_->actions_, {});
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -35,6 +35,14 @@
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
     void dropOverdue(Time now);
 
+    // Tasks of stored jobs (pool_stored.cpp).
+    void startBatch(TaskBatch batch, Time now);
+    void stopJob(const StopJob &stop, Time now);
+    void stopOfKeeper(const std::string &vm, uint64_t exceptIncarnation, Time now);
+    void noteKeeper(uint32_t partition, uint64_t epoch, Time now);
+    void confirmOutcome(const std::string &task, uint32_t run, Time now);
+    void repeatOutcomes(Time now);
+
     // Placement (pool_placement.cpp).
     void placeQueued(Time now);
     std::vector<ServiceLoad> load(Time now) const;
@@ -93,7 +101,7 @@
     bool checkIncarnation(Server &server, const ServerReading &reading, Time now);
 
     // The run does not execute any more and will not: its task waits again, or its job gives up.
-    void requeue(const pool::Run &run);
+    void requeue(const std::string &task, const pool::Run &run, Time now);
     Job *jobOfActive(const pool::Run &run);
 
     void admit(Job job, const Span &span, bool isDisplacing, Time now);
@@ -121,6 +129,18 @@
     };
 
     pool::Timetable makeTimetable(const std::string &service, Time now);
+    std::vector<pool::ServerTimetable *> planBatch(const TaskBatch &batch, Duration predicted,
+                                                   pool::Timetable &timetable, Time now) const;
+    void orderStored(Server &server, const TaskBatch &batch, const TaskStart &start,
+                     Duration predicted, Time now);
+    void orderRun(Server &server, const std::string &task, pool::Run run, std::string payload,
+                  std::string checkpoint, Time now);
+    void noteStoredEnd(Server &server, const pool::Run &run, const EndedRow &row, Time now);
+    void report(TaskOutcome outcome, Time now);
+    void reportLostLater(const std::string &task, const pool::Run &run, Time now);
+    template<class Predicate>
+    void stopStored(Predicate isMeant, Time now);
+
     std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
                                       pool::Timetable &timetable, Time now) const;
     struct Placed
@@ -134,7 +154,7 @@
     double optimismFor(const Job &job) const;
     Time likelyEnd(const Job &job, Time start, Time end, Time now) const;
     bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
-    bool isAllowed(const Server &server, const Job &job, const pool::Task &task) const;
+    static bool isAllowed(const Server &server, const Step &step, const std::string &task);
     void order(Server &server, Job &job, size_t task, Time now);
     PoolOptions options_;
     std::vector<PoolAction> actions_;
@@ -149,6 +169,20 @@
     std::map<JobTicket, JobNumber> jobsByTicket_;
     std::multimap<std::string, JobNumber> jobsById_; // several parts of one job
     JobNumber nextJob_ = 1;
+
+    // An outcome that the keeper has not confirmed, and the end that is acknowledged after it.
+    struct HeldOutcome
+    {
+        TaskOutcome outcome;
+        std::string server {};
+        uint64_t incarnation = 0;
+        uint64_t end = 0; // 0: none
+        Time nextReportAt {};
+    };
+    using RunKey = std::pair<std::string, uint32_t>; // task and run
+    std::map<RunKey, HeldOutcome> outcomes_;
+    std::map<uint32_t, uint64_t> keeperEpochs_; // by partition
+    bool expectsStoredJobs_ = false;
     bool isPlacementDue_ = false;
 };
 
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -196,6 +196,7 @@
     }
     for (const JobTicket &ticket : tickets)
         withdraw(ticket, now);
+    stopOfKeeper(vm, exceptIncarnation, now);
 }
 
 bool Pool::Implementation::canEndBy(const Job &job, Duration predicted, Time limit, Time now) const
@@ -250,8 +251,16 @@
         answer(job, JobResult::Completed, "done", now);
 }
 
-void Pool::Implementation::requeue(const Run &run)
+void Pool::Implementation::requeue(const std::string &task, const Run &run, Time now)
 {
+    if (run.stored) {
+        const bool isStarted = run.confirmedAt != Time {};
+        report({task, run.number,
+                isStarted ? TaskOutcome::Kind::Lost : TaskOutcome::Kind::NotStarted, RunEnd::Lapsed,
+                run.checkpoint},
+               now);
+        return;
+    }
     Job *job = jobOfActive(run);
     if (!job)
         return;
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -55,7 +55,7 @@
     const Run ended = server.remove(ref.task);
     switch (result) {
     case OrderResult::Fenced:
-        requeue(ended);
+        requeue(ref.task, ended, now);
         loseServer(server, "fenced", now);
         return;
     case OrderResult::NoRoom:
@@ -70,7 +70,7 @@
         break;
     case OrderResult::Invalid: {
         const auto job = jobs_.find(ended.job);
-        requeue(ended);
+        requeue(ref.task, ended, now);
         if (job != jobs_.end())
             answer(job->second, JobResult::Abandoned, "order-invalid", now);
         return;
@@ -78,7 +78,7 @@
     default:
         break;
     }
-    requeue(ended);
+    requeue(ref.task, ended, now);
 }
 
 void Pool::Implementation::onStopAnswered(const RunRef &ref, OrderResult result,
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -34,11 +34,6 @@
 // A typical demand before the first job.
 constexpr uint32_t defaultMilliCores = 1000;
 
-bool hasLabel(const ServerInfo &info, const std::string &label)
-{
-    return std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
-}
-
 } // namespace
 
 Pool::Implementation::ServiceSpeed Pool::Implementation::speedOf(const std::string &service) const
@@ -235,7 +230,7 @@
     for (pool::ServerTimetable &place : timetable) {
         const Server &server = place.server();
         if (server.info().capacity.milliCores < step.demand.milliCores
-            || server.runs().contains(name) || !isAllowed(server, job, task))
+            || server.runs().contains(name) || !isAllowed(server, step, name))
             continue;
         Choice choice {&place, place.earliestStart(step.demand), {}};
         const bool isNow = choice.start <= now;
@@ -243,7 +238,7 @@
             continue; // short of something else than cores
         Duration run = scaled(job.predictedFor(task), place.slowness());
         if (server.info().id == task.avoid
-            || (!step.dataRack.empty() && !hasLabel(server.info(), step.dataRack)))
+            || (!step.dataRack.empty() && !pool::hasLabel(server.info(), step.dataRack)))
             run *= 2;
         choice.end = choice.start + run;
         if (!first || choice.end < first->end)
@@ -259,18 +254,26 @@
     return firstNow && firstNow->end <= target ? firstNow : first;
 }
 
-bool Pool::Implementation::isAllowed(const Server &server, const Job &job, const Task &task) const
+// Whether the requirements of the step permit the task there, room aside.
+bool Pool::Implementation::isAllowed(const Server &server, const Step &step,
+                                     const std::string &task)
 {
-    const Step &step = job.stepOf(task);
-    if (!step.requiredLabel.empty() && !hasLabel(server.info(), step.requiredLabel))
+    if (!step.requiredLabel.empty() && !pool::hasLabel(server.info(), step.requiredLabel))
+        return false;
+    const auto disturbs = [&](const auto &entry) {
+        return (step.usesSpareCores && entry.second.isServing)
+                || (step.isServing && entry.second.usesSpareCores);
+    };
+    const auto &runs = server.runs();
+    if ((step.usesSpareCores || step.isServing) && std::any_of(runs.begin(), runs.end(), disturbs))
         return false;
     if (step.maxPerServer == 0)
         return true;
+    const std::string prefix = task.substr(0, task.rfind('.') + 1);
     uint32_t count = 0;
-    for (const auto &[name, run] : server.runs()) {
-        if (run.job == job.number && job.tasks[run.task].step == task.step)
-            ++count;
-    }
+    for (auto run = runs.lower_bound(prefix); run != runs.end() && run->first.starts_with(prefix);
+         ++run)
+        ++count;
     return count < step.maxPerServer;
 }
 
@@ -284,27 +287,34 @@
     --job.queued;
     ++job.active;
     job.isBegun = true;
-    ++counters_.starts;
     typicalMilliCores_[job.offer.service] = std::max<uint32_t>(step.demand.milliCores, 1);
     Run run;
     run.job = job.number;
     run.task = index;
     run.number = task.lastRun;
     run.demand = step.demand;
-    run.orderedAt = now;
     run.expected = pool::expectedRunTime(server, job.predictedFor(task),
                                          speedOf(job.offer.service).common);
-    server.add(name, run);
     note("run-ordered", job.offer.job.id,
          fmt::format("task={} run={} server={} token={} expected_us={}", name, run.number,
                      server.info().id, server.token, run.expected.count()));
+    orderRun(server, name, run, job.offer.job.payload, {}, now);
+}
+
+void Pool::Implementation::orderRun(Server &server, const std::string &task, Run run,
+                                    std::string payload, std::string checkpoint, Time now)
+{
+    ++counters_.starts;
+    run.orderedAt = now;
     OrderStart start;
-    start.ref = {server.info().id, name, run.number};
+    start.ref = {server.info().id, task, run.number};
     start.address = server.info().address;
     start.incarnation = server.info().incarnation;
-    start.payload = job.offer.job.payload;
+    start.payload = std::move(payload);
+    start.checkpoint = std::move(checkpoint);
     start.leaseUntilMs = server.leaseForStart(now);
     start.token = server.token;
+    server.add(task, std::move(run));
     actions_.emplace_back(std::move(start));
 }
 
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -103,7 +103,7 @@
     for (const auto &[task, run] : server.runs())
         tasks.push_back(task);
     for (const std::string &task : tasks)
-        requeue(server.remove(task));
+        requeue(task, server.remove(task), now);
     server.resetLife();
     if (server.tenure != Tenure::None)
         server.tenure = Tenure::TakingOver;
@@ -127,8 +127,11 @@
         if (job != jobs_.end() && job->second.tasks[run.task].lastRun == run.number)
             jobs.push_back(run.job);
     }
-    for (const std::string &task : tasks)
-        server.remove(task);
+    for (const std::string &task : tasks) {
+        const Run run = server.remove(task);
+        if (run.stored)
+            reportLostLater(task, run, now);
+    }
     server.resetLife();
     for (const JobNumber number : jobs) {
         const auto job = jobs_.find(number);
@@ -210,7 +213,7 @@
             ++counters_.runsLost;
             const Run run = server.remove(task);
             note("run-lapsed", {}, fmt::format("task={} run={} server={}", task, run.number, id));
-            requeue(run);
+            requeue(task, run, now);
         }
     }
 }
@@ -292,6 +295,8 @@
                 run.state = RunState::Running;
                 run.confirmedAt = now;
             }
+            if (!row->second->checkpoint.empty())
+                run.checkpoint = row->second->checkpoint;
             if (run.state == RunState::Running)
                 checkProgress(server, *row->second, run, now);
             continue;
@@ -308,7 +313,7 @@
         const Run run = server.remove(task);
         if (run.state == RunState::Running)
             ++counters_.runsLost;
-        requeue(run);
+        requeue(task, run, now);
     }
     for (const RunningRow &row : reply.running) {
         const auto known = server.runs().find(row.task);
@@ -335,18 +340,20 @@
 // started again elsewhere. A job that cannot be done in time any more is answered now.
 void Pool::Implementation::checkProgress(Server &server, const RunningRow &row, Run &run, Time now)
 {
-    const auto found = jobs_.find(run.job);
-    if (found == jobs_.end())
-        return;
-    Job &job = found->second;
     const Duration elapsed = now - run.confirmedAt;
-    const bool isOverdue = elapsed >= scaled(run.expected, hangFactor) + hangSlack;
-    if (isOverdue && row.percent < hangPercent) {
+    const bool isOverdue = run.expected > Duration::zero()
+            && elapsed >= scaled(run.expected, hangFactor) + hangSlack;
+    const auto found = jobs_.find(run.job);
+    const bool isOpen = run.stored || found != jobs_.end();
+    if (isOpen && isOverdue && row.percent < hangPercent) {
         pool::avoid(server, options_, now);
         note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
         moveRun(server, row, run, "hanging", now);
         return;
     }
+    if (found == jobs_.end())
+        return;
+    Job &job = found->second;
     if (elapsed < shortestProgress || row.percent < leastPercent)
         return;
     const Duration total = scaled(elapsed, 100 / (row.percent + halfPercent));
@@ -384,7 +391,8 @@
         const Server &other = entry.second;
         const Duration time = scaled(ordinary, pool::slownessOf(other, common) * (1 + moveMargin));
         return other.info().service == job.offer.service && other.isOpen(now)
-                && !other.hasForeignRuns() && other.fits(run.demand) && isAllowed(other, job, task)
+                && !other.hasForeignRuns() && other.fits(run.demand)
+                && isAllowed(other, job.stepOf(task), toString(job.nameOf(run.task)))
                 && now + options_.stopTime + time <= target;
     });
 }
@@ -392,12 +400,13 @@
 void Pool::Implementation::moveRun(Server &server, const RunningRow &row, Run &run,
                                    std::string_view cause, Time now)
 {
-    note("run-moved", jobs_.at(run.job).offer.job.id,
+    const auto job = jobs_.find(run.job);
+    note("run-moved", job == jobs_.end() ? run.stored->job : job->second.offer.job.id,
          fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", row.task,
                      row.run, server.info().id, cause, row.percent,
                      (now - run.confirmedAt).count()));
-    Job &job = jobs_.at(run.job);
-    job.tasks[run.task].avoid = server.info().id;
+    if (job != jobs_.end())
+        job->second.tasks[run.task].avoid = server.info().id;
     sendStop(server, row.task, run, now);
 }
 
@@ -408,9 +417,15 @@
     if (server.endSeenAt == Time {} || !server.hasUnacknowledged())
         server.endSeenAt = now;
     const RunRef ref {server.info().id, row.task, row.run};
-    if (!server.findRun(ref))
+    const Run *known = server.findRun(ref);
+    const bool isForeign = !known || known->job == pool::foreignJob;
+    const Run run = known ? server.remove(row.task) : Run {};
+    if (run.stored || (isForeign && expectsStoredJobs_)) {
+        noteStoredEnd(server, run, row, now);
+        return;
+    }
+    if (!known)
         return;
-    const Run run = server.remove(row.task);
     if (row.end == RunEnd::Succeeded) {
         noteSuccessfulEnd(server, run, now);
         return;
@@ -422,8 +437,8 @@
     if (run.state != RunState::Stopping)
         note("run-ended-early", {},
              fmt::format("task={} run={} server={} end={}", row.task, row.run, server.info().id,
-                         static_cast<int>(row.end)));
-    requeue(run);
+                         toString(row.end)));
+    requeue(row.task, run, now);
 }
 
 // The job of a run that is the latest of its task; null if the job is gone or goes on without it.
@@ -475,7 +490,7 @@
         answer(job, JobResult::Failed, "attempts-used", now);
         return;
     }
-    requeue(run);
+    requeue(toString(job.nameOf(run.task)), run, now);
 }
 
 // A task that failed on a server has succeeded elsewhere.
--- /dev/null
+++ b/src/pool/pool_stored.cpp
@@ -0,0 +1,228 @@
+// Tasks of stored jobs: starts that a keeper asks for, and outcomes that it must store.
+#include "durations.h"
+#include "pool_impl.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace lovage {
+
+using pool::Run;
+using pool::RunState;
+using pool::scaled;
+
+namespace {
+
+// An outcome that is not confirmed by then is reported again: the keeper may have changed, or the
+// message was lost.
+constexpr Duration outcomeRepeat = std::chrono::milliseconds(300);
+
+std::string nameOf(const TaskBatch &batch, const TaskStart &start)
+{
+    return toString(TaskName {batch.job, batch.occurrence, batch.stepNumber, start.index});
+}
+
+} // namespace
+
+// The servers for the tasks of the batch, in their order; null for a task without room.
+std::vector<pool::ServerTimetable *> Pool::Implementation::planBatch(const TaskBatch &batch,
+                                                                     Duration predicted,
+                                                                     pool::Timetable &timetable,
+                                                                     Time now) const
+{
+    std::vector<pool::ServerTimetable *> places;
+    std::map<const Server *, uint32_t> planned;
+    for (const TaskStart &start : batch.tasks) {
+        pool::ServerTimetable *best = nullptr;
+        Duration shortest {};
+        const std::string name = nameOf(batch, start);
+        for (pool::ServerTimetable &place : timetable) {
+            const Server &server = place.server();
+            const Step &step = batch.step;
+            const uint32_t earlier = planned.contains(&server) ? planned.at(&server) : 0;
+            Demand total = step.demand;
+            total.memoryMb *= earlier + 1;
+            total.accelerators *= earlier + 1;
+            total.milliCores *= earlier + 1;
+            if (!server.fits(total) || server.runs().contains(name)
+                || !isAllowed(server, step, name)
+                || (step.maxPerServer > 0 && earlier >= step.maxPerServer))
+                continue;
+            Duration run = scaled(std::max(predicted, Duration(1)), place.slowness());
+            if (!step.dataRack.empty() && !pool::hasLabel(server.info(), step.dataRack))
+                run *= 2;
+            if (!best || run < shortest) {
+                best = &place;
+                shortest = run;
+            }
+        }
+        if (best)
+            ++planned[&best->server()];
+        places.push_back(best);
+    }
+    return places;
+}
+
+void Pool::Implementation::startBatch(TaskBatch batch, Time now)
+{
+    expectsStoredJobs_ = true;
+    if (batch.step.usesSpareCores)
+        batch.step.demand.milliCores = 0;
+    noteKeeper(batch.keeper.partition, batch.keeper.epoch, now);
+    const bool isCurrent = batch.keeper.epoch >= keeperEpochs_[batch.keeper.partition];
+    const Duration predicted = model_.predict(batch.queue, batch.step.estimate);
+    pool::Timetable timetable;
+    if (isCurrent && !isDraining_)
+        timetable = makeTimetable(batch.service, now);
+    const auto places = planBatch(batch, predicted, timetable, now);
+    const bool isWhole = std::find(places.begin(), places.end(), nullptr) == places.end();
+    size_t started = 0;
+    for (size_t i = 0; i < batch.tasks.size(); ++i) {
+        if (places[i] && (isWhole || !batch.step.isGang)) {
+            orderStored(places[i]->server(), batch, batch.tasks[i], predicted, now);
+            ++started;
+            continue;
+        }
+        report({nameOf(batch, batch.tasks[i]), batch.tasks[i].run, TaskOutcome::Kind::NotStarted,
+                RunEnd::Stopped, batch.tasks[i].checkpoint},
+               now);
+    }
+    note("batch-started", batch.job,
+         fmt::format("step={} occurrence={} tasks={} started={} keeper={} partition={} epoch={} "
+                     "servers={}",
+                     batch.stepNumber, batch.occurrence, batch.tasks.size(), started,
+                     batch.keeper.vm, batch.keeper.partition, batch.keeper.epoch,
+                     timetable.size()));
+}
+
+void Pool::Implementation::orderStored(Server &server, const TaskBatch &batch,
+                                       const TaskStart &start, Duration predicted, Time now)
+{
+    typicalMilliCores_[batch.service] = std::max<uint32_t>(batch.step.demand.milliCores, 1);
+    Run run;
+    run.job = pool::storedJob;
+    run.number = start.run;
+    run.demand = batch.step.demand;
+    // Work without an end has no progress to go by.
+    if (!batch.step.isEndless && !batch.step.isGang)
+        run.expected = pool::expectedRunTime(server, predicted, speedOf(batch.service).common);
+    run.stored = pool::StoredOrigin {batch.keeper, batch.job, batch.queue, batch.step.estimate,
+                                     predicted};
+    run.checkpoint = start.checkpoint;
+    run.isServing = batch.step.isServing;
+    run.usesSpareCores = batch.step.usesSpareCores;
+    orderRun(server, nameOf(batch, start), std::move(run), batch.payload, start.checkpoint, now);
+}
+
+template<class Predicate>
+void Pool::Implementation::stopStored(Predicate isMeant, Time now)
+{
+    for (auto &[id, server] : servers_) {
+        for (auto &[task, run] : server.runs()) {
+            if (run.stored && run.state != RunState::Stopping && isMeant(*run.stored))
+                sendStop(server, task, run, now);
+        }
+    }
+}
+
+void Pool::Implementation::stopJob(const StopJob &stop, Time now)
+{
+    if (stop.keeper.epoch < keeperEpochs_[stop.keeper.partition])
+        return;
+    note("job-stopped", stop.job, fmt::format("keeper={}", stop.keeper.vm));
+    stopStored([&](const pool::StoredOrigin &origin) { return origin.job == stop.job; }, now);
+}
+
+void Pool::Implementation::stopOfKeeper(const std::string &vm, uint64_t exceptIncarnation, Time now)
+{
+    stopStored(
+            [&](const pool::StoredOrigin &origin) {
+                return origin.keeper.vm == vm
+                        && (exceptIncarnation == 0
+                            || origin.keeper.incarnation != exceptIncarnation);
+            },
+            now);
+}
+
+void Pool::Implementation::noteKeeper(uint32_t partition, uint64_t epoch, Time now)
+{
+    uint64_t &known = keeperEpochs_[partition];
+    if (epoch <= known)
+        return;
+    known = epoch;
+    stopStored(
+            [&](const pool::StoredOrigin &origin) {
+                return origin.keeper.partition == partition && origin.keeper.epoch < epoch;
+            },
+            now);
+}
+
+// The end of a run of a stored job, or of one that an earlier holder had started.
+void Pool::Implementation::noteStoredEnd(Server &server, const Run &run, const EndedRow &row,
+                                         Time now)
+{
+    server.holdEnd(row.number);
+    const RunKey key {row.task, row.run};
+    outcomes_[key] = {{row.task, row.run, TaskOutcome::Kind::Ended, row.end, row.checkpoint},
+                      server.info().id,
+                      server.info().incarnation,
+                      row.number};
+    if (!run.stored)
+        return;
+    const pool::StoredOrigin &origin = *run.stored;
+    if (row.end == RunEnd::Succeeded && run.expected > Duration::zero() && run.checkpoint.empty()) {
+        const Duration ran = now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt);
+        const double logRatio =
+                std::log(pool::slownessOf(server, speedOf(server.info().service).common));
+        pool::noteSuccess(server, origin.predicted, ran);
+        model_.observe(origin.queue, origin.declared, ran, logRatio);
+    }
+    if (row.end == RunEnd::Failed && pool::noteFault(server, origin.job, options_, now))
+        note("server-avoided", {}, fmt::format("server={} cause=failures", server.info().id));
+}
+
+void Pool::Implementation::report(TaskOutcome outcome, Time now)
+{
+    const RunKey key {outcome.task, outcome.run};
+    outcomes_.try_emplace(key, HeldOutcome {std::move(outcome)});
+}
+
+// The next holder of the server reports how the run ends. If the server lists nothing, the run has
+// ended with its lease at the latest.
+void Pool::Implementation::reportLostLater(const std::string &task, const Run &run, Time now)
+{
+    const Duration lease = scaled(options_.lease, 1 + 2 * options_.clockError) + options_.stopTime;
+    HeldOutcome held {{task, run.number, TaskOutcome::Kind::Lost, RunEnd::Lapsed, run.checkpoint}};
+    held.nextReportAt = now + lease;
+    outcomes_.try_emplace({task, run.number}, held);
+}
+
+void Pool::Implementation::confirmOutcome(const std::string &task, uint32_t run, Time now)
+{
+    const auto found = outcomes_.find({task, run});
+    if (found == outcomes_.end())
+        return;
+    const auto server = servers_.find(found->second.server);
+    if (server != servers_.end()
+        && server->second.info().incarnation == found->second.incarnation) {
+        server->second.releaseEnd(found->second.end);
+        server->second.endSeenAt = now;
+    }
+    outcomes_.erase(found);
+}
+
+// Reports outcomes that are new, and again those that were not confirmed in time.
+void Pool::Implementation::repeatOutcomes(Time now)
+{
+    for (auto &[key, held] : outcomes_) {
+        if (now < held.nextReportAt)
+            continue;
+        held.nextReportAt = now + outcomeRepeat;
+        ++counters_.outcomes;
+        actions_.emplace_back(held.outcome);
+    }
+}
+
+} // namespace lovage
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -1,7 +1,5 @@
 // Binary form of the messages between VMs.
-#include "../protocol/archive.h"
-
-#include "lovage/routing.h"
+#include "serialize.h"
 
 #include <fmt/format.h>
 
@@ -11,50 +9,10 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 1;
-
-template<class Archive>
-void durationField(Archive &archive, Duration &duration)
-{
-    int64_t count = duration.count();
-    archive(count);
-    constexpr int64_t limit = INT64_MAX / 4; // sums with a time must not overflow
-    if (count > limit || count < -limit)
-        throw cereal::Exception("duration out of range");
-    duration = Duration(count);
-}
-
-template<class Archive>
-void flagField(Archive &archive, bool &flag)
-{
-    uint8_t byte = flag ? 1 : 0;
-    archive(byte);
-    flag = byte != 0;
-}
+constexpr uint8_t messageVersion = 2;
 
 } // namespace
 
-template<class Archive>
-void serialize(Archive &archive, Demand &demand)
-{
-    archive(demand.milliCores, demand.memoryMb, demand.accelerators);
-}
-
-template<class Archive>
-void serialize(Archive &archive, Step &step)
-{
-    archive(step.count, step.demand);
-    durationField(archive, step.estimate);
-    archive(step.after, step.requiredLabel, step.dataRack, step.maxPerServer);
-    flagField(archive, step.sameRack);
-}
-
-template<class Archive>
-void serialize(Archive &archive, JobSpec &job)
-{
-    archive(job.id, job.payload, job.steps);
-}
-
 template<class Archive>
 void serialize(Archive &archive, JobTicket &ticket)
 {
@@ -75,11 +33,9 @@
 template<class Archive>
 void serialize(Archive &archive, JobAnswer &answer)
 {
-    auto result = static_cast<uint8_t>(answer.result);
-    archive(answer.ticket, result, answer.reason);
-    if (result > static_cast<uint8_t>(JobResult::Abandoned))
-        throw cereal::Exception("unknown job result");
-    answer.result = static_cast<JobResult>(result);
+    archive(answer.ticket);
+    enumField(archive, answer.result, JobResult::Abandoned);
+    archive(answer.reason);
     durationField(archive, answer.retryAfter);
     archive(answer.couldRun);
 }
@@ -96,13 +52,26 @@
     archive(load.service, load.servers, load.freeMilliCores, load.queuedWork, load.rate);
 }
 
+template<class Archive>
+void serialize(Archive &archive, PartitionClaim &claim)
+{
+    archive(claim.partition, claim.epoch);
+}
+
+template<class Archive>
+void serialize(Archive &archive, QueueBacklog &backlog)
+{
+    archive(backlog.queue, backlog.jobs);
+}
+
 template<class Archive>
 void serialize(Archive &archive, VmReport &report)
 {
     archive(report.vm, report.cpuMilliCores);
     flagField(archive, report.isHolder);
     flagField(archive, report.isDraining);
-    archive(report.configurationVersion, report.knownServers, report.loads);
+    archive(report.configurationVersion, report.knownServers, report.loads, report.lostVms,
+            report.claims, report.backlog);
 }
 
 template<class Archive>
@@ -151,6 +120,103 @@
     archive(message.configuration.version, message.configuration.queues);
 }
 
+template<class Archive>
+void serialize(Archive &archive, CallerRef &caller)
+{
+    archive(caller.vm, caller.incarnation, caller.number);
+}
+
+template<class Archive>
+void serialize(Archive &archive, StoreJob &request)
+{
+    archive(request.caller, request.job, request.terms);
+}
+
+template<class Archive>
+void serialize(Archive &archive, QueryJob &request)
+{
+    archive(request.caller, request.job);
+}
+
+template<class Archive>
+void serialize(Archive &archive, CancelJob &request)
+{
+    archive(request.caller, request.job);
+}
+
+template<class Archive>
+void save(Archive &archive, const KeeperRequestMessage &message)
+{
+    archive(static_cast<uint8_t>(message.request.index()));
+    std::visit([&](const auto &request) { archive(request); }, message.request);
+}
+
+template<class Archive>
+void load(Archive &archive, KeeperRequestMessage &message)
+{
+    uint8_t index = 0;
+    archive(index);
+    if (index == 0)
+        message.request = StoreJob {};
+    else if (index == 1)
+        message.request = QueryJob {};
+    else if (index == 2)
+        message.request = CancelJob {};
+    else
+        throw cereal::Exception("unknown request");
+    std::visit([&](auto &request) { archive(request); }, message.request);
+}
+
+template<class Archive>
+void serialize(Archive &archive, KeeperAnswer &answer)
+{
+    archive(answer.caller);
+    enumField(archive, answer.kind, KeeperAnswer::Kind::Unavailable);
+    enumField(archive, answer.state, JobState::Cancelled);
+}
+
+template<class Archive>
+void serialize(Archive &archive, KeeperRef &keeper)
+{
+    archive(keeper.vm, keeper.incarnation, keeper.partition, keeper.epoch);
+}
+
+template<class Archive>
+void serialize(Archive &archive, TaskStart &start)
+{
+    archive(start.index, start.run, start.checkpoint);
+}
+
+template<class Archive>
+void serialize(Archive &archive, BatchMessage &message)
+{
+    TaskBatch &batch = message.batch;
+    archive(batch.keeper, batch.job, batch.payload, batch.queue, batch.service, batch.step,
+            batch.stepNumber, batch.occurrence, batch.tasks);
+}
+
+template<class Archive>
+void serialize(Archive &archive, StopJobMessage &message)
+{
+    archive(message.stop.keeper, message.stop.job);
+}
+
+template<class Archive>
+void serialize(Archive &archive, OutcomeMessage &message)
+{
+    TaskOutcome &outcome = message.outcome;
+    archive(message.vm, outcome.task, outcome.run);
+    enumField(archive, outcome.kind, TaskOutcome::Kind::Ended);
+    enumField(archive, outcome.end, RunEnd::Broken);
+    archive(outcome.checkpoint);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ConfirmOutcome &message)
+{
+    archive(message.task, message.run);
+}
+
 namespace {
 
 template<size_t Index = 0>
@@ -170,6 +236,27 @@
 
 } // namespace
 
+const CallerRef &callerOf(const KeeperRequest &request)
+{
+    return std::visit([](const auto &value) -> const CallerRef & { return value.caller; }, request);
+}
+
+const std::string &jobIdOf(const KeeperRequest &request)
+{
+    if (const auto *store = std::get_if<StoreJob>(&request))
+        return store->job.id;
+    if (const auto *query = std::get_if<QueryJob>(&request))
+        return query->job;
+    return std::get<CancelJob>(request).job;
+}
+
+std::string_view toString(JobState state)
+{
+    constexpr std::array<std::string_view, 5> names = {"queued", "running", "completed", "failed",
+                                                       "cancelled"};
+    return names.at(static_cast<size_t>(state));
+}
+
 std::string encodeMessage(const VmMessage &message)
 {
     std::ostringstream stream;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -18,14 +18,6 @@
     return sum;
 }
 
-ServiceLoad *findLoad(std::vector<ServiceLoad> &loads, const std::string &service)
-{
-    const auto found = std::find_if(loads.begin(), loads.end(), [&](const ServiceLoad &load) {
-        return load.service == service;
-    });
-    return found == loads.end() ? nullptr : &*found;
-}
-
 // Time until a pool has started every task that can start at once.
 Duration expectedWait(const ServiceLoad &load, const JobSpec &job)
 {
@@ -124,19 +116,12 @@
                                                   const std::vector<std::string> &without, Time now)
 {
     std::vector<Candidate> found;
-    const auto consider = [&](const std::string &vm, std::vector<ServiceLoad> &loads, bool isNear) {
-        ServiceLoad *load = findLoad(loads, offer.service);
-        if (!load || load->rate <= 0
-            || std::find(without.begin(), without.end(), vm) != without.end())
-            return;
-        const Duration wait = expectedWait(*load, offer.job)
-                + (isNear ? Duration::zero() : options_.remotePenalty);
-        found.push_back({vm, load, isNear, wait});
-    };
-    consider(vms_.self().name, ownLoads_, true);
-    for (auto &[name, row] : vms_.rows()) {
-        if (vms_.isHeard(row, now) && !row.report.isDraining)
-            consider(name, row.report.loads, row.report.vm.dataCentre == vms_.self().dataCentre);
+    for (const PoolView &pool : poolsFor(offer.service, ownLoads_, vms_, now)) {
+        if (std::find(without.begin(), without.end(), pool.vm) != without.end())
+            continue;
+        const Duration wait = expectedWait(*pool.load, offer.job)
+                + (pool.isNear ? Duration::zero() : options_.remotePenalty);
+        found.push_back({pool.vm, pool.load, pool.isNear, wait});
     }
     std::stable_sort(found.begin(), found.end(), [](const Candidate &left, const Candidate &right) {
         return left.wait < right.wait;
@@ -150,9 +135,7 @@
     std::vector<Part> whole {{0, 0}};
     auto pools = candidates(offer, {}, now);
     const Step &step = offer.job.steps.front();
-    const bool isDivisible = offer.job.steps.size() == 1 && step.maxPerServer == 0 && !step.sameRack
-            && step.demand.milliCores > 0;
-    if (!isDivisible || pools.size() < 2 || pools.front().wait <= options_.remotePenalty)
+    if (!isDivisible(offer.job) || pools.size() < 2 || pools.front().wait <= options_.remotePenalty)
         return whole;
     std::stable_sort(pools.begin(), pools.end(), [](const Candidate &left, const Candidate &right) {
         return left.isNear > right.isNear
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -1,11 +1,23 @@
 #include "lovage/routing.h"
 
+#include <algorithm>
+
 namespace lovage {
 
 namespace {
 
 // A VM that refused a connection is asked again after this time.
 constexpr Duration unreachableDelay = std::chrono::milliseconds(500);
+// A lost VM is named in reports for so long; by then it has lost this one too, or has ended.
+constexpr Duration lostNotice = std::chrono::seconds(5);
+
+ServiceLoad *findLoad(std::vector<ServiceLoad> &loads, const std::string &service)
+{
+    const auto found = std::find_if(loads.begin(), loads.end(), [&](const ServiceLoad &load) {
+        return load.service == service;
+    });
+    return found == loads.end() ? nullptr : &*found;
+}
 
 } // namespace
 
@@ -13,6 +25,7 @@
 {
     if (report.vm.name == self_.name)
         return News::Stale;
+    lostAt_.erase(report.vm.name);
     const auto [entry, isNew] = rows_.try_emplace(report.vm.name, Row {report, now});
     if (isNew)
         return News::New;
@@ -47,10 +60,43 @@
             lost.push_back(name);
     }
     for (const std::string &name : lost)
-        rows_.erase(name);
+        remove(name, now);
     return lost;
 }
 
+void VmTable::remove(const std::string &vm, Time now)
+{
+    if (rows_.erase(vm) > 0)
+        lostAt_[vm] = now;
+}
+
+std::vector<std::string> VmTable::lostLately(Time now) const
+{
+    std::vector<std::string> lost;
+    for (const auto &[vm, at] : lostAt_) {
+        if (now < at + lostNotice)
+            lost.push_back(vm);
+    }
+    return lost;
+}
+
+std::vector<PoolView> poolsFor(const std::string &service, std::vector<ServiceLoad> &ownLoads,
+                               VmTable &vms, Time now)
+{
+    std::vector<PoolView> pools;
+    const auto consider = [&](const std::string &vm, std::vector<ServiceLoad> &loads, bool isNear) {
+        ServiceLoad *load = findLoad(loads, service);
+        if (load && load->rate > 0)
+            pools.push_back({vm, load, isNear});
+    };
+    consider(vms.self().name, ownLoads, true);
+    for (auto &[name, row] : vms.rows()) {
+        if (vms.isHeard(row, now) && !row.report.isDraining)
+            consider(name, row.report.loads, row.report.vm.dataCentre == vms.self().dataCentre);
+    }
+    return pools;
+}
+
 bool VmTable::isHeard(const Row &row, Time now) const
 {
     return now <= row.heardAt + options_.silence && now >= row.avoidUntil;
