Confirm no end without the lease of its partition; let queries wait for a near end

Ruled out: appends that take effect late (they are numbered and fenced), the fold. Outcomes now need the lease. Found on the way: a partition that was given up and taken again within one generation would have numbered its appends anew under the same epoch, so that the store takes them for repetitions; every hold gets an epoch of its own now.

Callers ask right when the last task ends, some milliseconds before that is stored, and then 250 ms later; such a query waits up to 30 ms.

Tests: no_outcome_is_confirmed_without_a_lease, partition_taken_again_gets_a_new_epoch, query_at_the_end_waits_for_the_end; all fail without the change.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -178,13 +178,24 @@
                    std::vector<PoolView> &pools, Time now);
     void sendBatch(Partition &partition, keeper::StoredJob &job, const TaskName &first,
                    const std::vector<uint32_t> &indexes, const std::string &vm);
+    uint64_t nextEpoch(uint32_t partition, uint64_t generation);
     void stopClosed(Partition &partition, Time now);
 
+    // A query about a job whose last tasks run.
+    struct PendingQuery
+    {
+        QueryJob query;
+        Time until;
+    };
+    void answerQueries(Time now);
+
     KeeperOptions options_;
     VmTable &vms_;
     Time leaseUntil_ {};
     std::vector<ServiceLoad> ownLoads_;
+    std::vector<PendingQuery> queries_;
     bool isPlacementDue_ = false;
+    std::map<uint32_t, uint64_t> lastEpochs_; // by partition
     std::map<uint32_t, std::unique_ptr<Partition>> partitions_;
     std::vector<KeeperAction> actions_;
     std::vector<RouterNote> notes_;
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -18,6 +18,10 @@
 constexpr Duration stopRepeat = std::chrono::milliseconds(200);
 // Before work without an end is started again.
 constexpr Duration endlessPause = std::chrono::milliseconds(100);
+// Callers often ask right when the last task has ended, some milliseconds before that is stored.
+constexpr Duration queryWait = std::chrono::milliseconds(30);
+// Low bits of an epoch, which tell the holds of one VM within a generation of the group apart.
+constexpr unsigned epochBits = 8;
 
 } // namespace
 
@@ -42,8 +46,7 @@
     std::erase_if(partitions_, [&](const auto &entry) {
         const bool isKept =
                 std::find(partitions.begin(), partitions.end(), entry.first) != partitions.end()
-                && (entry.second->stage() != Partition::Stage::Lost
-                    || entry.second->epoch() >= generation);
+                && entry.second->stage() != Partition::Stage::Lost;
         if (!isKept)
             note("partition-released", {},
                  fmt::format("partition={} epoch={}", entry.first, entry.second->epoch()));
@@ -52,11 +55,21 @@
     for (const uint32_t number : partitions) {
         if (partitions_.contains(number))
             continue;
-        partitions_.emplace(number, std::make_unique<Partition>(number, generation));
-        note("partition-taken", {}, fmt::format("partition={} epoch={}", number, generation));
+        const uint64_t epoch = nextEpoch(number, generation);
+        partitions_.emplace(number, std::make_unique<Partition>(number, epoch));
+        note("partition-taken", {}, fmt::format("partition={} epoch={}", number, epoch));
     }
 }
 
+// A partition that was given up and taken again within one generation needs a new epoch, since
+// appends are numbered anew.
+uint64_t JobKeeper::nextEpoch(uint32_t partition, uint64_t generation)
+{
+    uint64_t &last = lastEpochs_[partition];
+    last = std::max(last + 1, generation << epochBits);
+    return last;
+}
+
 void JobKeeper::giveUpLease(Time now)
 {
     if (partitions_.empty())
@@ -116,12 +129,29 @@
 {
     Partition &partition = *partitionOf(request.job);
     const StoredJob *job = partition.find(request.job);
-    if (job)
+    if (job && job->mayEndSoon())
+        queries_.push_back({request, now + queryWait});
+    else if (job)
         answer(request.caller, KeeperAnswer::Kind::State, job->state());
     else if (!partition.isPending(request.job))
         answer(request.caller, KeeperAnswer::Kind::Unknown);
 }
 
+// Answers the queries whose job has ended or whose time is up.
+void JobKeeper::answerQueries(Time now)
+{
+    for (PendingQuery &pending : std::exchange(queries_, {})) {
+        Partition *partition = partitionOf(pending.query.job);
+        const StoredJob *job = partition ? partition->find(pending.query.job) : nullptr;
+        if (!job)
+            answer(pending.query.caller, KeeperAnswer::Kind::Unavailable);
+        else if (job->isClosed() || now >= pending.until)
+            answer(pending.query.caller, KeeperAnswer::Kind::State, job->state());
+        else
+            queries_.push_back(std::move(pending));
+    }
+}
+
 void JobKeeper::handle(const CancelJob &request, Time now)
 {
     Partition &partition = *partitionOf(request.job);
@@ -164,6 +194,11 @@
 void JobKeeper::onAppended(uint32_t partition, uint64_t epoch, const Result<uint64_t> &offset,
                            Time now)
 {
+    note("journal-appended", {},
+         offset.has_value() ? fmt::format("partition={} epoch={} offset={}", partition, epoch,
+                                          offset.value())
+                            : fmt::format("partition={} epoch={} reason=\"{}\"", partition, epoch,
+                                          offset.error().reason));
     const auto found = partitions_.find(partition);
     if (found != partitions_.end() && found->second->epoch() == epoch)
         found->second->onAppended(offset, now);
@@ -174,12 +209,16 @@
 {
     const auto name = parseTaskName(outcome.task);
     Partition *partition = name ? partitionOf(name->job) : nullptr;
-    if (!partition || !partition->isServing())
-        return; // the pool reports it again
+    // Without the lease the job may be known to a later keeper only. The pool reports it again.
+    if (!partition || !mayAct(*partition, now))
+        return;
     const ConfirmOutcome confirm {outcome.task, outcome.run};
     StoredJob *job = partition->find(name->job);
     StoredTask *task = job ? job->find(*name) : nullptr;
     if (!task || task->isDone) {
+        note("outcome-known", name->job,
+             fmt::format("task={} run={} vm={} job_known={}", outcome.task, outcome.run, vm,
+                         job != nullptr));
         actions_.emplace_back(SendConfirm {vm, confirm});
         if (task && outcome.run >= task->lastRun)
             task->pool.clear();
@@ -189,6 +228,8 @@
         job->isBegun = true;
     if (!outcome.checkpoint.empty())
         task->checkpoint = outcome.checkpoint;
+    if (task->isEndPending && outcome.run == task->pendingRun)
+        return; // being written; the pool will be told
     const bool isLatest = outcome.run >= task->lastRun;
     const bool isEndless = job->spec().steps[name->step].isEndless;
     const bool isWritten = outcome.kind == TaskOutcome::Kind::Ended && !isEndless
@@ -198,8 +239,6 @@
          fmt::format("task={} run={} vm={} kind={} end={} written={}", outcome.task, outcome.run,
                      vm, static_cast<int>(outcome.kind), toString(outcome.end), isWritten));
     if (isWritten) {
-        if (task->isEndPending && isLatest && outcome.run == task->pendingRun)
-            return; // being written; the pool will be told
         task->isEndPending = true;
         task->pendingRun = outcome.run;
         partition->write(
@@ -295,6 +334,7 @@
     }
     if (isPlacementDue_)
         placeWaiting(now);
+    answerQueries(now);
     return std::exchange(actions_, {});
 }
 
--- a/src/keeper/stored_job.cpp
+++ b/src/keeper/stored_job.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-// Runs that one hold of a partition may start of one task.
-constexpr uint32_t runsPerEpochBits = 10;
+// An epoch rises by 256 with a generation of the group, so the next keeper begins some thousand runs
+// higher.
+constexpr uint32_t runsPerEpochBits = 4;
 constexpr Duration refusalPause = std::chrono::milliseconds(100);
 
 } // namespace
@@ -150,6 +151,23 @@
     return false;
 }
 
+bool StoredJob::mayEndSoon() const
+{
+    if (isClosed() || occurrences_.size() < spec().repeatCount)
+        return false;
+    for (const auto &[number, occurrence] : occurrences_) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            if (occurrence.steps[step].unfinished > 0 && spec().steps[step].isEndless)
+                return false;
+            for (const StoredTask &task : occurrence.steps[step].tasks) {
+                if (!task.isDone && !task.isPlaced() && !task.isEndPending)
+                    return false;
+            }
+        }
+    }
+    return true;
+}
+
 std::vector<std::string> StoredJob::pools() const
 {
     std::set<std::string> pools;
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -64,6 +64,8 @@
     StoredTask *find(const TaskName &name);
     bool isStepReady(const Occurrence &occurrence, uint32_t step) const;
     bool hasReadyTask(Time now) const;
+    // Whether every task that is left has been started and ends by itself.
+    bool mayEndSoon() const;
     // VMs that were asked to start a task that has not ended.
     std::vector<std::string> pools() const;
     // The number of the next run of a task; it rises from one keeper to the next, also over runs
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -204,6 +204,9 @@
     const auto found = outcomes_.find({task, run});
     if (found == outcomes_.end())
         return;
+    note("outcome-confirmed", {},
+         fmt::format("task={} run={} server={} end={}", task, run, found->second.server,
+                     found->second.end));
     const auto server = servers_.find(found->second.server);
     if (server != servers_.end()
         && server->second.info().incarnation == found->second.incarnation) {
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -61,6 +61,21 @@
     BOOST_TEST((stateOf("job1") == JobState::Completed));
 }
 
+// Guards against a caller that asks right at the end, is told "running", and learns of the end only
+// when it asks again.
+BOOST_FIXTURE_TEST_CASE(query_at_the_end_waits_for_the_end, World)
+{
+    store(makeJob("job1", {1}));
+    run(milliseconds(90));
+    const size_t before = answers.size();
+    keeper->onRequest(QueryJob {{"vm2", 1, 3}, "job1"}, now);
+    flush();
+    BOOST_TEST(answers.size() == before);
+    run(milliseconds(20));
+    BOOST_REQUIRE(answers.size() == before + 1);
+    BOOST_TEST((answers.back().state == JobState::Completed));
+}
+
 // Guards against an end that the server may forget although nobody has stored it.
 BOOST_FIXTURE_TEST_CASE(end_is_confirmed_when_it_is_in_the_journal, World)
 {
@@ -154,17 +169,41 @@
     BOOST_TEST(count(KeeperAnswer::Kind::Unavailable) == 1U);
 }
 
+// Guards against an earlier keeper that confirms the end of a task it knows nothing of, so that the
+// present one starts the task again.
+BOOST_FIXTURE_TEST_CASE(no_outcome_is_confirmed_without_a_lease, World)
+{
+    unconfirmed.push_back({"job9.0.0.0", 1, TaskOutcome::Kind::Ended, RunEnd::Succeeded});
+    keeper->setLease(now);
+    run(milliseconds(100));
+    BOOST_TEST(unconfirmed.size() == 1U);
+    keeper->setLease(Time::max());
+    run(milliseconds(100));
+    BOOST_TEST(unconfirmed.empty());
+}
+
 // Guards against two keepers: the journal refuses the earlier one, which then starts nothing more.
 BOOST_FIXTURE_TEST_CASE(fenced_keeper_lets_go, World)
 {
     store(makeJob("job1", {1, 1}));
     for (auto &[number, partition] : journal.partitions)
-        partition.epoch = 100;
+        partition.epoch = UINT64_MAX;
     run(milliseconds(500));
     BOOST_TEST(starts.size() <= 1U);
     BOOST_TEST(keeper->claims().size() < KeeperWorld::partitionCount);
 }
 
+// Guards against appends that the journal takes for repetitions of those of an earlier hold.
+BOOST_FIXTURE_TEST_CASE(partition_taken_again_gets_a_new_epoch, World)
+{
+    const auto before = keeper->claims();
+    keeper->giveUpLease(now);
+    keeper->setPartitions({0, 1}, generation, now);
+    BOOST_REQUIRE(keeper->claims().size() == before.size());
+    for (size_t i = 0; i < before.size(); ++i)
+        BOOST_TEST(keeper->claims()[i].epoch > before[i].epoch);
+}
+
 // Guards against tasks of a lost VM that start elsewhere while they may still run there.
 BOOST_FIXTURE_TEST_CASE(task_of_a_lost_vm_waits_until_it_has_ended, World)
 {
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -152,8 +152,12 @@
     }
     std::optional<JobState> stateOf(const std::string &job)
     {
+        const size_t before = answers.size();
         keeper->onRequest(QueryJob {{"vm2", 1, 3}, job}, now);
         flush();
+        // A job whose last tasks run is answered a little later.
+        for (int i = 0; i < 4 && answers.size() == before; ++i)
+            run(milliseconds(10));
         if (answers.empty() || answers.back().kind != KeeperAnswer::Kind::State)
             return std::nullopt;
         return answers.back().state;
