Never count an end that another run has superseded; refuse stored jobs beyond the room

Ruled out: the fold (the records were never written, the store was down), late appends. An end whose task has a later run is now acknowledged only after the server's lease has lapsed with nothing running.

Load: jobs that cannot be in time behind the backlog are refused at the door with the expected wait as Retry-After, waiting jobs are ordered by priority and latest start, and a keeper whose appends fail denies new jobs at once. The number of pending jobs is kept for a partition between keepers.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -111,8 +111,9 @@
     Duration history = std::chrono::seconds(300);
     // Pools stop what an earlier keeper had started within this time; nothing is started before.
     Duration takeover = std::chrono::milliseconds(1500);
-    // What a VM was running when it was lost has ended after this time.
-    Duration lostRunTime = std::chrono::milliseconds(1300);
+    // What a VM was running when it was lost has ended after this time, and the next holder of its
+    // servers has reported the ends.
+    Duration lostRunTime = std::chrono::milliseconds(2000);
 };
 
 // Keeps the jobs of the partitions that this VM holds. Single-threaded.
@@ -151,7 +152,7 @@
     std::vector<RouterNote> takeNotes() { return std::exchange(notes_, {}); }
 
     std::vector<PartitionClaim> claims() const;
-    // Jobs none of whose tasks has been started, by queue.
+    // Jobs none of whose tasks has been started, by partition and queue.
     std::vector<QueueBacklog> backlog() const;
     bool hasOpenJobs() const;
     bool isIdle() const { return partitions_.empty(); }
@@ -167,6 +168,8 @@
     void handle(const QueryJob &request, Time now);
     void handle(const CancelJob &request, Time now);
     bool mayAct(const Partition &partition, Time now) const;
+    // Time until a new job of the service gets room; zero if there is room now.
+    Duration expectedWait(const JobSpec &job, const std::string &service, Time now);
 
     // The pools with servers of each service, looked up once for one pass.
     using PoolsByService = std::map<std::string, std::vector<PoolView>>;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -345,8 +345,9 @@
     void stopJob(const StopJob &stop, Time now);
     // A VM has become the keeper of a partition: what an earlier one had started is stopped.
     void noteKeeper(uint32_t partition, uint64_t epoch, Time now);
-    // The keeper has stored what it needs of the outcome.
-    void confirmOutcome(const std::string &task, uint32_t run, Time now);
+    // The keeper has stored what it needs of the outcome. The end of a run that another one has
+    // superseded is acknowledged only after the lease of its server has lapsed.
+    void confirmOutcome(const std::string &task, uint32_t run, bool isSuperseded, Time now);
 
     void onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
                          Time now);
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -31,6 +31,8 @@
     std::string service;
     uint32_t priority = 0;
     uint32_t attempts = 1;
+    double stretchFactor = 1; // latency objective: this times the longest chain, plus
+    Duration objectiveSlack {};
 
     auto operator<=>(const QueueTerms &) const = default;
 };
@@ -83,12 +85,14 @@
         State,       // see state
         Cancelled,   // no task of it will start any more
         Unknown,     // no such job
+        Refused,     // nothing was stored; there is no room for the job in time
         Unavailable, // nothing was stored; not the keeper, or the store is out of reach
     };
 
     CallerRef caller;
     Kind kind = Kind::Unavailable;
     JobState state = JobState::Queued;
+    Duration retryAfter {}; // of Refused
 
     auto operator<=>(const KeeperAnswer &) const = default;
 };
@@ -98,13 +102,15 @@
 {
     uint32_t partition = 0;
     uint64_t epoch = 0;
+    bool isServing = false; // it has read the partition
 
     auto operator<=>(const PartitionClaim &) const = default;
 };
 
-// Stored jobs of a queue that wait for their first task to start.
+// Stored jobs of a queue in one partition that wait for their first task to start.
 struct QueueBacklog
 {
+    uint32_t partition = 0;
     std::string queue;
     uint32_t jobs = 0;
 
@@ -201,6 +207,9 @@
 {
     std::string task;
     uint32_t run = 0;
+    // Another run of the task has been started since, so this end must never count: it may be
+    // acknowledged only after the server's lease has lapsed.
+    bool isSuperseded = false;
 
     auto operator<=>(const ConfirmOutcome &) const = default;
 };
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -20,6 +20,7 @@
 constexpr Duration endlessPause = std::chrono::milliseconds(100);
 // Callers often ask right when the last task has ended, some milliseconds before that is stored.
 constexpr Duration queryWait = std::chrono::milliseconds(30);
+constexpr Duration leastRetryAfter = std::chrono::seconds(1);
 // Low bits of an epoch, which tell the holds of one VM within a generation of the group apart.
 constexpr unsigned epochBits = 8;
 
@@ -117,9 +118,23 @@
     }
     if (partition.isPending(request.job.id))
         return; // the caller's VM asks again
-    note("job-stored", request.job.id,
-         fmt::format("queue={} tasks={} partition={} epoch={}", request.terms.queue,
-                     taskCount(request.job), partition.number(), partition.epoch()));
+    if (partition.isStalled()) {
+        answer(request.caller, KeeperAnswer::Kind::Unavailable);
+        return;
+    }
+    const Duration objective = keeper::objectiveOf(request.job, request.terms);
+    const Duration wait = expectedWait(request.job, request.terms.service, now);
+    const std::string inputs =
+            fmt::format("queue={} tasks={} partition={} epoch={} wait_us={} objective_us={}",
+                        request.terms.queue, taskCount(request.job), partition.number(),
+                        partition.epoch(), wait.count(), objective.count());
+    if (wait + longestChain(request.job) > objective && wait > Duration::zero()) {
+        note("job-refused", request.job.id, inputs + " cause=backlog");
+        actions_.emplace_back(KeeperAnswer {request.caller, KeeperAnswer::Kind::Refused,
+                                            JobState::Queued, std::max(wait, leastRetryAfter)});
+        return;
+    }
+    note("job-stored", request.job.id, inputs);
     JobAccepted record {toUnixMillis(now), partition.epoch(), std::move(request.job),
                         std::move(request.terms)};
     partition.write(std::move(record), stored);
@@ -195,10 +210,10 @@
                            Time now)
 {
     note("journal-appended", {},
-         offset.has_value() ? fmt::format("partition={} epoch={} offset={}", partition, epoch,
-                                          offset.value())
-                            : fmt::format("partition={} epoch={} reason=\"{}\"", partition, epoch,
-                                          offset.error().reason));
+         offset.has_value()
+                 ? fmt::format("partition={} epoch={} offset={}", partition, epoch, offset.value())
+                 : fmt::format("partition={} epoch={} reason=\"{}\"", partition, epoch,
+                               offset.error().reason));
     const auto found = partitions_.find(partition);
     if (found != partitions_.end() && found->second->epoch() == epoch)
         found->second->onAppended(offset, now);
@@ -215,11 +230,17 @@
     const ConfirmOutcome confirm {outcome.task, outcome.run};
     StoredJob *job = partition->find(name->job);
     StoredTask *task = job ? job->find(*name) : nullptr;
-    if (!task || task->isDone) {
+    // An end in success that came too late to be the one that counts.
+    const uint32_t doneRun = job ? job->doneRun(*name) : 0;
+    const bool isSuccess = outcome.kind == TaskOutcome::Kind::Ended
+            && outcome.end == RunEnd::Succeeded && job && !job->isGang(*name);
+    const bool isSuperseded = isSuccess
+            && (doneRun > 0 ? outcome.run != doneRun : task && outcome.run < task->lastRun);
+    if (!task || task->isDone || isSuperseded) {
         note("outcome-known", name->job,
-             fmt::format("task={} run={} vm={} job_known={}", outcome.task, outcome.run, vm,
-                         job != nullptr));
-        actions_.emplace_back(SendConfirm {vm, confirm});
+             fmt::format("task={} run={} vm={} job_known={} done_run={} superseded={}",
+                         outcome.task, outcome.run, vm, job != nullptr, doneRun, isSuperseded));
+        actions_.emplace_back(SendConfirm {vm, {outcome.task, outcome.run, isSuperseded}});
         if (task && outcome.run >= task->lastRun)
             task->pool.clear();
         return;
@@ -343,21 +364,21 @@
     std::vector<PartitionClaim> claims;
     for (const auto &[number, partition] : partitions_) {
         if (partition->stage() != Partition::Stage::Lost)
-            claims.push_back({number, partition->epoch()});
+            claims.push_back({number, partition->epoch(), partition->isServing()});
     }
     return claims;
 }
 
 std::vector<QueueBacklog> JobKeeper::backlog() const
 {
-    std::map<std::string, uint32_t> queues;
+    std::vector<QueueBacklog> backlog;
     for (const auto &[number, partition] : partitions_) {
+        std::map<std::string, uint32_t> queues;
         for (const std::string &id : partition->unbegun())
             ++queues[partition->jobs().at(id).terms().queue];
+        for (const auto &[queue, jobs] : queues)
+            backlog.push_back({number, queue, jobs});
     }
-    std::vector<QueueBacklog> backlog;
-    for (const auto &[queue, jobs] : queues)
-        backlog.push_back({queue, jobs});
     return backlog;
 }
 
--- a/src/keeper/partition.cpp
+++ b/src/keeper/partition.cpp
@@ -129,6 +129,7 @@
 void JobKeeper::Partition::onAppended(const Result<uint64_t> &offset, Time now)
 {
     isCalling_ = false;
+    isStalled_ = !offset.has_value();
     if (!offset.has_value()) {
         if (offset.error().code == ErrorCode::Fenced)
             stage_ = Stage::Lost;
@@ -208,7 +209,7 @@
         unbegun_.insert(id);
     else
         unbegun_.erase(id);
-    const Turn turn {job->terms().priority, job->accepted().atMs, id};
+    const Turn turn {job->terms().priority, job->latestStartMs(), id};
     if (job->hasReadyTask(now))
         waiting_.insert(turn);
     else
--- a/src/keeper/partition.h
+++ b/src/keeper/partition.h
@@ -26,11 +26,12 @@
         Lost, // another keeper has opened it
     };
 
-    // Order in which jobs get room.
+    // Order in which jobs get room: by priority, then by the latest time at which they can start
+    // and still meet their objective.
     struct Turn
     {
         uint32_t priority = 0;
-        int64_t acceptedAtMs = 0;
+        int64_t latestStartMs = 0;
         std::string job;
 
         auto operator<=>(const Turn &) const = default;
@@ -42,6 +43,8 @@
     uint64_t epoch() const { return epoch_; }
     Stage stage() const { return stage_; }
     bool isServing() const { return stage_ == Stage::Serving; }
+    // The last append has failed, and nothing can be stored until it is repeated.
+    bool isStalled() const { return isStalled_; }
 
     // Journal.
     void onOpened(const Result<uint64_t> &end, Time now);
@@ -92,6 +95,7 @@
     uint64_t epoch_;
     Stage stage_ = Stage::Opening;
     bool isCalling_ = false; // a call has not been answered
+    bool isStalled_ = false;
     Time nextCallAt_ {};
     Time startsFrom_ = Time::max();
     uint64_t readNext_ = 0;
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -42,6 +42,37 @@
 
 } // namespace
 
+// The other keepers are taken to have as much to do as this one.
+Duration JobKeeper::expectedWait(const JobSpec &job, const std::string &service, Time now)
+{
+    if (job.repeatCount > 0)
+        return Duration::zero(); // starts at times of its own
+    double rate = 0;
+    double queued = 0;
+    const Step &first = job.steps.front();
+    for (const PoolView &pool : poolsFor(service, ownLoads_, vms_, now)) {
+        if (roomFor(first, *pool.load) > 0)
+            return Duration::zero();
+        rate += pool.load->rate;
+        queued += pool.load->queuedWork;
+    }
+    if (rate <= 0)
+        return Duration::zero();
+    size_t keepers = 1;
+    for (const auto &[name, row] : vms_.rows())
+        keepers += row.report.claims.empty() ? 0 : 1;
+    double waiting = 0;
+    for (auto &[number, partition] : partitions_) {
+        for (const Partition::Turn &turn : partition->waiting()) {
+            const StoredJob &other = partition->jobs().at(turn.job);
+            if (other.terms().service == service)
+                waiting += other.waitingCoreSeconds();
+        }
+    }
+    queued += waiting * static_cast<double>(keepers);
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(queued / rate));
+}
+
 // Hands out waiting tasks in the order of their jobs' turns, over all partitions.
 void JobKeeper::placeWaiting(Time now)
 {
--- a/src/keeper/stored_job.cpp
+++ b/src/keeper/stored_job.cpp
@@ -7,15 +7,29 @@
 
 namespace {
 
-// An epoch rises by 256 with a generation of the group, so the next keeper begins some thousand runs
-// higher.
+// An epoch rises by 256 with a generation of the group, so the next keeper begins some thousand
+// runs higher.
 constexpr uint32_t runsPerEpochBits = 4;
 constexpr Duration refusalPause = std::chrono::milliseconds(100);
 
+int64_t toMillis(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 } // namespace
 
+Duration objectiveOf(const JobSpec &job, const QueueTerms &terms)
+{
+    const double chain = static_cast<double>(longestChain(job).count());
+    return terms.objectiveSlack + Duration(static_cast<int64_t>(terms.stretchFactor * chain));
+}
+
 StoredJob::StoredJob(JobAccepted record, uint64_t offset)
-    : writtenAtMs(record.atMs), accepted_(std::move(record)), firstOffset_(offset)
+    : writtenAtMs(record.atMs), accepted_(std::move(record)), firstOffset_(offset),
+      latestStartMs_(
+              accepted_.atMs
+              + toMillis(objectiveOf(accepted_.job, accepted_.terms) - longestChain(accepted_.job)))
 {
     if (spec().repeatCount == 0)
         occurrences_.emplace(0, makeOccurrence());
@@ -69,12 +83,12 @@
     if (record.end == RunEnd::Succeeded) {
         if (spec().steps[name.step].isGang) {
             for (StoredTask &member : occurrence.steps[name.step].tasks)
-                completeTask(occurrence, name.step, member);
+                completeTask(occurrence, name.step, member, record.run);
         } else {
-            completeTask(occurrence, name.step, *task);
+            completeTask(occurrence, name.step, *task, record.run);
         }
         if (occurrence.unfinishedSteps == 0 && !occurrence.steps.empty()) {
-            occurrence.steps.clear();
+            completeOccurrence(occurrence);
             ++completeOccurrences_;
         }
         if (completeOccurrences_ == std::max<uint32_t>(1, spec().repeatCount))
@@ -96,11 +110,39 @@
         close(JobState::Failed, record.atMs);
 }
 
-void StoredJob::completeTask(Occurrence &occurrence, uint32_t step, StoredTask &task)
+// A closed job is known for minutes, so it keeps no more than is asked of it.
+void StoredJob::completeOccurrence(Occurrence &occurrence)
+{
+    for (const StepState &step : occurrence.steps) {
+        std::vector<uint32_t> runs;
+        for (const StoredTask &task : step.tasks)
+            runs.push_back(task.doneRun);
+        occurrence.doneRuns.push_back(std::move(runs));
+    }
+    occurrence.steps.clear();
+}
+
+uint32_t StoredJob::doneRun(const TaskName &name) const
+{
+    const auto found = occurrences_.find(name.occurrence);
+    if (found == occurrences_.end())
+        return 0;
+    const Occurrence &occurrence = found->second;
+    if (name.step < occurrence.doneRuns.size()
+        && name.index < occurrence.doneRuns[name.step].size())
+        return occurrence.doneRuns[name.step][name.index];
+    if (name.step < occurrence.steps.size()
+        && name.index < occurrence.steps[name.step].tasks.size())
+        return occurrence.steps[name.step].tasks[name.index].doneRun;
+    return 0;
+}
+
+void StoredJob::completeTask(Occurrence &occurrence, uint32_t step, StoredTask &task, uint32_t run)
 {
     if (task.isDone)
         return;
     task.isDone = true;
+    task.doneRun = run;
     if (--occurrence.steps[step].unfinished == 0)
         --occurrence.unfinishedSteps;
 }
@@ -151,6 +193,25 @@
     return false;
 }
 
+double StoredJob::waitingCoreSeconds() const
+{
+    constexpr double milliCoreMicros = 1e9;
+    double sum = 0;
+    for (const auto &[number, occurrence] : occurrences_) {
+        for (uint32_t step = 0; step < occurrence.steps.size(); ++step) {
+            const Step &spec = this->spec().steps[step];
+            const auto &tasks = occurrence.steps[step].tasks;
+            const auto waiting =
+                    std::count_if(tasks.begin(), tasks.end(), [](const StoredTask &task) {
+                        return !task.isDone && !task.isPlaced();
+                    });
+            sum += static_cast<double>(waiting) * spec.demand.milliCores
+                    * static_cast<double>(spec.estimate.count()) / milliCoreMicros;
+        }
+    }
+    return sum;
+}
+
 bool StoredJob::mayEndSoon() const
 {
     if (isClosed() || occurrences_.size() < spec().repeatCount)
@@ -207,10 +268,11 @@
         for (uint32_t step = 0; step < spec().steps.size(); ++step) {
             for (uint32_t index = 0; index < spec().steps[step].count; ++index) {
                 const TaskName name {spec().id, number, step, index};
+                const uint32_t done = doneRun(name);
                 const StoredTask task = occurrence.steps.empty()
                         ? StoredTask {true}
                         : occurrence.steps[step].tasks[index];
-                TaskEnded ended {closedAtMs_, name, task.lastRun, RunEnd::Succeeded, {}};
+                TaskEnded ended {closedAtMs_, name, done, RunEnd::Succeeded, {}};
                 if (task.isDone)
                     records.emplace_back(ended);
                 ended.end = RunEnd::Failed;
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -12,6 +12,7 @@
 {
     // From the journal.
     bool isDone = false;
+    uint32_t doneRun = 0; // that has ended in success
     uint32_t failures = 0;
     uint32_t lastFailedRun = 0;
     uint32_t lastRun = 0;
@@ -38,8 +39,12 @@
 {
     std::vector<StepState> steps; // empty when all are complete
     size_t unfinishedSteps = 0;
+    std::vector<std::vector<uint32_t>> doneRuns {}; // by step and index, when all are complete
 };
 
+// Longest time from the acceptance of a job to its end that serves its caller in full.
+Duration objectiveOf(const JobSpec &job, const QueueTerms &terms);
+
 class StoredJob
 {
 public:
@@ -62,8 +67,18 @@
     std::map<uint32_t, Occurrence> &occurrences() { return occurrences_; }
     const std::map<uint32_t, Occurrence> &occurrences() const { return occurrences_; }
     StoredTask *find(const TaskName &name);
+    bool isGang(const TaskName &name) const
+    {
+        return name.step < spec().steps.size() && spec().steps[name.step].isGang;
+    }
+    // The run of the task that has ended in success; 0: none.
+    uint32_t doneRun(const TaskName &name) const;
     bool isStepReady(const Occurrence &occurrence, uint32_t step) const;
     bool hasReadyTask(Time now) const;
+    // Unix time; what takes longer than declared still starts in this order.
+    int64_t latestStartMs() const { return latestStartMs_; }
+    // Declared work of the tasks that are not started.
+    double waitingCoreSeconds() const;
     // Whether every task that is left has been started and ends by itself.
     bool mayEndSoon() const;
     // VMs that were asked to start a task that has not ended.
@@ -84,12 +99,14 @@
     int64_t writtenAtMs = 0; // of the first record that gives the state
 
 private:
-    void completeTask(Occurrence &occurrence, uint32_t step, StoredTask &task);
+    static void completeTask(Occurrence &occurrence, uint32_t step, StoredTask &task, uint32_t run);
+    static void completeOccurrence(Occurrence &occurrence);
     void close(JobState state, int64_t atMs);
     Occurrence makeOccurrence() const;
 
     JobAccepted accepted_;
     uint64_t firstOffset_;
+    int64_t latestStartMs_;
     JobState closedAs_ = JobState::Completed;
     int64_t closedAtMs_ = 0;
     uint32_t completeOccurrences_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -128,7 +128,7 @@
         storedJobs_.request(std::move(request), deadline, std::move(respond));
         flush();
     }
-    uint32_t pendingJobs(const std::string &queue) const { return storedJobs_.pendingJobs(queue); }
+    uint32_t pendingJobs(const std::string &queue) { return storedJobs_.pendingJobs(queue); }
     void setStoredJobsExist() { storedJobs_.setExist(); }
 
     uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
@@ -559,7 +559,8 @@
 
 void Node::storeJob(JobSpec job, const Queue &queue, Duration deadline, StoredRespond respond)
 {
-    QueueTerms terms {queue.name, queue.service, queue.priority, queue.attempts};
+    QueueTerms terms {queue.name,     queue.service,       queue.priority,
+                      queue.attempts, queue.stretchFactor, queue.objectiveSlack};
     implementation_->request(StoreJob {{}, std::move(job), std::move(terms)}, deadline,
                              std::move(respond));
 }
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -15,6 +15,8 @@
 constexpr Duration refuseAfter = std::chrono::milliseconds(500);
 // The same while no keeper is known, which is so for a moment after the first stored job.
 constexpr Duration refuseWithoutKeeperAfter = std::chrono::seconds(3);
+// A caller hears that a request was not answered so long before its deadline.
+constexpr Duration answerMargin = std::chrono::milliseconds(100);
 constexpr Duration announceInterval = std::chrono::seconds(1);
 
 HolderOptions holderOptions(const NodeSettings &settings)
@@ -59,8 +61,10 @@
     const uint64_t number = nextNumber_++;
     const CallerRef caller {vms_.self().name, vms_.self().incarnation, number};
     std::visit([&](auto &alternative) { alternative.caller = caller; }, request);
+    const Duration margin = std::min(deadline / 10, answerMargin);
     requests_.emplace(
-            number, Request {std::move(request), std::move(respond), now, now + deadline, now, 0});
+            number,
+            Request {std::move(request), std::move(respond), now, now + deadline - margin, now, 0});
     sendDue(now);
 }
 
@@ -171,13 +175,33 @@
 
 void StoredJobs::onPeer(const ConfirmOutcome &message)
 {
-    pool_.confirmOutcome(message.task, message.run, currentTime());
+    pool_.confirmOutcome(message.task, message.run, message.isSuperseded, currentTime());
 }
 
 void StoredJobs::onReport(const VmReport &report)
 {
     for (const PartitionClaim &claim : report.claims)
         pool_.noteKeeper(claim.partition, claim.epoch, currentTime());
+    noteBacklog(report.claims, report.backlog);
+}
+
+void StoredJobs::noteBacklog(const std::vector<PartitionClaim> &claims,
+                             const std::vector<QueueBacklog> &backlog)
+{
+    for (const PartitionClaim &claim : claims) {
+        PartitionBacklog &known = backlog_[claim.partition];
+        if (claim.isServing && claim.epoch >= known.epoch)
+            known = {claim.epoch};
+    }
+    for (const QueueBacklog &entry : backlog) {
+        const auto claim =
+                std::find_if(claims.begin(), claims.end(), [&](const PartitionClaim &other) {
+                    return other.partition == entry.partition;
+                });
+        PartitionBacklog &known = backlog_[entry.partition];
+        if (claim != claims.end() && claim->epoch == known.epoch)
+            known.jobs[entry.queue] = entry.jobs;
+    }
 }
 
 void StoredJobs::onVmLost(const std::string &vm)
@@ -352,12 +376,13 @@
         send_(send.vm, StopJobMessage {std::move(send.stop)});
 }
 
-void StoredJobs::carryOut(SendConfirm send)
+void StoredJobs::carryOut(const SendConfirm &send)
 {
     if (send.vm == vms_.self().name)
-        pool_.confirmOutcome(send.confirm.task, send.confirm.run, currentTime());
+        pool_.confirmOutcome(send.confirm.task, send.confirm.run, send.confirm.isSuperseded,
+                             currentTime());
     else
-        send_(send.vm, std::move(send.confirm));
+        send_(send.vm, send.confirm);
 }
 
 void StoredJobs::carryOut(const KeeperAnswer &answer)
@@ -374,16 +399,14 @@
     report.backlog = keeper_.backlog();
 }
 
-uint32_t StoredJobs::pendingJobs(const std::string &queue) const
+uint32_t StoredJobs::pendingJobs(const std::string &queue)
 {
+    noteBacklog(keeper_.claims(), keeper_.backlog());
     uint32_t jobs = 0;
-    const auto add = [&](const std::vector<QueueBacklog> &backlog) {
-        for (const QueueBacklog &entry : backlog)
-            jobs += entry.queue == queue ? entry.jobs : 0;
-    };
-    add(keeper_.backlog());
-    for (const auto &[name, row] : vms_.rows())
-        add(row.report.backlog);
+    for (const auto &[partition, backlog] : backlog_) {
+        const auto found = backlog.jobs.find(queue);
+        jobs += found == backlog.jobs.end() ? 0 : found->second;
+    }
     return jobs;
 }
 
--- a/src/node/stored_jobs.h
+++ b/src/node/stored_jobs.h
@@ -43,7 +43,7 @@
     void flush();
     // Adds what peers need to know.
     void describe(VmReport &report) const;
-    uint32_t pendingJobs(const std::string &queue) const;
+    uint32_t pendingJobs(const std::string &queue);
     bool isBusy() const { return !requests_.empty() || keeper_.hasOpenJobs(); }
     bool isMember() const { return membership_.isMember(); }
 
@@ -58,6 +58,16 @@
         uint32_t unanswered = 0; // sends that the keeper has not denied
     };
 
+    // The backlog of one partition as its latest keeper has reported it. Kept until the next one
+    // has read the partition.
+    struct PartitionBacklog
+    {
+        uint64_t epoch = 0;
+        std::map<std::string, uint32_t> jobs {}; // by queue
+    };
+
+    void noteBacklog(const std::vector<PartitionClaim> &claims,
+                     const std::vector<QueueBacklog> &backlog);
     std::optional<std::string> keeperOf(const std::string &job) const;
     void sendDue(Time now);
     void finish(uint64_t number, Result<KeeperAnswer> result);
@@ -73,7 +83,7 @@
     void carryOut(const TrimPartition &call);
     void carryOut(SendBatch send);
     void carryOut(SendStopJob send);
-    void carryOut(SendConfirm send);
+    void carryOut(const SendConfirm &send);
     void carryOut(const KeeperAnswer &answer);
 
     VmTable &vms_;
@@ -93,6 +103,7 @@
     Time nextAnnounceAt_ {};
     uint64_t nextNumber_ = 1;
     std::map<uint64_t, Request> requests_;
+    std::map<uint32_t, PartitionBacklog> backlog_; // by partition
 };
 
 } // namespace lovage::node
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -41,7 +41,7 @@
 bool LeasedServer::isOpen(Time now) const
 {
     return tenure == Tenure::Held && !isReleasing && isRegistered && !info_.isLeaving && clockMs_
-            && now >= closedUntil && now >= avoidUntil;
+            && now >= closedUntil && now >= avoidUntil && !isLapsing();
 }
 
 Run *LeasedServer::findRun(const RunRef &ref)
@@ -50,8 +50,22 @@
     return found != runs_.end() && found->second.number == ref.run ? &found->second : nullptr;
 }
 
+// The lease may have been extended up to now, also by an earlier holder.
+bool LeasedServer::endLapse(Time now)
+{
+    if (lapseAt_ == Time {})
+        lapseAt_ = latestEnd(now);
+    if (now <= lapseAt_)
+        return false;
+    for (const uint64_t end : std::exchange(supersededEnds_, {}))
+        heldEnds_.erase(end);
+    lapseAt_ = {};
+    return true;
+}
+
 void LeasedServer::add(const std::string &task, Run run)
 {
+    lapseAt_ = {};
     used_.milliCores += run.demand.milliCores;
     used_.memoryMb += run.demand.memoryMb;
     used_.accelerators += run.demand.accelerators;
@@ -166,6 +180,8 @@
     acknowledged_ = 0;
     lookAck_ = 0;
     heldEnds_.clear();
+    supersededEnds_.clear();
+    lapseAt_ = {};
     clockMs_.reset();
     startLeaseEnd_ = {};
     lookLeaseEnd_ = {};
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -116,6 +116,11 @@
     // An end that may not be acknowledged yet, because its job's keeper has not stored it.
     void holdEnd(uint64_t number) { heldEnds_.insert(number); }
     void releaseEnd(uint64_t number) { heldEnds_.erase(number); }
+    // The end is held until the lease has lapsed with nothing running.
+    void supersedeEnd(uint64_t number) { supersededEnds_.insert(number); }
+    bool isLapsing() const { return !supersededEnds_.empty(); }
+    // Nothing runs: releases the superseded ends if the lease has lapsed. Returns whether it has.
+    bool endLapse(Time now);
     // The pending look acknowledges ends up to here; noteAcknowledged() when it is answered.
     void noteLookAck(uint64_t number) { lookAck_ = number; }
     void noteAcknowledged() { acknowledged_ = std::max(acknowledged_, lookAck_); }
@@ -157,6 +162,8 @@
     uint64_t acknowledged_ = 0;
     uint64_t lookAck_ = 0;
     std::set<uint64_t> heldEnds_;
+    std::set<uint64_t> supersededEnds_; // of heldEnds_
+    Time lapseAt_ {};                   // zero: something runs
 };
 
 } // namespace lovage::pool
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -103,9 +103,9 @@
     implementation_->noteKeeper(partition, epoch, now);
 }
 
-void Pool::confirmOutcome(const std::string &task, uint32_t run, Time now)
+void Pool::confirmOutcome(const std::string &task, uint32_t run, bool isSuperseded, Time now)
 {
-    implementation_->confirmOutcome(task, run, now);
+    implementation_->confirmOutcome(task, run, isSuperseded, now);
 }
 
 void Pool::tick(Time now)
@@ -120,6 +120,7 @@
         implementation_->placeQueued(now);
     implementation_->repeatOutcomes(now);
     implementation_->stopPending(now);
+    implementation_->endLapses(now);
     implementation_->lookAround(now);
     return std::exchange(implementation_->actions_, {});
 }
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -40,7 +40,8 @@
     void stopJob(const StopJob &stop, Time now);
     void stopOfKeeper(const std::string &vm, uint64_t exceptIncarnation, Time now);
     void noteKeeper(uint32_t partition, uint64_t epoch, Time now);
-    void confirmOutcome(const std::string &task, uint32_t run, Time now);
+    void confirmOutcome(const std::string &task, uint32_t run, bool isSuperseded, Time now);
+    void endLapses(Time now);
     void repeatOutcomes(Time now);
 
     // Placement (pool_placement.cpp).
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -199,23 +199,41 @@
     outcomes_.try_emplace({task, run.number}, held);
 }
 
-void Pool::Implementation::confirmOutcome(const std::string &task, uint32_t run, Time now)
+void Pool::Implementation::confirmOutcome(const std::string &task, uint32_t run, bool isSuperseded,
+                                          Time now)
 {
     const auto found = outcomes_.find({task, run});
     if (found == outcomes_.end())
         return;
     note("outcome-confirmed", {},
-         fmt::format("task={} run={} server={} end={}", task, run, found->second.server,
-                     found->second.end));
+         fmt::format("task={} run={} server={} end={} superseded={}", task, run,
+                     found->second.server, found->second.end, isSuperseded));
     const auto server = servers_.find(found->second.server);
     if (server != servers_.end()
         && server->second.info().incarnation == found->second.incarnation) {
-        server->second.releaseEnd(found->second.end);
+        if (isSuperseded && found->second.end > 0)
+            server->second.supersedeEnd(found->second.end);
+        else
+            server->second.releaseEnd(found->second.end);
         server->second.endSeenAt = now;
     }
     outcomes_.erase(found);
 }
 
+// A server with a superseded end gets no new work until nothing runs there and its lease has
+// lapsed.
+void Pool::Implementation::endLapses(Time now)
+{
+    for (auto &[id, server] : servers_) {
+        if (!server.isLapsing() || !server.runs().empty())
+            continue;
+        if (server.endLapse(now)) {
+            note("lease-lapsed", {}, fmt::format("server={}", id));
+            isPlacementDue_ = true;
+        }
+    }
+}
+
 // Reports outcomes that are new, and again those that were not confirmed in time.
 void Pool::Implementation::repeatOutcomes(Time now)
 {
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -56,12 +56,13 @@
 void serialize(Archive &archive, PartitionClaim &claim)
 {
     archive(claim.partition, claim.epoch);
+    flagField(archive, claim.isServing);
 }
 
 template<class Archive>
 void serialize(Archive &archive, QueueBacklog &backlog)
 {
-    archive(backlog.queue, backlog.jobs);
+    archive(backlog.partition, backlog.queue, backlog.jobs);
 }
 
 template<class Archive>
@@ -173,6 +174,7 @@
     archive(answer.caller);
     enumField(archive, answer.kind, KeeperAnswer::Kind::Unavailable);
     enumField(archive, answer.state, JobState::Cancelled);
+    durationField(archive, answer.retryAfter);
 }
 
 template<class Archive>
@@ -215,6 +217,7 @@
 void serialize(Archive &archive, ConfirmOutcome &message)
 {
     archive(message.task, message.run);
+    flagField(archive, message.isSuperseded);
 }
 
 namespace {
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -73,7 +73,8 @@
 template<class Archive>
 void serialize(Archive &archive, QueueTerms &terms)
 {
-    archive(terms.queue, terms.service, terms.priority, terms.attempts);
+    archive(terms.queue, terms.service, terms.priority, terms.attempts, terms.stretchFactor);
+    durationField(archive, terms.objectiveSlack);
 }
 
 } // namespace lovage
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -183,6 +183,52 @@
         flush();
     }
 
+    static TaskBatch makeBatch(const std::string &job, uint32_t count, uint32_t milliCores,
+                               uint64_t epoch = 1)
+    {
+        TaskBatch batch;
+        batch.keeper = {"vm1", 1, 0, epoch};
+        batch.job = job;
+        batch.payload = "payload";
+        batch.queue = "queue";
+        batch.service = "work";
+        batch.step.count = count;
+        batch.step.demand = {milliCores, 0, 0};
+        batch.step.estimate = milliseconds(100);
+        for (uint32_t index = 0; index < count; ++index)
+            batch.tasks.push_back({index, 1, {}});
+        return batch;
+    }
+
+    void startBatch(const TaskBatch &batch)
+    {
+        demands[batch.job] = batch.step.demand.milliCores;
+        pool.startBatch(batch, now);
+        flush();
+    }
+    void confirm(const TaskOutcome &outcome, bool isSuperseded = false)
+    {
+        pool.confirmOutcome(outcome.task, outcome.run, isSuperseded, now);
+        flush();
+    }
+    size_t outcomesOf(TaskOutcome::Kind kind) const
+    {
+        std::set<std::pair<std::string, uint32_t>> runs;
+        for (const TaskOutcome &outcome : outcomes) {
+            if (outcome.kind == kind)
+                runs.emplace(outcome.task, outcome.run);
+        }
+        return runs.size();
+    }
+    // Ends that servers list, because nobody has acknowledged them.
+    size_t listedEnds() const
+    {
+        size_t count = 0;
+        for (const auto &[id, server] : servers)
+            count += server.ended.size();
+        return count;
+    }
+
     // Advances the clock in steps of a millisecond.
     void run(Duration time)
     {
