--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -129,7 +129,8 @@
     void cancelJob(const std::string &job, Duration deadline, StoredRespond respond);
     // Jobs of the queue none of whose tasks has been started; some tenths of a second old.
     uint32_t pendingJobs(const std::string &queue) const;
-    void setStoredJobsExist();
+    // What the store says of it. Not calling means that it is not known yet.
+    void setStoredJobsExist(bool exist);
 
     // Whether the servers of the data centre must be followed, because this VM holds shards or is
     // about to.
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -339,8 +339,10 @@
     // Same for all jobs of a VM; of all its incarnations but the given one, if that is not 0.
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
 
-    // From now on ends that this pool knows nothing of are reported before they are acknowledged.
-    void expectStoredJobs();
+    // Whether stored jobs exist. Unless it is known that there are none, ends that this pool knows
+    // nothing of are reported before they are acknowledged: an earlier holder may have started them
+    // for a keeper.
+    void expectStoredJobs(bool exist);
     void startBatch(TaskBatch batch, Time now);
     void stopJob(const StopJob &stop, Time now);
     // A VM has become the keeper of a partition: what an earlier one had started is stopped.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -129,7 +129,7 @@
         flush();
     }
     uint32_t pendingJobs(const std::string &queue) { return storedJobs_.pendingJobs(queue); }
-    void setStoredJobsExist() { storedJobs_.setExist(); }
+    void setStoredJobsExist(bool exist) { storedJobs_.setExist(exist); }
 
     uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
     {
@@ -580,9 +580,9 @@
     return implementation_->pendingJobs(queue);
 }
 
-void Node::setStoredJobsExist()
+void Node::setStoredJobsExist(bool exist)
 {
-    implementation_->setStoredJobsExist();
+    implementation_->setStoredJobsExist(exist);
 }
 
 bool Node::needsServers() const
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -46,18 +46,18 @@
       membership_(holderOptions(settings), Time {}), keeper_(keeperOptions(settings), vms)
 { }
 
-void StoredJobs::setExist()
+void StoredJobs::setExist(bool exist)
 {
-    isUsed_ = true;
-    isAnnounced_ = true;
-    pool_.expectStoredJobs();
+    isAnnounced_ = exist;
+    isUsed_ |= exist;
+    pool_.expectStoredJobs(isUsed_);
 }
 
 void StoredJobs::request(KeeperRequest request, Duration deadline, Node::StoredRespond respond)
 {
     const Time now = currentTime();
     isUsed_ = true;
-    pool_.expectStoredJobs();
+    pool_.expectStoredJobs(true);
     const uint64_t number = nextNumber_++;
     const CallerRef caller {vms_.self().name, vms_.self().incarnation, number};
     std::visit([&](auto &alternative) { alternative.caller = caller; }, request);
@@ -140,7 +140,7 @@
 void StoredJobs::onPeer(KeeperRequestMessage message)
 {
     isUsed_ = true;
-    pool_.expectStoredJobs();
+    pool_.expectStoredJobs(true);
     keeper_.onRequest(std::move(message.request), currentTime());
 }
 
@@ -149,13 +149,16 @@
     const auto found = requests_.find(answer.caller.number);
     if (found == requests_.end() || answer.caller.incarnation != vms_.self().incarnation)
         return;
-    if (answer.kind != KeeperAnswer::Kind::Unavailable) {
+    Request &request = found->second;
+    request.unanswered -= std::min<uint32_t>(1, request.unanswered);
+    const bool isUnavailable = answer.kind == KeeperAnswer::Kind::Unavailable;
+    // The job may be accepted by a send that is still under way.
+    const bool isPremature = answer.kind == KeeperAnswer::Kind::Refused && request.unanswered > 0;
+    if (!isUnavailable && !isPremature) {
         finish(answer.caller.number, answer);
         return;
     }
-    Request &request = found->second;
-    request.unanswered -= std::min<uint32_t>(1, request.unanswered);
-    request.nextSendAt = currentTime() + unavailableRetry;
+    request.nextSendAt = currentTime() + (isUnavailable ? unavailableRetry : requestRepeat);
 }
 
 void StoredJobs::onPeer(BatchMessage message)
--- a/src/node/stored_jobs.h
+++ b/src/node/stored_jobs.h
@@ -19,8 +19,9 @@
     StoredJobs(const NodeSettings &settings, VmTable &vms, Pool &pool, GroupPort &group,
                JournalPort &journal, Send send);
 
-    // Some VM has seen a request about a stored job. Before that nothing here costs anything.
-    void setExist();
+    // Whether some VM has seen a request about a stored job. Before that nothing here costs
+    // anything.
+    void setExist(bool exist);
     bool exist() const { return isUsed_; }
     void request(KeeperRequest request, Duration deadline, Node::StoredRespond respond);
     // Whether this VM may be a keeper.
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -83,9 +83,9 @@
     return names.at(static_cast<size_t>(end));
 }
 
-void Pool::expectStoredJobs()
+void Pool::expectStoredJobs(bool exist)
 {
-    implementation_->expectsStoredJobs_ = true;
+    implementation_->expectStoredJobs(exist);
 }
 
 void Pool::startBatch(TaskBatch batch, Time now)
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -36,6 +36,7 @@
     void dropOverdue(Time now);
 
     // Tasks of stored jobs (pool_stored.cpp).
+    void expectStoredJobs(bool exist);
     void startBatch(TaskBatch batch, Time now);
     void stopJob(const StopJob &stop, Time now);
     void stopOfKeeper(const std::string &vm, uint64_t exceptIncarnation, Time now);
@@ -183,7 +184,7 @@
     using RunKey = std::pair<std::string, uint32_t>; // task and run
     std::map<RunKey, HeldOutcome> outcomes_;
     std::map<uint32_t, uint64_t> keeperEpochs_; // by partition
-    bool expectsStoredJobs_ = false;
+    bool expectsStoredJobs_ = true;
     bool isPlacementDue_ = false;
 };
 
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -19,11 +19,12 @@
 
 // A forecast wait may be too short, because runs take longer than predicted and more urgent jobs
 // come. The share that is added grows with each job that was accepted in vain and shrinks with each
-// one that had to wait and was still in time, so that one in twenty of them may fail.
+// one that had to wait and was still in time, so that one in a hundred of them may fail: a refusal
+// after a wait has cost its caller that time, and goodput under overload does not suffer.
 constexpr double leastWaitError = 0.2;
 constexpr double largestWaitError = 1.5;
 constexpr double waitErrorRise = 0.05;
-constexpr double waitErrorFall = waitErrorRise / 20;
+constexpr double waitErrorFall = waitErrorRise / 100;
 
 constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -119,8 +119,9 @@
         if (!without || !span)
             continue;
         const auto alone = simulate(*waiting, *without, budget, now);
-        forecast.isDisplacing |=
-                alone && alone->end <= waiting->objectiveAt && span->end > waiting->objectiveAt;
+        forecast.isDisplacing |= alone && alone->end <= waiting->objectiveAt
+                && span->end > alone->end
+                && likelyEnd(*waiting, span->lastStart, span->end, now) > waiting->objectiveAt;
     }
     return forecast;
 }
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -65,6 +65,19 @@
     return places;
 }
 
+void Pool::Implementation::expectStoredJobs(bool exist)
+{
+    expectsStoredJobs_ = exist;
+    if (exist)
+        return;
+    for (const auto &[key, held] : outcomes_) {
+        const auto server = servers_.find(held.server);
+        if (server != servers_.end())
+            server->second.releaseEnd(held.end);
+    }
+    outcomes_.clear();
+}
+
 void Pool::Implementation::startBatch(TaskBatch batch, Time now)
 {
     expectsStoredJobs_ = true;
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -68,6 +68,7 @@
         threads.post(0, [this] {
             configurations.start();
             servers.start();
+            node->setStoredJobsExist(false);
             node->start();
         });
     }
--- a/tests/pool_stored_test.cpp
+++ b/tests/pool_stored_test.cpp
@@ -114,24 +114,48 @@
     BOOST_TEST(world.runningCount() == 3U);
 }
 
-// Guards against ends that nobody hears of because another holder had started the runs.
-BOOST_AUTO_TEST_CASE(ends_of_an_earlier_holder_are_reported)
+namespace {
+
+// A server lists the end of a run that an earlier holder has started.
+void takeOverServerWithEnd(PoolWorld &world)
 {
-    PoolWorld world;
     world.addServer("a", 32000);
     SimulatedServer &server = world.servers.at("a");
     server.leaseUntil = world.now + std::chrono::seconds(1);
     server.running["job7.0.0.0"] = {"job7.0.0.0", 3, world.now, world.now + milliseconds(5),
                                     RunEnd::Succeeded};
-    world.pool.expectStoredJobs();
-    world.begin();
+    world.registerServers();
+    world.grantAll(1);
     world.run(milliseconds(200));
+}
+
+} // namespace
+
+// Guards against ends that nobody hears of because another holder had started the runs.
+BOOST_AUTO_TEST_CASE(ends_of_an_earlier_holder_are_reported)
+{
+    PoolWorld world;
+    world.pool.expectStoredJobs(true);
+    takeOverServerWithEnd(world);
     BOOST_REQUIRE(world.outcomesOf(Kind::Ended) == 1U);
     BOOST_TEST(world.outcomes.front().task == "job7.0.0.0");
     BOOST_TEST(world.outcomes.front().run == 3U);
     BOOST_TEST(world.listedEnds() == 1U);
 }
 
+// Guards against a VM that has just started, cannot read the store, and acknowledges the ends of
+// stored jobs that it does not know of.
+BOOST_AUTO_TEST_CASE(ends_are_kept_until_it_is_known_that_no_job_is_stored)
+{
+    PoolWorld world;
+    world.pool = Pool(PoolOptions {});
+    takeOverServerWithEnd(world);
+    BOOST_TEST(world.listedEnds() == 1U);
+    world.pool.expectStoredJobs(false);
+    world.run(milliseconds(200));
+    BOOST_TEST(world.listedEnds() == 0U);
+}
+
 // Guards tasks that answer users of their own against those that take what cores are left.
 BOOST_AUTO_TEST_CASE(filling_tasks_keep_away_from_serving_ones)
 {
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -91,7 +91,10 @@
 class PoolWorld
 {
 public:
-    explicit PoolWorld(PoolOptions options = {}) : pool(options), options_(options) { }
+    explicit PoolWorld(PoolOptions options = {}) : pool(options), options_(options)
+    {
+        pool.expectStoredJobs(false);
+    }
 
     Time now = fromUnixMillis(1'700'000'000'000);
     Pool pool;
