--- a/tests/support/platform_standin.h
+++ b/tests/support/platform_standin.h
@@ -68,17 +68,23 @@
     {
         const std::lock_guard lock(mutex_);
         for (auto &[name, group] : groups_)
-            group.generation += static_cast<int64_t>(group.members.erase(member));
+            removeMember(group, member);
     }
 
 private:
     static constexpr int shardCount = 24;
     using Partition = std::pair<std::string, int>; // topic and number
 
+    struct Member
+    {
+        Time expires;
+        int64_t acknowledged = 0; // generation
+    };
     struct Group
     {
-        std::set<std::string> members;
+        std::map<std::string, Member> members;
         int64_t generation = 1;
+        std::vector<std::string> owners = std::vector<std::string>(shardCount);
     };
     struct Producer
     {
@@ -115,8 +121,7 @@
         Group &group = groups_[std::string(body.at("group").as_string())];
         if (path == "/-/log-join")
             return join(group, body);
-        group.generation += static_cast<int64_t>(
-                group.members.erase(std::string(body.at("member").as_string())));
+        removeMember(group, std::string(body.at("member").as_string()));
         return jsonResponse(200, json::object {});
     }
 
@@ -181,15 +186,47 @@
         return jsonResponse(200, json::object {});
     }
 
+    static void removeMember(Group &group, const std::string &member)
+    {
+        if (group.members.erase(member) > 0)
+            ++group.generation;
+        for (std::string &owner : group.owners)
+            owner = owner == member ? "" : owner;
+    }
+
+    // The member that a shard should belong to; they are dealt evenly.
+    static const std::string &targetOf(const Group &group, int shard)
+    {
+        auto member = group.members.begin();
+        std::advance(member, shard % static_cast<int>(group.members.size()));
+        return member->first;
+    }
+
     static HttpResponse join(Group &group, const json::value &body)
     {
         const std::string member(body.at("member").as_string());
-        if (group.members.insert(member).second)
+        std::vector<std::string> expired;
+        for (const auto &[name, entry] : group.members) {
+            if (currentTime() > entry.expires)
+                expired.push_back(name);
+        }
+        for (const std::string &name : expired)
+            removeMember(group, name);
+        if (!group.members.contains(member))
             ++group.generation;
+        const auto lease = std::chrono::milliseconds(body.at("ttl_ms").to_number<int64_t>());
+        group.members[member] = {currentTime() + lease, body.at("generation").to_number<int64_t>()};
         json::array rows;
-        const bool isFirst = *group.members.begin() == member;
-        for (int shard = 0; shard < shardCount && isFirst; ++shard)
-            rows.push_back(json::array {body.at("topics").at(0), shard, 0});
+        for (int shard = 0; shard < shardCount; ++shard) {
+            std::string &owner = group.owners[static_cast<size_t>(shard)];
+            const std::string &target = targetOf(group, shard);
+            const bool mayMove =
+                    owner.empty() || group.members.at(owner).acknowledged >= group.generation;
+            if (owner != target && mayMove)
+                owner = target;
+            if (owner == member && target == member)
+                rows.push_back(json::array {body.at("topics").at(0), shard, 0});
+        }
         return jsonResponse(200, {{"generation", group.generation}, {"parts", rows}});
     }
 
