Keep starts that a restarted server may have carried out; ask surer pools first

The pool took the answer's newer incarnation for a proof that every run had ended, and started the task elsewhere. Runs whose start is not answered now outlive the change of incarnation; an answer of the new process confirms them. Ruled out: a lapsed lease (the run was confirmed and alive), the proxies.

Load: a pool that would only just make a job refuses it while others can be asked, and says how many tasks it would surely run; the job is divided by that, and comes back as a last offer if nobody is surer.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -52,8 +52,11 @@
     uint32_t attempts = 1;
     double stretchFactor = 1;   // the latency objective is this times the longest chain of run
     Duration objectiveSlack {}; // times, plus this
-    Duration elapsed {};        // since the caller submitted the job
-    Duration deadline {};       // left until the caller stops waiting
+    // Whether no other pool will be asked. Until then a pool that would only just make it refuses,
+    // since another one may have faster servers free.
+    bool isLastOffer = true;
+    Duration elapsed {};  // since the caller submitted the job
+    Duration deadline {}; // left until the caller stops waiting
 
     auto operator<=>(const JobOffer &) const = default;
 };
@@ -72,8 +75,10 @@
     JobTicket ticket;
     JobResult result = JobResult::Refused;
     std::string reason;
-    Duration retryAfter {}; // of Refused: when room is expected
-    uint32_t couldRun = 0;  // of Refused: tasks of the first step that could end in time
+    Duration retryAfter {};   // of Refused: when room is expected
+    uint32_t couldRun = 0;    // of Refused: tasks of the first step that could end in time
+    uint32_t surelyRun = 0;   // of couldRun: those that end in time with some margin
+    bool wouldAccept = false; // of Refused: the last offer of this job would be accepted
 
     auto operator<=>(const JobAnswer &) const = default;
 };
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -350,14 +350,24 @@
         std::string vm {};  // that has the offer, or will get it; empty once it has answered
         bool isOffered = false;
         std::vector<std::string> refusedBy {};
+        // A pool that would only just make it; asked again when no other is surer.
+        std::string fallback {};
+        uint32_t fallbackSurely = 0; // tasks that it would run with some margin
+        bool isLastOffer = false;
+    };
+    // What a pool that refused a job could run of it in time.
+    struct Capability
+    {
+        uint32_t tasks = 0;
+        uint32_t surely = 0; // with some margin
     };
     struct Request
     {
         JobOffer offer; // with the times that were left at arrival
         Time arrived {};
         std::vector<Part> parts {};
-        size_t open = 0;                             // parts that have not completed
-        std::map<std::string, uint32_t> couldRun {}; // tasks that pools offered to run in time
+        size_t open = 0;                               // parts that have not completed
+        std::map<std::string, Capability> couldRun {}; // by VM
         Duration retryAfter {};
         // A part found no pool: the others are withdrawn, and the answer waits for theirs.
         bool isGivenUp = false;
@@ -377,9 +387,12 @@
     void offerPart(uint64_t number, size_t part, Time now);
     JobOffer offerOf(const Request &request, size_t part, Time now) const;
     void onRefused(uint64_t number, size_t part, const JobAnswer &answer, Time now);
-    // Divides a job that no pool could run as a whole by what they said they could run. Returns
-    // whether that covers the job.
-    bool divideByOffers(uint64_t number, Time now);
+    // Divides a job that no pool could run as a whole by what they said they could run, with some
+    // margin or without. Returns whether that covers the job.
+    bool divideByOffers(uint64_t number, bool isSure, Time now);
+    // Offers the part to the pool that would only just make it. Returns whether there is one.
+    bool offerToFallback(uint64_t number, size_t part, Time now);
+    void sendOffer(uint64_t number, size_t part, Candidate pool, Time now);
     void offerParts(uint64_t number, Time now);
     void releaseHeld(Time now);
     void giveUp(uint64_t number, size_t part);
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -93,6 +93,11 @@
     // The lease to ask for with a start, or with a look. One look at a time is pending.
     int64_t leaseForStart(Time now);
     int64_t leaseForLook(Time now);
+    // An order to start was carried out, maybe in a life that began after it was sent.
+    void noteStarted(Time orderedAt)
+    {
+        startLeaseEnd_ = std::max(startLeaseEnd_, latestEnd(orderedAt));
+    }
     // The pending look did not reach the server.
     void noteLookUnsent() { lookLeaseEnd_ = answeredLookLeaseEnd_; }
     void noteLookSent() { answeredLookLeaseEnd_ = lookLeaseEnd_; }
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -69,6 +69,7 @@
         Time lastStart;
         Time end;
         uint32_t inTime = 0; // tasks that end before they are late
+        uint32_t surely = 0; // of these, with some margin
     };
     // What a job would meet in the queue.
     struct Forecast
@@ -154,6 +155,7 @@
     // Whether a task with this prediction can still end by then, unless it takes much longer than
     // predicted.
     double optimismFor(const Job &job) const;
+    Time cautiousEnd(const Job &job, Time start, Time end, Time now) const;
     Time likelyEnd(const Job &job, Time start, Time end, Time now) const;
     bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
     static bool isAllowed(const Server &server, const Step &step, const std::string &task);
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -87,13 +87,17 @@
             "queue={} tasks={} wait_ms={:.0f} end_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
             job.offer.queue, job.tasks.size(), toMillis(wait), toMillis(end - now),
             toMillis(job.objective()), toMillis(job.offer.deadline));
-    if (isLate || isDisplacing) {
+    const bool isUncertain = !job.offer.isLastOffer && span.surely < job.queued;
+    if (isLate || isDisplacing || isUncertain) {
         note("job-refused", job.offer.job.id,
-             fmt::format("{} could_run={} cause={}", inputs, span.inTime,
-                         isLate ? "backlog" : "would-delay-accepted-jobs"));
+             fmt::format("{} could_run={} surely={} cause={}", inputs, span.inTime, span.surely,
+                         isLate                 ? "backlog"
+                                 : isDisplacing ? "would-delay-accepted-jobs"
+                                                : "uncertain"));
         ++counters_.refused;
         actions_.emplace_back(JobAnswer {job.offer.ticket, JobResult::Refused, "backlog",
-                                         std::max(wait, shortestRetryAfter), span.inTime});
+                                         std::max(wait, shortestRetryAfter), span.inTime,
+                                         span.surely, !isLate && !isDisplacing});
         return;
     }
     note("job-accepted", job.offer.job.id, inputs);
@@ -220,6 +224,12 @@
     return start + scaled(start - now, waitError_) + scaled(end - start, optimismFor(job));
 }
 
+// The same from the worse side: two tasks in three end before it.
+Time Pool::Implementation::cautiousEnd(const Job &job, Time start, Time end, Time now) const
+{
+    return start + scaled(start - now, waitError_) + scaled(end - start, 1 / optimismFor(job));
+}
+
 // Answers jobs that cannot be done in time any more as soon as that is known.
 void Pool::Implementation::dropOverdue(Time now)
 {
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -29,15 +29,23 @@
                          toString(result)));
     if (result == OrderResult::OtherLife) {
         startLife(server, now);
+        if (server.findRun(ref))
+            requeue(ref.task, server.remove(ref.task), now);
         return;
     }
-    if (!checkIncarnation(server, reading, now))
+    const bool isKnownLife = checkIncarnation(server, reading, now);
+    Run *run = server.findRun(ref);
+    if (!isKnownLife && reading.incarnation.value_or(0) < server.info().incarnation) {
+        // The order was carried out, if at all, in a life that has ended.
+        if (run)
+            requeue(ref.task, server.remove(ref.task), now);
         return;
+    }
     server.noteReading(reading, now);
-    Run *run = server.findRun(ref);
     if (!run)
         return;
     if (result == OrderResult::Done) {
+        server.noteStarted(run->orderedAt);
         run->confirmedAt = now;
         if (run->state != RunState::Stopping)
             run->state = RunState::Running;
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -147,6 +147,8 @@
         span.end = std::max(span.end, choice->end);
         if (likelyEnd(job, choice->start, choice->end, now) <= target)
             ++span.inTime;
+        if (cautiousEnd(job, choice->start, choice->end, now) <= target)
+            ++span.surely;
     }
     return span;
 }
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -95,13 +95,16 @@
     server.nextLookAt = now;
 }
 
-// Everything of the last incarnation has ended.
+// Everything of the last incarnation has ended. An order that was not answered may be carried out
+// in the new one; its answer, or a look, shows whether it was.
 void Pool::Implementation::startLife(Server &server, Time now)
 {
     note("server-restarted", {}, fmt::format("server={}", server.info().id));
     std::vector<std::string> tasks;
-    for (const auto &[task, run] : server.runs())
-        tasks.push_back(task);
+    for (const auto &[task, run] : server.runs()) {
+        if (run.confirmedAt != Time {} || run.job == pool::foreignJob)
+            tasks.push_back(task);
+    }
     for (const std::string &task : tasks)
         requeue(task, server.remove(task), now);
     server.resetLife();
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 2;
+constexpr uint8_t messageVersion = 3;
 
 } // namespace
 
@@ -26,6 +26,7 @@
             offer.attempts);
     archive(offer.stretchFactor);
     durationField(archive, offer.objectiveSlack);
+    flagField(archive, offer.isLastOffer);
     durationField(archive, offer.elapsed);
     durationField(archive, offer.deadline);
 }
@@ -37,7 +38,8 @@
     enumField(archive, answer.result, JobResult::Abandoned);
     archive(answer.reason);
     durationField(archive, answer.retryAfter);
-    archive(answer.couldRun);
+    archive(answer.couldRun, answer.surelyRun);
+    flagField(archive, answer.wouldAccept);
 }
 
 template<class Archive>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -168,6 +168,7 @@
     offer.deadline -= elapsed;
     offer.ticket.part = static_cast<uint32_t>(part);
     offer.firstIndex = request.parts[part].firstIndex;
+    offer.isLastOffer = request.parts[part].isLastOffer;
     if (request.parts[part].count > 0)
         offer.job.steps.front().count = request.parts[part].count;
     return offer;
@@ -177,39 +178,68 @@
 {
     Request &request = requests_.at(number);
     Part &part = request.parts[index];
-    JobOffer offer = offerOf(request, index, now);
+    const JobOffer offer = offerOf(request, index, now);
     const auto pools = candidates(offer, part.refusedBy, now);
     const auto planned = std::find_if(pools.begin(), pools.end(),
                                       [&](const Candidate &pool) { return pool.vm == part.vm; });
     if (pools.empty() || part.refusedBy.size() >= options_.maxOffers) {
-        if (!divideByOffers(number, now))
+        if (!divideByOffers(number, true, now) && !offerToFallback(number, index, now)
+            && !divideByOffers(number, false, now))
             giveUp(number, index);
         return;
     }
-    const Candidate &pool = planned != pools.end() ? *planned : pools.front();
+    part.isLastOffer = pools.size() == 1 && part.refusedBy.empty();
+    sendOffer(number, index, planned != pools.end() ? *planned : pools.front(), now);
+}
+
+void Router::sendOffer(uint64_t number, size_t index, Candidate pool, Time now)
+{
+    Request &request = requests_.at(number);
+    Part &part = request.parts[index];
+    JobOffer offer = offerOf(request, index, now);
     noteOffered(*pool.load, offer.job);
     part.vm = pool.vm;
     part.isOffered = true;
-    notes_.push_back({"job-offered", offer.job.id,
-                      fmt::format("number={} part={}/{} tasks={} vm={} wait_us={} refusals={}",
-                                  number, index, request.parts.size(), taskCount(offer.job),
-                                  pool.vm, pool.wait.count(), part.refusedBy.size())});
+    notes_.push_back(
+            {"job-offered", offer.job.id,
+             fmt::format("number={} part={}/{} tasks={} vm={} wait_us={} refusals={} "
+                         "last={}",
+                         number, index, request.parts.size(), taskCount(offer.job), pool.vm,
+                         pool.wait.count(), part.refusedBy.size(), part.isLastOffer)});
     actions_.emplace_back(SendOffer {pool.vm, std::move(offer)});
 }
 
-bool Router::divideByOffers(uint64_t number, Time now)
+bool Router::offerToFallback(uint64_t number, size_t index, Time now)
+{
+    Request &request = requests_.at(number);
+    Part &part = request.parts[index];
+    const std::string vm = std::exchange(part.fallback, {});
+    const auto pools = candidates(request.offer, {}, now);
+    const auto pool = std::find_if(pools.begin(), pools.end(),
+                                   [&](const Candidate &other) { return other.vm == vm; });
+    if (vm.empty() || pool == pools.end())
+        return false;
+    part.isLastOffer = true;
+    sendOffer(number, index, *pool, now);
+    return true;
+}
+
+bool Router::divideByOffers(uint64_t number, bool isSure, Time now)
 {
     Request &request = requests_.at(number);
     const uint32_t count = request.offer.job.steps.front().count;
+    const auto tasksOf = [&](const Capability &capability) {
+        return isSure ? capability.surely : capability.tasks;
+    };
     uint32_t total = 0;
-    for (const auto &[vm, tasks] : request.couldRun)
-        total += tasks;
+    for (const auto &[vm, capability] : request.couldRun)
+        total += tasksOf(capability);
     if (request.parts.size() > 1 || !isDivisible(request.offer.job) || total < count)
         return false;
     std::vector<Part> parts;
     uint32_t next = 0;
-    for (const auto &[vm, tasks] : std::exchange(request.couldRun, {})) {
-        const uint32_t share = std::min(tasks, count - next);
+    for (const auto &[vm, capability] : std::exchange(request.couldRun, {})) {
+        const uint32_t share = std::min(tasksOf(capability), count - next);
         if (share > 0)
             parts.push_back({next, share, vm});
         next += share;
@@ -293,8 +323,14 @@
     const bool isFirst = request.retryAfter <= Duration::zero();
     request.retryAfter =
             isFirst ? answer.retryAfter : std::min(request.retryAfter, answer.retryAfter);
-    request.couldRun[request.parts[part].vm] = answer.couldRun;
-    request.parts[part].refusedBy.push_back(request.parts[part].vm);
+    Part &refused = request.parts[part];
+    request.couldRun[refused.vm] = {answer.couldRun, answer.surelyRun};
+    if (answer.wouldAccept
+        && (refused.fallback.empty() || answer.surelyRun > refused.fallbackSurely)) {
+        refused.fallback = refused.vm;
+        refused.fallbackSurely = answer.surelyRun;
+    }
+    refused.refusedBy.push_back(refused.vm);
     offerPart(number, part, now);
 }
 
--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -219,6 +219,7 @@
                 return fate;
             };
             world.isLookSent = [&] { return random.unit() > 0.05; };
+            world.checksIncarnation = seed % 2 == 0;
             world.begin();
             size_t offered = 0;
             for (int step = 0; step < 100; ++step) {
@@ -252,3 +253,22 @@
         }
     }
 }
+
+// Guards against a second start of a task whose server has restarted just before the first: the
+// order was carried out by the new process.
+BOOST_AUTO_TEST_CASE(start_that_meets_a_new_process_is_kept)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.addServer("b", 32000);
+    world.checksIncarnation = false;
+    world.begin();
+    for (int i = 0; i < 20; ++i) {
+        const std::string job = "job" + std::to_string(i);
+        world.offer(PoolWorld::makeOffer(job, 2, 14000, milliseconds(100)));
+        world.servers.at("a").restart(); // before the order arrives
+        world.run(milliseconds(400));
+        BOOST_TEST((world.resultOf(job) == JobResult::Completed));
+    }
+    BOOST_TEST(world.overlappingRuns == 0U);
+}
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -113,6 +113,9 @@
     };
     // Whether a look reaches its server at all; if not, that shows after a moment.
     std::function<bool()> isLookSent = [] { return true; };
+    // Whether servers refuse orders for an earlier incarnation. Some know only their id, which a
+    // new process may share.
+    bool checksIncarnation = true;
     uint64_t starts = 0;
     uint64_t overlappingRuns = 0; // tasks that ran on two servers at a time
     std::set<std::string> startedJobs;
@@ -349,7 +352,8 @@
 
     OrderResult start(SimulatedServer &server, const OrderStart &order)
     {
-        const OrderResult result = check(server, order.token, order.incarnation);
+        const OrderResult result =
+                check(server, order.token, checksIncarnation ? order.incarnation : 0);
         if (result != OrderResult::Done)
             return result;
         const Time lease = fromUnixMillis(order.leaseUntilMs);
