Start nothing old after a pause; send batches again that may be lost

After a pause the pool starts nothing for 50 ms, refuses offers and batches that it reads in that time, and gives up the work of other VMs if it was longer than their patience. Test: woken_pool_starts_nothing_old.

Batches are sent again after 1 s and longer; a pool knows the runs that it has or had. Tests: lost_batch_is_sent_again, repeated_batch_starts_nothing.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -180,7 +180,7 @@
     bool placeStep(Partition &partition, keeper::StoredJob &job, uint32_t occurrence, uint32_t step,
                    std::vector<PoolView> &pools, Time now);
     void sendBatch(Partition &partition, keeper::StoredJob &job, const TaskName &first,
-                   const std::vector<uint32_t> &indexes, const std::string &vm);
+                   const std::vector<uint32_t> &indexes, const std::string &vm, Time now);
     uint64_t nextEpoch(uint32_t partition, uint64_t generation);
     void stopClosed(Partition &partition, Time now);
 
@@ -191,12 +191,22 @@
         Time until;
     };
     void answerQueries(Time now);
+    // A batch that was sent. Its message may be lost on a connection that goes silent, so it is
+    // sent again as long as nothing is heard of its tasks; the pool knows those that it has.
+    struct SentBatch
+    {
+        std::string vm;
+        TaskBatch batch;
+        Duration repeat;
+    };
+    void repeatBatches(Time now);
 
     KeeperOptions options_;
     VmTable &vms_;
     Time leaseUntil_ {};
     std::vector<ServiceLoad> ownLoads_;
     std::vector<PendingQuery> queries_;
+    std::multimap<Time, SentBatch> sentBatches_; // by the time of the next repetition
     bool isPlacementDue_ = false;
     std::map<uint32_t, uint64_t> lastEpochs_; // by partition
     std::map<uint32_t, std::unique_ptr<Partition>> partitions_;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -288,6 +288,8 @@
     Duration idleAckDelay = std::chrono::milliseconds(40);
     // A job that cannot meet its objective by this factor is not worth its room any more.
     double lateLimitFactor = 3;
+    // Other VMs take one that is silent for longer for lost.
+    Duration silenceLimit = std::chrono::milliseconds(1000);
     // First time for which a suspect server gets no work; doubles with each relapse.
     Duration firstAvoidance = std::chrono::milliseconds(1000);
     Duration lastAvoidance = std::chrono::seconds(16);
@@ -343,6 +345,10 @@
     void withdraw(const JobTicket &ticket, Time now);
     // Same for all jobs of a VM; of all its incarnations but the given one, if that is not 0.
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
+    // The process did not run for a while. Offers that are read now are old, so for a moment
+    // nothing is started, until what arrived meanwhile has been heeded. After a long pause other
+    // VMs have given up what they had here.
+    void onPaused(Duration pause, const std::string &self, Time now);
 
     // Whether stored jobs exist. Unless it is known that there are none, ends that this pool knows
     // nothing of are reported before they are acknowledged: an earlier holder may have started them
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -317,6 +317,7 @@
         partition->tick(options_, now);
         stopClosed(*partition, now);
     }
+    repeatBatches(now);
     isPlacementDue_ = true;
 }
 
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -19,6 +19,8 @@
 constexpr size_t maxMisses = 32;
 // Tasks in one batch.
 constexpr size_t maxBatchTasks = 200;
+constexpr Duration firstBatchRepeat = std::chrono::seconds(1);
+constexpr Duration longestBatchRepeat = std::chrono::seconds(8);
 // Work that occupies no cores is offered in batches of this size.
 constexpr size_t tasksWithoutCores = 20;
 
@@ -146,13 +148,13 @@
         ready.erase(ready.begin(), ready.begin() + static_cast<long>(count));
         const uint64_t used = uint64_t {spec.demand.milliCores} * count;
         pool.load->freeMilliCores -= std::min(used, pool.load->freeMilliCores);
-        sendBatch(partition, job, {job.spec().id, occurrence, step, 0}, chosen, pool.vm);
+        sendBatch(partition, job, {job.spec().id, occurrence, step, 0}, chosen, pool.vm, now);
     }
     return ready.empty();
 }
 
 void JobKeeper::sendBatch(Partition &partition, StoredJob &job, const TaskName &first,
-                          const std::vector<uint32_t> &indexes, const std::string &vm)
+                          const std::vector<uint32_t> &indexes, const std::string &vm, Time now)
 {
     TaskBatch batch;
     batch.keeper = {vms_.self().name, vms_.self().incarnation, partition.number(),
@@ -185,7 +187,33 @@
          fmt::format("step={} occurrence={} tasks={} run={} vm={} partition={} epoch={}",
                      first.step, first.occurrence, indexes.size(), run, vm, partition.number(),
                      partition.epoch()));
+    sentBatches_.emplace(now + firstBatchRepeat, SentBatch {vm, batch, firstBatchRepeat});
     actions_.emplace_back(SendBatch {vm, std::move(batch)});
 }
 
+void JobKeeper::repeatBatches(Time now)
+{
+    while (!sentBatches_.empty() && sentBatches_.begin()->first <= now) {
+        SentBatch sent = std::move(sentBatches_.begin()->second);
+        sentBatches_.erase(sentBatches_.begin());
+        Partition *partition = partitionOf(sent.batch.job);
+        StoredJob *job = partition ? partition->find(sent.batch.job) : nullptr;
+        if (!job || job->isClosed() || partition->epoch() != sent.batch.keeper.epoch)
+            continue;
+        std::erase_if(sent.batch.tasks, [&](const TaskStart &start) {
+            const StoredTask *task = job->find(
+                    {sent.batch.job, sent.batch.occurrence, sent.batch.stepNumber, start.index});
+            return !task || task->isDone || task->pool != sent.vm || task->lastRun != start.run
+                    || task->isEndPending || task->presumedEnded != Time::max();
+        });
+        if (sent.batch.tasks.empty())
+            continue;
+        if (mayAct(*partition, now))
+            actions_.emplace_back(SendBatch {sent.vm, sent.batch});
+        sent.repeat = std::min(sent.repeat * 2, longestBatchRepeat);
+        const Time next = now + sent.repeat;
+        sentBatches_.emplace(next, std::move(sent));
+    }
+}
+
 } // namespace lovage
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -98,6 +98,7 @@
     // Events from peers.
     void onMessage(VmMessage message)
     {
+        checkPause(currentTime());
         std::visit([this](auto &alternative) { onPeer(std::move(alternative)); }, message);
         flush();
     }
@@ -316,8 +317,7 @@
     void onTick()
     {
         const Time now = currentTime();
-        if (now > lastTick_ + pauseThreshold)
-            logEvent(LogLevel::Warning, "paused", {{"for_us", (now - lastTick_).count()}});
+        checkPause(now);
         lastTick_ = now;
         for (const std::string &vm : vms_.removeLost(now))
             onVmLost(vm, "silent");
@@ -332,6 +332,17 @@
         scheduleTick();
     }
 
+    // Called before anything is acted on, since events that waited come before the tick.
+    void checkPause(Time now)
+    {
+        if (now <= lastTick_ + pauseThreshold)
+            return;
+        const Duration pause = now - lastTick_;
+        logEvent(LogLevel::Warning, "paused", {{"for_us", pause.count()}});
+        lastTick_ = now;
+        pool_.onPaused(pause, self_.name, now);
+    }
+
     void requestGroup(Time now)
     {
         const bool mayLeave = isDraining_ && pool_.isIdle();
@@ -388,6 +399,7 @@
     {
         if (isFlushing_)
             return;
+        checkPause(currentTime());
         isFlushing_ = true;
         for (bool isDone = false; !isDone;) {
             const Time now = currentTime();
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -59,6 +59,11 @@
     implementation_->withdrawAll(vm, exceptIncarnation, now);
 }
 
+void Pool::onPaused(Duration pause, const std::string &self, Time now)
+{
+    implementation_->onPaused(pause, self, now);
+}
+
 void Pool::onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
                            Time now)
 {
@@ -111,12 +116,13 @@
 void Pool::tick(Time now)
 {
     implementation_->dropOverdue(now);
+    implementation_->forgetConfirmed(now);
     implementation_->isPlacementDue_ = true;
 }
 
 std::vector<PoolAction> Pool::takeActions(Time now)
 {
-    if (implementation_->isPlacementDue_)
+    if (implementation_->isPlacementDue_ && now >= implementation_->heldUntil_)
         implementation_->placeQueued(now);
     implementation_->repeatOutcomes(now);
     implementation_->stopPending(now);
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -33,6 +33,7 @@
     void offer(JobOffer offer, Time now);
     void withdraw(const JobTicket &ticket, Time now);
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
+    void onPaused(Duration pause, const std::string &self, Time now);
     void dropOverdue(Time now);
 
     // Tasks of stored jobs (pool_stored.cpp).
@@ -43,6 +44,7 @@
     void noteKeeper(uint32_t partition, uint64_t epoch, Time now);
     void confirmOutcome(const std::string &task, uint32_t run, bool isSuperseded, Time now);
     void endLapses(Time now);
+    void forgetConfirmed(Time now);
     void repeatOutcomes(Time now);
 
     // Placement (pool_placement.cpp).
@@ -140,6 +142,8 @@
                   std::string checkpoint, Time now);
     void noteStoredEnd(Server &server, const pool::Run &run, const EndedRow &row, Time now);
     void report(TaskOutcome outcome, Time now);
+    // Whether the run is under way here, or was.
+    bool isKnownRun(const std::string &task, uint32_t run);
     void reportLostLater(const std::string &task, const pool::Run &run, Time now);
     template<class Predicate>
     void stopStored(Predicate isMeant, Time now);
@@ -165,6 +169,7 @@
     std::vector<PoolNote> notes_;
     PoolCounters counters_;
     bool isDraining_ = false;
+    Time heldUntil_ {}; // nothing is started before
 
     std::map<std::string, Server> servers_; // by id
     pool::RunTimeModel model_;
@@ -185,6 +190,7 @@
     };
     using RunKey = std::pair<std::string, uint32_t>; // task and run
     std::map<RunKey, HeldOutcome> outcomes_;
+    std::map<RunKey, Time> confirmed_;          // lately; a batch that comes late starts nothing
     std::map<uint32_t, uint64_t> keeperEpochs_; // by partition
     bool expectsStoredJobs_ = true;
     bool isPlacementDue_ = false;
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -27,6 +27,8 @@
 constexpr double waitErrorFall = waitErrorRise / 100;
 
 constexpr Duration shortestRetryAfter = std::chrono::seconds(1);
+// Long enough to read what other VMs and callers have sent during a pause.
+constexpr Duration holdAfterPause = std::chrono::milliseconds(50);
 
 double toMillis(Duration duration)
 {
@@ -52,8 +54,8 @@
     ++counters_.offered;
     Job job = pool::makeJob(nextJob_++, std::move(offer), model_, now);
     const std::string &id = job.offer.job.id;
-    if (isDraining_) {
-        answer(job, JobResult::Refused, "draining", now);
+    if (isDraining_ || now < heldUntil_) {
+        answer(job, JobResult::Refused, isDraining_ ? "draining" : "paused", now);
         return;
     }
     if (isRepeated(job.offer)) {
@@ -204,6 +206,25 @@
     stopOfKeeper(vm, exceptIncarnation, now);
 }
 
+void Pool::Implementation::onPaused(Duration pause, const std::string &self, Time now)
+{
+    heldUntil_ = now + holdAfterPause;
+    if (pause < options_.silenceLimit)
+        return;
+    std::set<std::string> vms;
+    for (const auto &[ticket, number] : jobsByTicket_)
+        vms.insert(ticket.vm);
+    for (const auto &[id, server] : servers_) {
+        for (const auto &[task, run] : server.runs()) {
+            if (run.stored)
+                vms.insert(run.stored->keeper.vm);
+        }
+    }
+    vms.erase(self);
+    for (const std::string &vm : vms)
+        withdrawAll(vm, 0, now);
+}
+
 bool Pool::Implementation::canEndBy(const Job &job, Duration predicted, Time limit, Time now) const
 {
     const double factor = speedOf(job.offer.service).fast * optimismFor(job);
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -19,6 +19,9 @@
 // message was lost.
 constexpr Duration outcomeRepeat = std::chrono::milliseconds(300);
 
+// A batch is repeated, so an old message may arrive after its run was confirmed.
+constexpr Duration confirmedMemory = std::chrono::seconds(10);
+
 std::string nameOf(const TaskBatch &batch, const TaskStart &start)
 {
     return toString(TaskName {batch.job, batch.occurrence, batch.stepNumber, start.index});
@@ -85,9 +88,14 @@
         batch.step.demand.milliCores = 0;
     noteKeeper(batch.keeper.partition, batch.keeper.epoch, now);
     const bool isCurrent = batch.keeper.epoch >= keeperEpochs_[batch.keeper.partition];
+    std::erase_if(batch.tasks, [&](const TaskStart &start) {
+        return isKnownRun(nameOf(batch, start), start.run);
+    });
+    if (batch.tasks.empty())
+        return; // a repetition
     const Duration predicted = model_.predict(batch.queue, batch.step.estimate);
     pool::Timetable timetable;
-    if (isCurrent && !isDraining_)
+    if (isCurrent && !isDraining_ && now >= heldUntil_)
         timetable = makeTimetable(batch.service, now);
     const auto places = planBatch(batch, predicted, timetable, now);
     const bool isWhole = std::find(places.begin(), places.end(), nullptr) == places.end();
@@ -196,6 +204,15 @@
         note("server-avoided", {}, fmt::format("server={} cause=failures", server.info().id));
 }
 
+bool Pool::Implementation::isKnownRun(const std::string &task, uint32_t run)
+{
+    if (outcomes_.contains({task, run}) || confirmed_.contains({task, run}))
+        return true;
+    return std::any_of(servers_.begin(), servers_.end(), [&](auto &entry) {
+        return entry.second.findRun({entry.first, task, run}) != nullptr;
+    });
+}
+
 void Pool::Implementation::report(TaskOutcome outcome, Time now)
 {
     const RunKey key {outcome.task, outcome.run};
@@ -231,6 +248,7 @@
         server->second.endSeenAt = now;
     }
     outcomes_.erase(found);
+    confirmed_.emplace(RunKey {task, run}, now + confirmedMemory);
 }
 
 // A server with a superseded end gets no new work until nothing runs there and its lease has
@@ -247,6 +265,11 @@
     }
 }
 
+void Pool::Implementation::forgetConfirmed(Time now)
+{
+    std::erase_if(confirmed_, [&](const auto &entry) { return now > entry.second; });
+}
+
 // Reports outcomes that are new, and again those that were not confirmed in time.
 void Pool::Implementation::repeatOutcomes(Time now)
 {
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -257,6 +257,19 @@
     BOOST_TEST((stateOf("job1") == JobState::Completed));
 }
 
+// Guards against a task that waits forever because its batch was lost on a silent connection.
+BOOST_FIXTURE_TEST_CASE(lost_batch_is_sent_again, World)
+{
+    losesBatches = true;
+    store(makeJob("job1", {2}));
+    run(milliseconds(100));
+    BOOST_TEST(starts.empty());
+    losesBatches = false;
+    run(milliseconds(1200));
+    BOOST_TEST(starts.size() == 2U);
+    BOOST_TEST((stateOf("job1") == JobState::Completed));
+}
+
 // Guards against work without an end that is not started again, and keeps its job open.
 BOOST_FIXTURE_TEST_CASE(endless_task_is_started_again, World)
 {
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -106,6 +106,7 @@
     std::map<std::string, uint32_t> starts;
     std::map<std::string, uint32_t> lastRun;
     std::vector<TaskBatch> batches;
+    bool losesBatches = false;    // on their way to the pool
     bool keepsOutcomes = false;   // the pool is out of reach
     uint64_t startsAfterDone = 0; // of a task whose end was acknowledged then or later
     uint64_t superseded = 0;      // ends that must not be acknowledged in the life of a lease
@@ -247,10 +248,14 @@
     void carryOut(const KeeperAnswer &answer) { answers.push_back(answer); }
     void carryOut(const SendBatch &send)
     {
+        if (losesBatches)
+            return;
         batches.push_back(send.batch);
         for (const TaskStart &start : send.batch.tasks) {
             const std::string name = toString(TaskName {send.batch.job, send.batch.occurrence,
                                                         send.batch.stepNumber, start.index});
+            if (lastRun.contains(name) && lastRun[name] >= start.run)
+                continue; // a repetition
             startsAfterDone += doneTasks.contains(name) ? 1 : 0;
             overlappingRuns += running.contains(name) ? 1 : 0;
             ++starts[name];
--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -272,3 +272,28 @@
     }
     BOOST_TEST(world.overlappingRuns == 0U);
 }
+
+// Guards against a process that wakes up and starts, from where it was, tasks of jobs that other
+// VMs have given up meanwhile.
+BOOST_AUTO_TEST_CASE(woken_pool_starts_nothing_old)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.workOf = [](const std::string &) { return Duration(milliseconds(600)); };
+    world.begin();
+    world.offer(PoolWorld::makeOffer("job1", 2, 14000, milliseconds(600)));
+    world.offer(PoolWorld::makeOffer("job2", 2, 14000, milliseconds(600)));
+    world.run(milliseconds(2));
+    const Duration pause = std::chrono::seconds(3);
+    world.now += pause;
+    world.pool.onPaused(pause, "vm2", world.now);
+    world.offer(PoolWorld::makeOffer("job3", 1, 1000, milliseconds(600)));
+    BOOST_TEST((world.resultOf("job3") == JobResult::Refused));
+    world.run(std::chrono::seconds(2));
+    BOOST_TEST(world.starts == 2U);
+    BOOST_TEST((world.resultOf("job1") == JobResult::Abandoned));
+    BOOST_TEST((world.resultOf("job2") == JobResult::Refused));
+    world.offer(PoolWorld::makeOffer("job4", 1, 1000, milliseconds(600)));
+    world.run(std::chrono::seconds(1));
+    BOOST_TEST((world.resultOf("job4") == JobResult::Completed));
+}
--- a/tests/pool_stored_test.cpp
+++ b/tests/pool_stored_test.cpp
@@ -60,6 +60,26 @@
     BOOST_TEST(world.listedEnds() == 0U);
 }
 
+// Guards against a second start by a batch that is repeated, or arrives late.
+BOOST_AUTO_TEST_CASE(repeated_batch_starts_nothing)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.addServer("b", 32000);
+    world.begin();
+    const TaskBatch batch = PoolWorld::makeBatch("job1", 2, 10000);
+    world.startBatch(batch);
+    world.run(milliseconds(20));
+    world.startBatch(batch);
+    world.run(milliseconds(300));
+    world.startBatch(batch);
+    for (const TaskOutcome &outcome : std::vector<TaskOutcome>(world.outcomes))
+        world.confirm(outcome);
+    world.startBatch(batch);
+    world.run(milliseconds(300));
+    BOOST_TEST(world.starts == 2U);
+}
+
 // Guards against two keepers of one job: what an earlier one has started ends.
 BOOST_AUTO_TEST_CASE(runs_of_an_earlier_keeper_are_stopped)
 {
