--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -215,6 +215,8 @@
     auto operator<=>(const TaskOutcome &) const = default;
 };
 
+std::string_view toString(TaskOutcome::Kind kind);
+
 using PoolAction = std::variant<OrderStart, OrderStop, OrderLook, JobAnswer, TaskOutcome>;
 
 struct RunningRow
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -97,6 +97,10 @@
     auto operator<=>(const KeeperAnswer &) const = default;
 };
 
+std::string_view toString(KeeperAnswer::Kind kind);
+// "store", "query" or "cancel".
+std::string_view nameOf(const KeeperRequest &request);
+
 // A partition of the journal that a VM holds, and since when.
 struct PartitionClaim
 {
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -258,7 +258,7 @@
                 || (isLatest && !outcome.checkpoint.empty()));
     note("outcome", name->job,
          fmt::format("task={} run={} vm={} kind={} end={} written={}", outcome.task, outcome.run,
-                     vm, static_cast<int>(outcome.kind), toString(outcome.end), isWritten));
+                     vm, toString(outcome.kind), toString(outcome.end), isWritten));
     if (isWritten) {
         task->isEndPending = true;
         task->pendingRun = outcome.run;
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -128,11 +128,10 @@
     requests_.erase(found);
     logEvent(LogLevel::Info, "stored-job-answered",
              {{"job", jobIdOf(request.request)},
-              {"request", request.request.index()},
+              {"request", nameOf(request.request)},
               {"result",
-               result.has_value() ? fmt::format("{}/{}", static_cast<int>(result.value().kind),
-                                                toString(result.value().state))
-                                  : result.error().reason},
+               result.has_value() ? toString(result.value().kind) : toString(result.error().code)},
+              {"state", result.has_value() ? toString(result.value().state) : ""},
               {"after_us", (currentTime() - request.arrived).count()}});
     request.respond(result);
 }
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -88,6 +88,12 @@
     return names.at(static_cast<size_t>(end));
 }
 
+std::string_view toString(TaskOutcome::Kind kind)
+{
+    constexpr std::array<std::string_view, 3> names = {"not-started", "lost", "ended"};
+    return names.at(static_cast<size_t>(kind));
+}
+
 void Pool::expectStoredJobs(bool exist)
 {
     implementation_->expectStoredJobs(exist);
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -262,6 +262,19 @@
     return names.at(static_cast<size_t>(state));
 }
 
+std::string_view toString(KeeperAnswer::Kind kind)
+{
+    constexpr std::array<std::string_view, 6> names = {"stored",  "state",   "cancelled",
+                                                       "unknown", "refused", "unavailable"};
+    return names.at(static_cast<size_t>(kind));
+}
+
+std::string_view nameOf(const KeeperRequest &request)
+{
+    constexpr std::array<std::string_view, 3> names = {"store", "query", "cancel"};
+    return names.at(request.index());
+}
+
 std::string encodeMessage(const VmMessage &message)
 {
     std::ostringstream stream;
