Address batches to one incarnation of a pool's VM

A process ignores batches for another incarnation of its VM; the keeper learns of the restart from its report and waits.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -109,6 +109,9 @@
 struct TaskBatch
 {
     KeeperRef keeper;
+    // Of the VM with the pool. A process that has started since does not answer: it cannot know
+    // whether the tasks still run.
+    uint64_t poolIncarnation = 0;
     std::string job;
     std::string payload;
     std::string queue;
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -9,7 +9,6 @@
 
 namespace lovage {
 
-using keeper::Occurrence;
 using keeper::StoredJob;
 using keeper::StoredTask;
 
@@ -159,6 +158,8 @@
     TaskBatch batch;
     batch.keeper = {vms_.self().name, vms_.self().incarnation, partition.number(),
                     partition.epoch()};
+    const VmTable::Row *row = vms_.find(vm);
+    batch.poolIncarnation = row ? row->report.vm.incarnation : vms_.self().incarnation;
     batch.job = job.spec().id;
     batch.payload = job.spec().payload;
     batch.queue = job.terms().queue;
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -162,6 +162,14 @@
 
 void StoredJobs::onPeer(BatchMessage message)
 {
+    const TaskBatch &batch = message.batch;
+    if (batch.poolIncarnation != vms_.self().incarnation) {
+        logEvent(LogLevel::Info, "batch-ignored",
+                 {{"job", batch.job},
+                  {"keeper", batch.keeper.vm},
+                  {"for_incarnation", batch.poolIncarnation}});
+        return;
+    }
     pool_.startBatch(std::move(message.batch), currentTime());
 }
 
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 3;
+constexpr uint8_t messageVersion = 4;
 
 } // namespace
 
@@ -195,8 +195,8 @@
 void serialize(Archive &archive, BatchMessage &message)
 {
     TaskBatch &batch = message.batch;
-    archive(batch.keeper, batch.job, batch.payload, batch.queue, batch.service, batch.step,
-            batch.stepNumber, batch.occurrence, batch.tasks);
+    archive(batch.keeper, batch.poolIncarnation, batch.job, batch.payload, batch.queue,
+            batch.service, batch.step, batch.stepNumber, batch.occurrence, batch.tasks);
 }
 
 template<class Archive>
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -266,6 +266,8 @@
     BOOST_TEST(starts.empty());
     losesBatches = false;
     run(milliseconds(1200));
+    // A process of the pool's VM that has started since must not answer for the last one.
+    BOOST_TEST(batches.front().poolIncarnation == 1U);
     BOOST_TEST(starts.size() == 2U);
     BOOST_TEST((stateOf("job1") == JobState::Completed));
 }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -241,6 +241,9 @@
     {
         const Time end = currentTime() + patience;
         while (currentTime() < end) {
+            // A daemon may still have been draining when the faults were over.
+            if (daemons_[0]->hasEnded())
+                daemons_[0]->start();
             const std::string job = nextJob();
             ledger_.noteSubmitted(job, false, 1);
             const int status = send(0, request("POST", job, jobBody(false, {1}, 4000, 20)));
