--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -24,6 +24,27 @@
 // Low bits of an epoch, which tell the holds of one VM within a generation of the group apart.
 constexpr unsigned epochBits = 8;
 
+// Whether an end in success came too late to be the one that counts: another run of the task was
+// started, or has succeeded.
+bool isSuperseded(const StoredJob &job, const TaskName &name, const StoredTask *task,
+                  const TaskOutcome &outcome)
+{
+    if (outcome.kind != TaskOutcome::Kind::Ended || outcome.end != RunEnd::Succeeded
+        || job.isGang(name))
+        return false;
+    const uint32_t doneRun = job.doneRun(name);
+    return doneRun > 0 ? outcome.run != doneRun : task && outcome.run < task->lastRun;
+}
+
+// Whether the journal must say how the run ended.
+bool decidesSomething(const TaskOutcome &outcome, bool isLatest)
+{
+    if (outcome.kind != TaskOutcome::Kind::Ended)
+        return false;
+    return outcome.end == RunEnd::Succeeded || outcome.end == RunEnd::Failed
+            || (isLatest && !outcome.checkpoint.empty());
+}
+
 } // namespace
 
 JobKeeper::JobKeeper(KeeperOptions options, VmTable &vms) : options_(options), vms_(vms) { }
@@ -230,17 +251,12 @@
     const ConfirmOutcome confirm {outcome.task, outcome.run};
     StoredJob *job = partition->find(name->job);
     StoredTask *task = job ? job->find(*name) : nullptr;
-    // An end in success that came too late to be the one that counts.
-    const uint32_t doneRun = job ? job->doneRun(*name) : 0;
-    const bool isSuccess = outcome.kind == TaskOutcome::Kind::Ended
-            && outcome.end == RunEnd::Succeeded && job && !job->isGang(*name);
-    const bool isSuperseded = isSuccess
-            && (doneRun > 0 ? outcome.run != doneRun : task && outcome.run < task->lastRun);
-    if (!task || task->isDone || isSuperseded) {
+    const bool isTooLate = job && isSuperseded(*job, *name, task, outcome);
+    if (!task || task->isDone || isTooLate) {
         note("outcome-known", name->job,
-             fmt::format("task={} run={} vm={} job_known={} done_run={} superseded={}",
-                         outcome.task, outcome.run, vm, job != nullptr, doneRun, isSuperseded));
-        actions_.emplace_back(SendConfirm {vm, {outcome.task, outcome.run, isSuperseded}});
+             fmt::format("task={} run={} vm={} job_known={} superseded={}", outcome.task,
+                         outcome.run, vm, job != nullptr, isTooLate));
+        actions_.emplace_back(SendConfirm {vm, {outcome.task, outcome.run, isTooLate}});
         if (task && outcome.run >= task->lastRun)
             task->pool.clear();
         return;
@@ -253,9 +269,7 @@
         return; // being written; the pool will be told
     const bool isLatest = outcome.run >= task->lastRun;
     const bool isEndless = job->spec().steps[name->step].isEndless;
-    const bool isWritten = outcome.kind == TaskOutcome::Kind::Ended && !isEndless
-            && (outcome.end == RunEnd::Succeeded || outcome.end == RunEnd::Failed
-                || (isLatest && !outcome.checkpoint.empty()));
+    const bool isWritten = !isEndless && decidesSomething(outcome, isLatest);
     note("outcome", name->job,
          fmt::format("task={} run={} vm={} kind={} end={} written={}", outcome.task, outcome.run,
                      vm, toString(outcome.kind), toString(outcome.end), isWritten));
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -75,7 +75,7 @@
 Run LeasedServer::remove(const std::string &task)
 {
     const auto found = runs_.find(task);
-    const Run run = found->second;
+    Run run = found->second;
     used_.milliCores -= run.demand.milliCores;
     used_.memoryMb -= run.demand.memoryMb;
     used_.accelerators -= run.demand.accelerators;
