--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -29,8 +29,6 @@
 ABSL_FLAG(uint32_t, callers, 8, "callers at a time");
 ABSL_FLAG(std::string, folder, "/tmp/lovage-soak", "logs of the daemons go there");
 
-extern char **environ;
-
 namespace lovage::soak {
 
 namespace {
