Bound the contacts of a VM instead of reporting to the whole fleet

Cause: every VM sent a report to every other each 100 ms and decoded as many; isHeard() formatted and compared the address of every known VM for each contact. Change: library contacts. A VM follows the holders of its data centre and the VMs that would replace them, and some holders of each other data centre, chosen by a hash. Reports go to followed VMs and followers only, every 100 ms where work is open and every 350 ms elsewhere; they announce the next one, and silence is judged by that. Fleets up to 12 VMs, and fleets with stored jobs, still follow everyone. Whether to hold shards is decided on the directory of VMs, so a larger VM counts until it has been asked in vain. VmInfo carries the processor share. Ruled out: a lower rate for everyone keeps the square; push through relays costs the detection time. Tests: contacts_test, 9 cases in virtual time with 60 to 400 VMs.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -380,8 +381,9 @@
 
     // Whether nothing runs on the servers of shards that are being released.
     bool isReleaseReady() const;
-    bool isIdle() const;        // no job is open
-    size_t serverCount() const; // with a valid grant
+    bool isIdle() const;                     // no job is open
+    std::set<std::string> servedVms() const; // VMs with an open job here
+    size_t serverCount() const;              // with a valid grant
     size_t knownServerCount() const;
     std::vector<ServiceLoad> load(Time now) const;
     const PoolCounters &counters() const;
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -20,10 +21,31 @@
     std::string dataCentre;
     std::string address; // of its peer port, "ip:port"
     uint64_t incarnation = 0;
+    uint32_t cpuMilliCores = 0; // what the VM may use
 
     auto operator<=>(const VmInfo &) const = default;
 };
 
+// Order in which the VMs of a data centre become holders: the largest first, then by name.
+struct HolderRank
+{
+    uint32_t cpuMilliCores = 0;
+    std::string name;
+
+    bool operator==(const HolderRank &) const = default;
+    std::strong_ordering operator<=>(const HolderRank &other) const
+    {
+        if (cpuMilliCores != other.cpuMilliCores)
+            return other.cpuMilliCores <=> cpuMilliCores;
+        return name <=> other.name;
+    }
+};
+
+inline HolderRank rankOf(const VmInfo &vm)
+{
+    return {vm.cpuMilliCores, vm.name};
+}
+
 // How the queue of a stored job runs it; taken over when the job is accepted.
 struct QueueTerms
 {
@@ -121,16 +143,20 @@
     auto operator<=>(const QueueBacklog &) const = default;
 };
 
-// Sent to peers at a fixed interval and after changes. Carries liveness and the load of the pool.
+// Sent to the VMs that follow the sender and to those that it follows. Carries liveness and the
+// load of the pool.
 struct VmReport
 {
     VmInfo vm;
-    uint32_t cpuMilliCores = 0; // what the VM may use
-    bool isHolder = false;      // holds shards or has asked for them
+    bool isFollowing = false; // the sender asks the receiver for its reports
+    bool isAnswering = false; // the sender takes the receiver to follow it
+    Duration nextWithin {};   // the receiver gets the next report within this time
+    bool isHolder = false;    // holds shards or has asked for them
     bool isDraining = false;
     uint64_t configurationVersion = 0;
     uint32_t knownServers = 0; // of its data centre; 0 if it does not follow them
     std::vector<ServiceLoad> loads;
+    std::vector<std::string> holders {}; // of the sender's data centre, as far as it hears them
     // VMs that were lost lately. One that hears this although it is alive gives up the sender's
     // work: the link between them is cut in one direction, and the sender has given it up too.
     std::vector<std::string> lostVms {};
@@ -161,7 +187,7 @@
 
     auto operator<=>(const WithdrawMessage &) const = default;
 };
-// The VMs that the sender knows; answers the first report of an unknown VM.
+// VMs that the sender knows; answers the first report of a VM that follows it.
 struct IntroductionMessage
 {
     std::vector<VmInfo> vms;
@@ -228,8 +254,10 @@
 
 struct VmTableOptions
 {
-    // A VM that is silent for longer gets no new jobs.
+    // A VM that is silent for longer gets no new jobs. One that reports rarely is given time for
+    // two reports and this slack.
     Duration silence = std::chrono::milliseconds(350);
+    Duration reportSlack = std::chrono::milliseconds(250);
     // A VM that is silent for longer is lost: what it was doing is given up.
     Duration loss = std::chrono::milliseconds(1200);
 };
@@ -242,7 +270,9 @@
     {
         VmReport report;
         Time heardAt;
-        Time avoidUntil {}; // could not be connected to
+        Time avoidUntil {};      // could not be connected to
+        bool isFollowed = false; // this VM has asked for its reports
+        Time followedAt {};      // its silence counts from then on
     };
 
     VmTable(VmTableOptions options, VmInfo self) : options_(options), self_(std::move(self)) { }
@@ -252,9 +282,11 @@
     // Fresher than the last report.
     void noteLoads(const std::string &vm, std::vector<ServiceLoad> loads);
     void noteUnreachable(const std::string &vm, Time now);
-    // Removes VMs that are lost and returns their names.
+    // Removes VMs that are silent, and returns the names of those that are lost. One that neither
+    // follows this VM nor is followed by it owes no report, so its silence means nothing.
     std::vector<std::string> removeLost(Time now);
     void remove(const std::string &vm, Time now);
+    void setFollowed(const std::string &vm, bool isFollowed, Time now);
     // VMs that were lost lately and have not been heard since.
     std::vector<std::string> lostLately(Time now) const;
 
@@ -344,6 +376,8 @@
     std::vector<RouterAction> takeActions() { return std::exchange(actions_, {}); }
     std::vector<RouterNote> takeNotes() { return std::exchange(notes_, {}); }
     size_t openCount() const { return requests_.size(); }
+    // Pools that have an offer which they have not answered.
+    std::set<std::string> offeredVms() const;
 
 private:
     // The tasks that one pool runs.
@@ -419,8 +453,9 @@
 {
     // Servers that one VM places on; a data centre with more has more holders.
     uint32_t serversPerHolder = 32;
-    // Time after the start in which reports of present holders arrive.
-    Duration settleTime = std::chrono::milliseconds(400);
+    // Time after the start in which the VMs of the data centre become known and present holders are
+    // heard.
+    Duration settleTime = std::chrono::milliseconds(1200);
     Duration joinInterval = std::chrono::milliseconds(250);
     Duration groupLease = std::chrono::milliseconds(1000);
     // A shard that is to be released is given up after this time, even if something runs there.
@@ -445,8 +480,8 @@
     auto operator<=>(const GroupMembership &) const = default;
 };
 
-// Whether this VM should hold shards, given what its peers report.
-bool shouldHold(const VmTable &vms, const VmReport &self, const HolderOptions &options, Time now);
+// Holders for so many servers of one data centre.
+uint32_t wantedHolders(uint32_t servers, const HolderOptions &options);
 
 // Membership of this VM in the group of its data centre. The store deals the shards out; the
 // generation of the group is the fencing token. Between the answers of the store the grants stay,
--- /dev/null
+++ b/src/contacts/contact_plan.cpp
@@ -0,0 +1,323 @@
+#include "lovage/contacts.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+void ContactPlan::addVms(const std::vector<VmInfo> &vms)
+{
+    for (const VmInfo &vm : vms) {
+        if (vm.name == vms_.self().name)
+            continue;
+        const auto [entry, isNew] = byName_.try_emplace(vm.name, vm);
+        VmInfo &known = entry->second;
+        if (!isNew && (vm == known || vm.incarnation < known.incarnation))
+            continue;
+        byDataCentre_[known.dataCentre].erase(rankOf(known));
+        known = vm;
+        byDataCentre_[known.dataCentre].emplace(rankOf(known), known.name);
+        if (seeds_.erase(known.address) > 0)
+            askedAsSeeds_.insert(known.name);
+        nextPlanAt_ = {};
+    }
+}
+
+void ContactPlan::addSeed(const std::string &address)
+{
+    const bool isKnown = std::any_of(byName_.begin(), byName_.end(), [&](const auto &entry) {
+        return entry.second.address == address;
+    });
+    if (!isKnown && address != vms_.self().address)
+        seeds_.try_emplace(address);
+    nextDueAt_ = {};
+}
+
+void ContactPlan::noteNews(const std::string &vm)
+{
+    absent_.erase(vm);
+    const auto contact = contacts_.find(vm);
+    if (contact != contacts_.end())
+        contact->second.nextReportAt = {};
+    nextPlanAt_ = {};
+    nextDueAt_ = {};
+}
+
+bool ContactPlan::isHeard(const std::string &vm, Time now) const
+{
+    const VmTable::Row *row = vms_.find(vm);
+    return row && vms_.isHeard(*row, now);
+}
+
+void ContactPlan::noteAbsence(Time now)
+{
+    for (const auto &[name, contact] : contacts_) {
+        if (isHeard(name, now))
+            absent_.erase(name);
+        else if (contact.isFollowed && now > contact.followedSince + options_.answerTime)
+            absent_.insert(name);
+    }
+}
+
+uint32_t ContactPlan::serversOf(const ContactState &state, Time now) const
+{
+    uint32_t servers = state.knownServers;
+    for (const auto &[name, row] : vms_.rows()) {
+        if (row.report.vm.dataCentre == vms_.self().dataCentre && vms_.isHeard(row, now))
+            servers = std::max(servers, row.report.knownServers);
+    }
+    return servers;
+}
+
+bool ContactPlan::shouldHold(const ContactState &state, Time now) const
+{
+    if (state.isDraining || state.isHolder)
+        return !state.isDraining;
+    const VmInfo &self = vms_.self();
+    const uint32_t wanted = wantedHolders(serversOf(state, now), holderOptions_);
+    const Names holders = holdersOf(self.dataCentre, now);
+    size_t ahead = holders.size();
+    const auto ranked = byDataCentre_.find(self.dataCentre);
+    if (ranked == byDataCentre_.end())
+        return true;
+    for (const auto &[rank, name] : ranked->second) {
+        if (ahead >= wanted || rankOf(self) < rank)
+            break;
+        const VmTable::Row *row = vms_.find(name);
+        const bool isDraining = row && row->report.isDraining;
+        if (!holders.contains(name) && !absent_.contains(name) && !isDraining)
+            ++ahead;
+    }
+    return ahead < wanted;
+}
+
+// Those that are heard, and those that others of the data centre hear.
+ContactPlan::Names ContactPlan::holdersOf(const std::string &dataCentre, Time now) const
+{
+    Names holders;
+    for (const auto &[name, row] : vms_.rows()) {
+        if (row.report.vm.dataCentre != dataCentre || !vms_.isHeard(row, now))
+            continue;
+        if (row.report.isHolder && !row.report.isDraining)
+            holders.insert(name);
+        for (const std::string &holder : row.report.holders) {
+            if (byName_.contains(holder) && !absent_.contains(holder))
+                holders.insert(holder);
+        }
+    }
+    return holders;
+}
+
+// Named for as long as it takes to send every contact a report.
+std::vector<std::string> ContactPlan::holdersToReport(Time now)
+{
+    std::vector<std::string> holders;
+    if (now < nextHoldersAt_)
+        return holders;
+    if (now >= nextHoldersAt_ + options_.idleInterval)
+        nextHoldersAt_ = now + options_.holdersInterval;
+    for (const auto &[name, row] : vms_.rows()) {
+        if (row.report.vm.dataCentre == vms_.self().dataCentre && row.report.isHolder
+            && !row.report.isDraining && vms_.isHeard(row, now))
+            holders.push_back(name);
+    }
+    return holders;
+}
+
+// The same ones as long as they are there; other VMs choose others.
+std::vector<std::string> ContactPlan::chosenOf(const Names &holders, size_t count) const
+{
+    std::vector<std::pair<uint64_t, std::string>> ordered;
+    for (const std::string &holder : holders)
+        ordered.emplace_back(stableHash(vms_.self().name + holder), holder);
+    std::sort(ordered.begin(), ordered.end());
+    ordered.resize(std::min(ordered.size(), count));
+    std::vector<std::string> chosen;
+    for (auto &[hash, holder] : ordered)
+        chosen.push_back(std::move(holder));
+    return chosen;
+}
+
+void ContactPlan::followOwnDataCentre(const ContactState &state, Time now, Names &followed) const
+{
+    const VmInfo &self = vms_.self();
+    const Names holders = holdersOf(self.dataCentre, now);
+    for (const std::string &holder : chosenOf(holders, options_.nearPools))
+        followed.insert(holder);
+    const size_t present = holders.size() + (state.isHolder ? 1 : 0);
+    const size_t wanted = wantedHolders(serversOf(state, now), holderOptions_);
+    size_t missing = wanted > present ? wanted - present : 0;
+    missing += options_.standbys;
+    size_t probed = 0;
+    const auto ranked = byDataCentre_.find(self.dataCentre);
+    if (ranked == byDataCentre_.end())
+        return;
+    bool isOwnRankPassed = state.isHolder || state.isDraining;
+    for (const auto &[rank, name] : ranked->second) {
+        if (!isOwnRankPassed && rankOf(self) < rank) {
+            isOwnRankPassed = true;
+            missing -= std::min<size_t>(1, missing);
+        }
+        if (missing == 0)
+            break;
+        if (holders.contains(name))
+            continue;
+        const bool isAbsent = absent_.contains(name);
+        if (!isAbsent || ++probed <= options_.maxProbed)
+            followed.insert(name);
+        if (!isAbsent)
+            --missing;
+    }
+}
+
+void ContactPlan::followRemote(const std::string &dataCentre, size_t count, Time now,
+                               Names &followed) const
+{
+    const auto chosen = chosenOf(holdersOf(dataCentre, now), count);
+    followed.insert(chosen.begin(), chosen.end());
+    if (!chosen.empty())
+        return;
+    // Any of the largest VMs tells who the holders are.
+    size_t probed = 0;
+    for (const auto &[rank, name] : byDataCentre_.at(dataCentre)) {
+        const bool isAbsent = absent_.contains(name);
+        if (!isAbsent || ++probed <= options_.maxProbed)
+            followed.insert(name);
+        if (!isAbsent && --count == 0)
+            return;
+    }
+}
+
+ContactPlan::Names ContactPlan::chooseFollowed(const ContactState &state, Time now) const
+{
+    Names followed;
+    if (state.isEveryoneNeeded || byName_.size() <= options_.smallFleet) {
+        for (const auto &[name, vm] : byName_)
+            followed.insert(name);
+        return followed;
+    }
+    followOwnDataCentre(state, now, followed);
+    const bool isOwnKnown = byDataCentre_.contains(vms_.self().dataCentre);
+    const size_t others = byDataCentre_.size() - (isOwnKnown ? 1 : 0);
+    const size_t each = std::max<size_t>(1, options_.remotePools / std::max<size_t>(1, others));
+    for (const auto &[dataCentre, ranked] : byDataCentre_) {
+        if (dataCentre != vms_.self().dataCentre)
+            followRemote(dataCentre, each, now, followed);
+    }
+    for (const std::string &vm : state.offered) {
+        if (byName_.contains(vm))
+            followed.insert(vm);
+    }
+    return followed;
+}
+
+Duration ContactPlan::intervalFor(const std::string &vm, bool isFollowed, const ContactState &state,
+                                  Time now) const
+{
+    if (isFollowed && !isHeard(vm, now))
+        return options_.probeInterval;
+    const bool isNear = byName_.at(vm).dataCentre == vms_.self().dataCentre;
+    const bool isActive = state.offered.contains(vm) || state.served.contains(vm)
+            || (state.isHolder && isNear) || byName_.size() <= options_.smallFleet;
+    return isActive ? options_.activeInterval : options_.idleInterval;
+}
+
+void ContactPlan::makePlan(const ContactState &state, Time now)
+{
+    nextPlanAt_ = now + options_.planInterval;
+    nextDueAt_ = {};
+    noteAbsence(now);
+    const Names followed = chooseFollowed(state, now);
+    std::map<std::string, Contact> contacts;
+    const auto contactOf = [&](const std::string &name) -> Contact & {
+        const auto known = contacts_.find(name);
+        return contacts.try_emplace(name, known == contacts_.end() ? Contact {} : known->second)
+                .first->second;
+    };
+    for (const std::string &name : followed) {
+        Contact &contact = contactOf(name);
+        if (!contact.isFollowed)
+            contact.followedSince = now;
+    }
+    for (const auto &[name, row] : vms_.rows()) {
+        const bool isFollowed = followed.contains(name);
+        if (row.report.isFollowing && byName_.contains(name))
+            contactOf(name);
+        // It takes this VM for a follower, because the report that said otherwise was lost.
+        if (!isFollowed && row.report.isAnswering && row.heardAt + options_.planInterval > now
+            && byName_.contains(name))
+            contactOf(name).nextReportAt = {};
+        vms_.setFollowed(name, isFollowed, now);
+    }
+    // One that is not followed any more is told so at once.
+    for (const auto &[name, contact] : contacts_) {
+        if (contact.isFollowed && !followed.contains(name))
+            contactOf(name).nextReportAt = {};
+    }
+    for (const std::string &name : std::exchange(askedAsSeeds_, {})) {
+        if (!followed.contains(name))
+            contactOf(name).nextReportAt = {};
+    }
+    for (auto &[name, contact] : contacts) {
+        const VmTable::Row *row = vms_.find(name);
+        contact.isFollowed = followed.contains(name);
+        contact.isFollower = row && row->report.isFollowing;
+        contact.interval = intervalFor(name, contact.isFollowed, state, now);
+        contact.nextReportAt = std::min(contact.nextReportAt, now + contact.interval);
+    }
+    contacts_ = std::move(contacts);
+}
+
+std::vector<ReportTarget> ContactPlan::takeDue(Time now)
+{
+    std::vector<ReportTarget> targets;
+    if (now < nextDueAt_)
+        return targets;
+    nextDueAt_ = now + options_.probeInterval;
+    for (auto &[name, contact] : contacts_) {
+        if (now >= contact.nextReportAt) {
+            contact.nextReportAt = now + contact.interval;
+            targets.push_back({byName_.at(name).address, contact.isFollowed, contact.isFollower,
+                               contact.interval});
+        }
+        nextDueAt_ = std::min(nextDueAt_, contact.nextReportAt);
+    }
+    for (auto &[address, nextReportAt] : seeds_) {
+        if (now >= nextReportAt) {
+            nextReportAt = now + options_.probeInterval;
+            targets.push_back({address, true, false, options_.probeInterval});
+        }
+        nextDueAt_ = std::min(nextDueAt_, nextReportAt);
+    }
+    return targets;
+}
+
+std::vector<ReportTarget> ContactPlan::dueNow(const ContactState &state, Time now)
+{
+    makePlan(state, now);
+    for (auto &[name, contact] : contacts_)
+        contact.nextReportAt = {};
+    nextDueAt_ = {};
+    return takeDue(now);
+}
+
+std::vector<VmInfo> ContactPlan::introductionFor(const VmInfo &newcomer) const
+{
+    std::vector<VmInfo> vms;
+    for (const auto &[name, vm] : byName_) {
+        const auto contact = contacts_.find(name);
+        const bool isFollowed = contact != contacts_.end() && contact->second.isFollowed;
+        if (isFollowed || vm.dataCentre == vms_.self().dataCentre
+            || vm.dataCentre == newcomer.dataCentre)
+            vms.push_back(vm);
+    }
+    return vms;
+}
+
+size_t ContactPlan::followedCount() const
+{
+    return static_cast<size_t>(
+            std::count_if(contacts_.begin(), contacts_.end(),
+                          [](const auto &entry) { return entry.second.isFollowed; }));
+}
+
+} // namespace lovage
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -48,7 +48,7 @@
 VmInfo vmInfo(const NodeSettings &settings, Time now)
 {
     return {settings.name, settings.dataCentre, toString(settings.peer),
-            static_cast<uint64_t>(now.time_since_epoch().count())};
+            static_cast<uint64_t>(now.time_since_epoch().count()), settings.cpuMilliCores};
 }
 
 } // namespace
@@ -77,7 +77,7 @@
 
     Result<void> open()
     {
-        auto peers = node::Peers::open(settings_, threads_, vms_, *this);
+        auto peers = node::Peers::open(settings_, holderOptions_, threads_, vms_, *this);
         if (!peers.has_value())
             return peers.error();
         peers_ = std::move(peers.value());
@@ -169,7 +169,6 @@
     {
         VmReport report;
         report.vm = self_;
-        report.cpuMilliCores = settings_.cpuMilliCores;
         report.isHolder = membership_.isMember();
         report.isDraining = isDraining_;
         report.configurationVersion = configuration_.version;
@@ -180,6 +179,26 @@
         return report;
     }
 
+    // Without the VMs that have work from here or whose work is here.
+    ContactState ownState() const
+    {
+        ContactState state;
+        state.isHolder = membership_.isMember();
+        state.isDraining = isDraining_;
+        state.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
+        return state;
+    }
+    bool shouldHold(Time now) const { return peers_->contacts().shouldHold(ownState(), now); }
+
+    ContactState contactState() const
+    {
+        ContactState state = ownState();
+        state.offered = router_.offeredVms();
+        state.served = pool_.servedVms();
+        state.isEveryoneNeeded = storedJobs_.exist();
+        return state;
+    }
+
     void setConfiguration(Configuration configuration)
     {
         if (hasConfiguration_ && configuration.version <= configuration_.version)
@@ -203,10 +222,7 @@
         flush();
     }
 
-    bool needsServers() const
-    {
-        return membership_.isMember() || shouldHold(vms_, report(), holderOptions_, currentTime());
-    }
+    bool needsServers() const { return membership_.isMember() || shouldHold(currentTime()); }
 
     bool isReady() const
     {
@@ -227,7 +243,7 @@
         drainingSince_ = currentTime();
         pool_.drain();
         logEvent(LogLevel::Info, "draining", {{"open_requests", router_.openCount()}});
-        peers_->sendReports(report(), true);
+        peers_->sendReportNow(contactState(), report(), currentTime());
     }
 
     bool isDrained() const
@@ -254,8 +270,10 @@
     void onPeer(VmReport report)
     {
         const std::string vm = report.vm.name;
-        const std::string address = report.vm.address;
+        const VmInfo info = report.vm;
         const uint64_t incarnation = report.vm.incarnation;
+        const VmTable::Row *known = vms_.find(vm);
+        const bool isNewFollower = report.isFollowing && !(known && known->report.isFollowing);
         if (report.configurationVersion > configuration_.version)
             askForConfiguration(vm);
         if (std::find(report.lostVms.begin(), report.lostVms.end(), self_.name)
@@ -267,8 +285,10 @@
         const auto news = vms_.note(std::move(report), currentTime());
         if (news == VmTable::News::New || news == VmTable::News::Restarted) {
             logEvent(LogLevel::Info, "vm-heard", {{"vm", vm}, {"incarnation", incarnation}});
-            peers_->introduce(address);
+            peers_->addContacts({info});
         }
+        if (isNewFollower || news == VmTable::News::Restarted)
+            peers_->welcome(info);
         if (news != VmTable::News::Restarted)
             return;
         router_.onVmLost(vm, currentTime());
@@ -328,7 +348,7 @@
         storedJobs_.setEligible(!isDraining_ && storedJobs_.exist() && membership_.isMember());
         storedJobs_.tick(now);
         flush();
-        peers_->sendReports(report(), false);
+        peers_->sendReports([this] { return contactState(); }, [this] { return report(); }, now);
         scheduleTick();
     }
 
@@ -347,7 +367,7 @@
     {
         const bool mayLeave = isDraining_ && pool_.isIdle();
         const bool wantsShards = (isDraining_ && !mayLeave && membership_.isMember())
-                || (!isDraining_ && shouldHold(vms_, report(), holderOptions_, now));
+                || (!isDraining_ && shouldHold(now));
         const auto request = membership_.next(wantsShards, pool_.isReleaseReady(), now);
         if (!request)
             return;
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -4,9 +4,6 @@
 
 namespace {
 
-constexpr Duration reportInterval = std::chrono::milliseconds(100);
-// Contacts that are not heard may be addresses of VMs that are gone.
-constexpr Duration unheardInterval = std::chrono::milliseconds(500);
 // A VM that is alive is heard within this time after its connection broke.
 constexpr Duration suspicionLimit = std::chrono::milliseconds(300);
 // Bytes on a connection that are not acknowledged in this time break it.
@@ -23,19 +20,19 @@
 
 } // namespace
 
-Peers::Peers(const NodeSettings &settings, VmTable &vms, Handlers handlers)
-    : vms_(vms), handlers_(std::move(handlers)), self_(settings.peer)
+Peers::Peers(const NodeSettings &settings, const HolderOptions &holders, VmTable &vms,
+             Handlers handlers)
+    : vms_(vms), handlers_(std::move(handlers)), contacts_({}, holders, vms)
 {
-    for (const Endpoint &seed : settings.seeds) {
-        if (seed != self_)
-            contacts_.emplace(seed, Contact {});
-    }
+    for (const Endpoint &seed : settings.seeds)
+        contacts_.addSeed(toString(seed));
 }
 
-Result<std::unique_ptr<Peers>> Peers::open(const NodeSettings &settings, IoThreads &threads,
+Result<std::unique_ptr<Peers>> Peers::open(const NodeSettings &settings,
+                                           const HolderOptions &holders, IoThreads &threads,
                                            VmTable &vms, Handlers handlers)
 {
-    std::unique_ptr<Peers> peers(new Peers(settings, vms, std::move(handlers)));
+    std::unique_ptr<Peers> peers(new Peers(settings, holders, vms, std::move(handlers)));
     const Result<void> result = peers->listen(settings, threads);
     if (!result.has_value())
         return result.error();
@@ -111,46 +108,33 @@
     }
 }
 
-bool Peers::isHeard(const Endpoint &contact, Time now) const
+// The receivers differ in what the sender asks of them; reports that say the same are encoded once.
+void Peers::sendReport(VmReport report, const std::vector<ReportTarget> &targets)
 {
-    const auto vm = vmAt(vms_, toString(contact));
-    return vm && vms_.isHeard(*vms_.find(*vm), now);
-}
-
-void Peers::sendReports(const VmReport &report, bool isForced)
-{
-    const Time now = currentTime();
-    std::string bytes;
-    for (auto &[endpoint, contact] : contacts_) {
-        if (!isForced && now < contact.nextReportAt)
+    report.holders = contacts_.holdersToReport(currentTime());
+    std::map<std::tuple<bool, bool, Duration>, std::string> encoded;
+    for (const ReportTarget &target : targets) {
+        const auto to = parseEndpoint(target.address);
+        if (!to)
             continue;
-        contact.nextReportAt = now + (isHeard(endpoint, now) ? reportInterval : unheardInterval);
-        if (bytes.empty())
+        std::string &bytes = encoded[{target.isFollowing, target.isAnswering, target.nextWithin}];
+        if (bytes.empty()) {
+            report.isFollowing = target.isFollowing;
+            report.isAnswering = target.isAnswering;
+            report.nextWithin = target.nextWithin;
             bytes = encodeMessage(report);
-        datagrams_->send(endpoint, bytes);
+        }
+        datagrams_->send(*to, bytes);
     }
 }
 
-void Peers::introduce(const std::string &address)
-{
-    const auto to = parseEndpoint(address);
-    if (!to || *to == self_)
-        return;
-    // From now on it is heard, and must hear this VM as often.
-    contacts_[*to].nextReportAt = {};
-    IntroductionMessage introduction;
-    for (const auto &[name, row] : vms_.rows())
-        introduction.vms.push_back(row.report.vm);
-    frames_->send(*to, encodeMessage(introduction));
-}
-
-void Peers::addContacts(const std::vector<VmInfo> &vms)
+void Peers::welcome(const VmInfo &newcomer)
 {
-    for (const VmInfo &vm : vms) {
-        const auto endpoint = parseEndpoint(vm.address);
-        if (endpoint && *endpoint != self_)
-            contacts_.try_emplace(*endpoint);
-    }
+    contacts_.noteNews(newcomer.name);
+    const auto to = parseEndpoint(newcomer.address);
+    if (to)
+        frames_->send(*to,
+                      encodeMessage(IntroductionMessage {contacts_.introductionFor(newcomer)}));
 }
 
 void Peers::tick(Time now)
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -1,6 +1,7 @@
 // Messages of one VM with its peers: datagrams for reports, frames for jobs.
 #pragma once
 
+#include "lovage/contacts.h"
 #include "lovage/net.h"
 #include "lovage/node.h"
 #include "lovage/routing.h"
@@ -25,10 +26,11 @@
 
     // Owner has the methods named in Handlers and outlives the object.
     template<class Owner>
-    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings, IoThreads &threads,
+    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings,
+                                               const HolderOptions &holders, IoThreads &threads,
                                                VmTable &vms, Owner &owner)
     {
-        return open(settings, threads, vms,
+        return open(settings, holders, threads, vms,
                     Handlers {[&owner](VmMessage message) { owner.onMessage(std::move(message)); },
                               [&owner](const std::string &vm, const JobOffer &offer) {
                                   owner.onOfferUnsent(vm, offer);
@@ -40,34 +42,42 @@
                                   owner.onVmLost(vm, cause);
                               }});
     }
-    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings, IoThreads &threads,
+    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings,
+                                               const HolderOptions &holders, IoThreads &threads,
                                                VmTable &vms, Handlers handlers);
 
     void send(const std::string &vm, const VmMessage &message);
-    // Sends the report to every contact that is due; at once to all of them if forced.
-    void sendReports(const VmReport &report, bool isForced);
-    // Tells the sender of a first report which VMs are known.
-    void introduce(const std::string &address);
-    void addContacts(const std::vector<VmInfo> &vms);
+    // Sends the reports that are due. Neither function is called when none is.
+    template<class State, class Report>
+    void sendReports(State state, Report report, Time now)
+    {
+        const std::vector<ReportTarget> targets = contacts_.due(state, now);
+        if (!targets.empty())
+            sendReport(report(), targets);
+    }
+    // Sends the report to every contact at once.
+    void sendReportNow(const ContactState &state, VmReport report, Time now)
+    {
+        sendReport(std::move(report), contacts_.dueNow(state, now));
+    }
+    // Answers the first report of a VM.
+    void welcome(const VmInfo &newcomer);
+    void addContacts(const std::vector<VmInfo> &vms) { contacts_.addVms(vms); }
+    const ContactPlan &contacts() const { return contacts_; }
     void tick(Time now);
 
 private:
-    struct Contact
-    {
-        Time nextReportAt {};
-    };
-
-    Peers(const NodeSettings &settings, VmTable &vms, Handlers handlers);
+    Peers(const NodeSettings &settings, const HolderOptions &holders, VmTable &vms,
+          Handlers handlers);
     Result<void> listen(const NodeSettings &settings, IoThreads &threads);
     bool reportUnsent(const std::string &vm, const VmMessage &message);
     void onFramesLost(const FrameClient::Lost &lost);
     void onBytes(std::string_view bytes);
-    bool isHeard(const Endpoint &contact, Time now) const;
+    void sendReport(VmReport report, const std::vector<ReportTarget> &targets);
 
     VmTable &vms_;
     Handlers handlers_;
-    Endpoint self_;
-    std::map<Endpoint, Contact> contacts_;
+    ContactPlan contacts_;
     std::map<std::string, Time> suspects_; // VMs whose connection broke, and when
     std::unique_ptr<UdpSocket> datagrams_;
     std::unique_ptr<FrameClient> frames_;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -159,6 +159,14 @@
                });
 }
 
+std::set<std::string> Pool::servedVms() const
+{
+    std::set<std::string> vms;
+    for (const auto &[ticket, number] : implementation_->jobsByTicket_)
+        vms.insert(ticket.vm);
+    return vms;
+}
+
 size_t Pool::serverCount() const
 {
     const auto &servers = implementation_->servers_;
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 4;
+constexpr uint8_t messageVersion = 5;
 
 } // namespace
 
@@ -45,7 +45,7 @@
 template<class Archive>
 void serialize(Archive &archive, VmInfo &vm)
 {
-    archive(vm.name, vm.dataCentre, vm.address, vm.incarnation);
+    archive(vm.name, vm.dataCentre, vm.address, vm.incarnation, vm.cpuMilliCores);
 }
 
 template<class Archive>
@@ -70,11 +70,14 @@
 template<class Archive>
 void serialize(Archive &archive, VmReport &report)
 {
-    archive(report.vm, report.cpuMilliCores);
+    archive(report.vm);
+    flagField(archive, report.isFollowing);
+    flagField(archive, report.isAnswering);
+    durationField(archive, report.nextWithin);
     flagField(archive, report.isHolder);
     flagField(archive, report.isDraining);
-    archive(report.configurationVersion, report.knownServers, report.loads, report.lostVms,
-            report.claims, report.backlog);
+    archive(report.configurationVersion, report.knownServers, report.loads, report.holders,
+            report.lostVms, report.claims, report.backlog);
 }
 
 template<class Archive>
--- a/src/routing/membership.cpp
+++ b/src/routing/membership.cpp
@@ -4,48 +4,10 @@
 
 namespace lovage {
 
-namespace {
-
-// Order in which VMs become holders: the largest first, then by name.
-struct Rank
+uint32_t wantedHolders(uint32_t servers, const HolderOptions &options)
 {
-    uint32_t cpuMilliCores = 0;
-    std::string name;
-
-    bool isBefore(const Rank &other) const
-    {
-        if (cpuMilliCores != other.cpuMilliCores)
-            return cpuMilliCores > other.cpuMilliCores;
-        return name < other.name;
-    }
-};
-
-} // namespace
-
-bool shouldHold(const VmTable &vms, const VmReport &self, const HolderOptions &options, Time now)
-{
-    if (self.isDraining)
-        return false;
-    if (self.isHolder)
-        return true;
-    const Rank own {self.cpuMilliCores, self.vm.name};
-    uint32_t servers = self.knownServers;
-    uint32_t holders = 0;
-    uint32_t before = 0;
-    for (const auto &[name, row] : vms.rows()) {
-        const VmReport &report = row.report;
-        if (report.vm.dataCentre != self.vm.dataCentre || report.isDraining
-            || !vms.isHeard(row, now))
-            continue;
-        servers = std::max(servers, report.knownServers);
-        if (report.isHolder)
-            ++holders;
-        else if (Rank {report.cpuMilliCores, name}.isBefore(own))
-            ++before;
-    }
-    const uint32_t wanted = std::max<uint32_t>(
-            1, (servers + options.serversPerHolder - 1) / options.serversPerHolder);
-    return holders + before < wanted;
+    const uint32_t wanted = (servers + options.serversPerHolder - 1) / options.serversPerHolder;
+    return std::max<uint32_t>(1, wanted);
 }
 
 bool ShardMembership::isReleasing() const
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -60,6 +60,18 @@
     releaseHeld(now);
 }
 
+std::set<std::string> Router::offeredVms() const
+{
+    std::set<std::string> vms;
+    for (const auto &[number, request] : requests_) {
+        for (const Part &part : request.parts) {
+            if (part.isOffered && !part.vm.empty())
+                vms.insert(part.vm);
+        }
+    }
+    return vms;
+}
+
 void Router::releaseHeld(Time now)
 {
     for (const uint64_t number : std::exchange(held_, {})) {
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -33,6 +33,9 @@
     if (report.vm.incarnation < row.report.vm.incarnation)
         return News::Stale;
     const bool isRestarted = report.vm.incarnation > row.report.vm.incarnation;
+    // Not every report names the holders.
+    if (report.holders.empty() && !isRestarted)
+        report.holders = std::move(row.report.holders);
     row.report = std::move(report);
     row.heardAt = now;
     return isRestarted ? News::Restarted : News::Known;
@@ -55,15 +58,30 @@
 std::vector<std::string> VmTable::removeLost(Time now)
 {
     std::vector<std::string> lost;
-    for (const auto &[name, row] : rows_) {
-        if (now > row.heardAt + options_.loss)
-            lost.push_back(name);
-    }
-    for (const std::string &name : lost)
-        remove(name, now);
+    std::erase_if(rows_, [&](const auto &entry) {
+        const Row &row = entry.second;
+        if (now <= std::max(row.heardAt, row.followedAt) + options_.loss)
+            return false;
+        if (row.isFollowed || row.report.isFollowing) {
+            lost.push_back(entry.first);
+            lostAt_[entry.first] = now;
+        }
+        return true;
+    });
     return lost;
 }
 
+void VmTable::setFollowed(const std::string &vm, bool isFollowed, Time now)
+{
+    const auto found = rows_.find(vm);
+    if (found == rows_.end())
+        return;
+    Row &row = found->second;
+    if (isFollowed && !row.isFollowed)
+        row.followedAt = now;
+    row.isFollowed = isFollowed;
+}
+
 void VmTable::remove(const std::string &vm, Time now)
 {
     if (rows_.erase(vm) > 0)
@@ -99,7 +117,9 @@
 
 bool VmTable::isHeard(const Row &row, Time now) const
 {
-    return now <= row.heardAt + options_.silence && now >= row.avoidUntil;
+    const Duration silence =
+            std::max(options_.silence, 2 * row.report.nextWithin + options_.reportSlack);
+    return now <= row.heardAt + silence && now >= row.avoidUntil;
 }
 
 const VmTable::Row *VmTable::find(const std::string &vm) const
--- /dev/null
+++ b/tests/contacts_test.cpp
@@ -0,0 +1,381 @@
+// Which VMs exchange reports, on fleets of up to 300 VMs in virtual time.
+#define BOOST_TEST_MODULE contacts
+#include "lovage/contacts.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <memory>
+
+using namespace lovage;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration tickInterval = milliseconds(10);
+constexpr Duration linkDelay = milliseconds(1);
+constexpr uint32_t largeMilliCores = 500;
+constexpr uint32_t smallMilliCores = 90;
+
+struct Vm
+{
+    VmInfo info;
+    std::unique_ptr<VmTable> table;
+    std::unique_ptr<ContactPlan> plan;
+    ContactState state;
+    bool isUp = true;
+    size_t sent = 0;
+    size_t received = 0;
+    size_t bytesSent = 0;
+    std::vector<std::string> lost;
+};
+
+// What the VMs exchange in a second, sent and received.
+struct Traffic
+{
+    double meanMessages = 0;
+    double mostMessages = 0; // of the busiest VM
+    double meanBytesSent = 0;
+};
+
+std::string toString(const Traffic &traffic)
+{
+    return fmt::format("{:.0f} messages/s and {:.0f} bytes/s sent on average, {:.0f} messages/s at "
+                       "the busiest VM",
+                       traffic.meanMessages, traffic.meanBytesSent, traffic.mostMessages);
+}
+
+// VMs in data centres of equal size, one in six of them large.
+class Fleet
+{
+public:
+    Fleet(size_t dataCentres, size_t vmsEach, uint32_t serversEach, bool isDirectoryKnown = true)
+        : servers_(serversEach)
+    {
+        for (size_t i = 0; i < dataCentres * vmsEach; ++i)
+            add(fmt::format("dc{}", i % dataCentres), i);
+        std::vector<VmInfo> all;
+        for (const auto &[address, vm] : vms)
+            all.push_back(vm.info);
+        for (auto &[address, vm] : vms) {
+            if (isDirectoryKnown)
+                vm.plan->addVms(all);
+            for (size_t seed = 0; seed < std::min<size_t>(3, dataCentres); ++seed)
+                vm.plan->addSeed(addressOf(seed));
+        }
+    }
+
+    static std::string addressOf(size_t index) { return fmt::format("10.0.0.1:{}", 1000 + index); }
+
+    Vm &at(size_t index) { return vms.at(addressOf(index)); }
+
+    void run(Duration duration)
+    {
+        for (const Time end = now + duration; now < end; now += tickInterval) {
+            deliver();
+            for (auto &[address, vm] : vms) {
+                if (vm.isUp)
+                    tick(vm);
+            }
+        }
+    }
+
+    std::vector<Vm *> holdersOf(const std::string &dataCentre)
+    {
+        std::vector<Vm *> holders;
+        for (auto &[address, vm] : vms) {
+            if (vm.isUp && vm.state.isHolder && vm.info.dataCentre == dataCentre)
+                holders.push_back(&vm);
+        }
+        return holders;
+    }
+
+    Traffic traffic(Duration duration)
+    {
+        for (auto &[address, vm] : vms)
+            vm.sent = vm.received = vm.bytesSent = 0;
+        run(duration);
+        const double time = std::chrono::duration<double>(duration).count();
+        Traffic traffic;
+        for (const auto &[address, vm] : vms) {
+            const double messages = static_cast<double>(vm.sent + vm.received) / time;
+            const double share = 1.0 / static_cast<double>(vms.size());
+            traffic.meanMessages += messages * share;
+            traffic.meanBytesSent += static_cast<double>(vm.bytesSent) / time * share;
+            traffic.mostMessages = std::max(traffic.mostMessages, messages);
+        }
+        return traffic;
+    }
+
+    Time now = fromUnixMillis(1'700'000'000'000);
+    std::map<std::string, Vm> vms; // by address
+    std::function<bool(const VmInfo &from, const VmInfo &to)> isCut;
+
+private:
+    struct Message
+    {
+        Time at;
+        std::string to;
+        VmMessage message;
+    };
+
+    void add(const std::string &dataCentre, size_t index)
+    {
+        const uint32_t milliCores =
+                (index / 5) % 6 == 0 ? largeMilliCores : smallMilliCores; // of each data centre
+        Vm vm;
+        vm.info = {fmt::format("vm{}", index), dataCentre, addressOf(index), 1, milliCores};
+        vm.table = std::make_unique<VmTable>(VmTableOptions {}, vm.info);
+        vm.plan = std::make_unique<ContactPlan>(ContactOptions {}, HolderOptions {}, *vm.table);
+        vms.emplace(vm.info.address, std::move(vm));
+    }
+
+    VmReport reportOf(const Vm &vm)
+    {
+        VmReport report;
+        report.vm = vm.info;
+        report.isHolder = vm.state.isHolder;
+        report.isDraining = vm.state.isDraining;
+        report.knownServers = vm.state.knownServers;
+        report.holders = vm.plan->holdersToReport(now);
+        return report;
+    }
+
+    void send(const VmInfo &from, const std::string &to, VmMessage message)
+    {
+        const auto receiver = vms.find(to);
+        if (receiver == vms.end() || (isCut && isCut(from, receiver->second.info)))
+            return;
+        wire_.push_back({now + linkDelay, to, std::move(message)});
+    }
+
+    void deliver()
+    {
+        for (; !wire_.empty() && wire_.front().at <= now; wire_.pop_front()) {
+            Vm &vm = vms.at(wire_.front().to);
+            if (!vm.isUp)
+                continue;
+            ++vm.received;
+            if (const auto *report = std::get_if<VmReport>(&wire_.front().message))
+                onReport(vm, *report);
+            else
+                vm.plan->addVms(std::get<IntroductionMessage>(wire_.front().message).vms);
+        }
+    }
+
+    void onReport(Vm &vm, const VmReport &report)
+    {
+        const VmTable::Row *known = vm.table->find(report.vm.name);
+        const bool isNewFollower = report.isFollowing && !(known && known->report.isFollowing);
+        if (vm.table->note(report, now) == VmTable::News::New)
+            vm.plan->addVms({report.vm});
+        if (!isNewFollower)
+            return;
+        vm.plan->noteNews(report.vm.name);
+        send(vm.info, report.vm.address, IntroductionMessage {vm.plan->introductionFor(report.vm)});
+    }
+
+    void tick(Vm &vm)
+    {
+        for (const std::string &name : vm.table->removeLost(now))
+            vm.lost.push_back(name);
+        if (now > started_ + HolderOptions {}.settleTime && vm.plan->shouldHold(vm.state, now)) {
+            vm.state.isHolder = true;
+            vm.state.knownServers = servers_;
+        }
+        const auto targets = vm.plan->due([&] { return vm.state; }, now);
+        if (targets.empty())
+            return;
+        VmReport report = reportOf(vm);
+        for (const ReportTarget &target : targets) {
+            report.isFollowing = target.isFollowing;
+            report.isAnswering = target.isAnswering;
+            report.nextWithin = target.nextWithin;
+            ++vm.sent;
+            vm.bytesSent += encodeMessage(report).size();
+            send(vm.info, target.address, report);
+        }
+    }
+
+    uint32_t servers_;
+    Time started_ = now;
+    std::deque<Message> wire_;
+};
+
+constexpr uint32_t serversEach = 108; // four holders
+
+bool isHeardBy(const Vm &vm, const std::string &name, Time now)
+{
+    const VmTable::Row *row = vm.table->find(name);
+    return row && vm.table->isHeard(*row, now);
+}
+
+} // namespace
+
+// Guards against control traffic that grows with the fleet, beyond what the size to design for
+// grants a VM.
+BOOST_AUTO_TEST_CASE(traffic_of_a_vm_does_not_grow_with_the_fleet)
+{
+    constexpr double bytesPerSecond = 15'000;
+    Fleet smaller(5, 40, 2 * serversEach);
+    smaller.run(seconds(4));
+    const Traffic few = smaller.traffic(seconds(2));
+    Fleet larger(5, 80, 4 * serversEach);
+    larger.run(seconds(4));
+    const Traffic many = larger.traffic(seconds(2));
+    BOOST_TEST_MESSAGE(fmt::format("200 VMs: {}; 400 VMs: {}", toString(few), toString(many)));
+    BOOST_TEST(few.meanBytesSent < bytesPerSecond);
+    BOOST_TEST(many.meanBytesSent < bytesPerSecond);
+    BOOST_TEST(many.mostMessages < 1.2 * few.mostMessages);
+}
+
+// Guards against too many holders, which split the room, and against small VMs that hold servers
+// while larger ones are there.
+BOOST_AUTO_TEST_CASE(the_largest_vms_hold)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    for (const char *dataCentre : {"dc0", "dc1", "dc2", "dc3", "dc4"}) {
+        const auto holders = fleet.holdersOf(dataCentre);
+        BOOST_TEST(holders.size() == 4U);
+        BOOST_TEST(std::count_if(
+                           holders.begin(), holders.end(),
+                           [](const Vm *vm) { return vm->info.cpuMilliCores == largeMilliCores; })
+                   >= 3);
+    }
+}
+
+// Guards routing: every VM hears every holder of its data centre and some of each other one.
+BOOST_AUTO_TEST_CASE(every_vm_hears_pools_of_every_data_centre)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    for (const char *dataCentre : {"dc0", "dc1", "dc2", "dc3", "dc4"}) {
+        const auto holders = fleet.holdersOf(dataCentre);
+        for (const auto &[address, vm] : fleet.vms) {
+            const auto heard = std::count_if(holders.begin(), holders.end(), [&](const Vm *other) {
+                return other == &vm || isHeardBy(vm, other->info.name, fleet.now);
+            });
+            BOOST_TEST(heard >= (vm.info.dataCentre == dataCentre ? 4 : 2));
+        }
+    }
+}
+
+// Guards against offers to a dead holder and a pool that stays without one: its data centre notices
+// within half a second, and another VM holds soon after.
+BOOST_AUTO_TEST_CASE(a_dead_holder_is_noticed_and_replaced)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    Vm &dead = *fleet.holdersOf("dc1").front();
+    dead.isUp = false;
+    fleet.run(milliseconds(500));
+    for (const auto &[address, vm] : fleet.vms) {
+        if (vm.info.dataCentre == "dc1" && vm.isUp)
+            BOOST_TEST(!isHeardBy(vm, dead.info.name, fleet.now));
+    }
+    fleet.run(milliseconds(500));
+    BOOST_TEST(fleet.holdersOf("dc1").size() == 4U);
+}
+
+// Guards against a data centre without a holder when all of its largest VMs fail together.
+BOOST_AUTO_TEST_CASE(small_vms_hold_when_the_large_ones_are_gone)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    for (auto &[address, vm] : fleet.vms)
+        vm.isUp = vm.info.dataCentre != "dc2" || vm.info.cpuMilliCores == smallMilliCores;
+    fleet.run(seconds(3));
+    BOOST_TEST(fleet.holdersOf("dc2").size() >= 4U);
+}
+
+// Guards against work that is given up because a VM is not followed any more: only silence of a VM
+// that owes reports means that it is lost.
+BOOST_AUTO_TEST_CASE(nobody_is_lost_in_a_calm_fleet)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    Vm &vm = fleet.vms.begin()->second;
+    for (const auto &[address, other] : fleet.vms)
+        vm.state.offered.insert(other.info.name);
+    fleet.run(seconds(1));
+    vm.state.offered.clear();
+    fleet.run(seconds(4));
+    for (const auto &[address, other] : fleet.vms)
+        BOOST_TEST(other.lost.empty(), other.info.name + " lost another VM");
+}
+
+// Guards against no holder, and against more than the servers of the data centre need.
+BOOST_AUTO_TEST_CASE(holders_are_the_largest_vms_until_there_are_enough)
+{
+    Time now = fromUnixMillis(1'700'000'000'000);
+    const VmInfo self {"vm2", "dc1", "10.0.0.1:7002", 1, 250};
+    const auto larger = [](uint32_t servers, bool isHolder, bool isDraining = false) {
+        VmReport report;
+        report.vm = {"vm1", "dc1", "10.0.0.1:7001", 1, 250};
+        report.isHolder = isHolder;
+        report.isDraining = isDraining;
+        report.knownServers = servers;
+        return report;
+    };
+    VmTable table {{}, self};
+    ContactPlan plan {{}, {}, table};
+    BOOST_TEST(plan.shouldHold({}, now));
+    plan.addVms({larger(0, false).vm});
+    BOOST_TEST(!plan.shouldHold({}, now)); // it may be there, though it has not been heard
+    table.note(larger(0, true), now);
+    BOOST_TEST(!plan.shouldHold({}, now));
+    table.note(larger(100, true), now);
+    BOOST_TEST(plan.shouldHold({}, now));
+    ContactState draining;
+    draining.isDraining = true;
+    BOOST_TEST(!plan.shouldHold(draining, now));
+    // The holder leaves, or dies.
+    table.note(larger(10, true), now);
+    BOOST_TEST(!plan.shouldHold({}, now));
+    table.note(larger(10, true, true), now);
+    BOOST_TEST(plan.shouldHold({}, now));
+    table.note(larger(10, true), now);
+    plan.due([] { return ContactState {}; }, now);
+    now += milliseconds(500);
+    plan.due([] { return ContactState {}; }, now);
+    BOOST_TEST(plan.shouldHold({}, now));
+}
+
+// Guards the start while the store is away: seeds and introductions lead to the pools.
+BOOST_AUTO_TEST_CASE(pools_are_found_through_seeds)
+{
+    Fleet fleet(3, 20, serversEach, false);
+    fleet.run(seconds(6));
+    for (const char *dataCentre : {"dc0", "dc1", "dc2"}) {
+        const auto holders = fleet.holdersOf(dataCentre);
+        BOOST_TEST(holders.size() >= 4U);
+        for (const auto &[address, vm] : fleet.vms) {
+            BOOST_TEST(std::any_of(holders.begin(), holders.end(), [&](const Vm *other) {
+                return other == &vm || isHeardBy(vm, other->info.name, fleet.now);
+            }));
+        }
+    }
+}
+
+// Guards against data centres that stay apart after a cut.
+BOOST_AUTO_TEST_CASE(data_centres_find_each_other_after_a_cut)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    fleet.isCut = [](const VmInfo &from, const VmInfo &to) {
+        return (from.dataCentre == "dc3") != (to.dataCentre == "dc3");
+    };
+    fleet.run(seconds(10));
+    fleet.isCut = nullptr;
+    fleet.run(seconds(1));
+    const auto holders = fleet.holdersOf("dc3");
+    for (const auto &[address, vm] : fleet.vms) {
+        BOOST_TEST(std::any_of(holders.begin(), holders.end(), [&](const Vm *other) {
+            return other == &vm || isHeardBy(vm, other->info.name, fleet.now);
+        }));
+    }
+}
