Let an exception in a handler cost that handler only

It could happen here: an exception that left any handler ended the I/O thread, and with it the process. Change: the loop logs the exception and goes on. Red first: exception_in_a_handler_costs_that_handler_only (the test program was terminated).

--- a/include/lovage/core.h
+++ b/include/lovage/core.h
@@ -227,4 +227,18 @@
             ::lovage::reportInvariantViolation((promise), (what), __FILE__, __LINE__); \
     } while (false)
 
+// Calls a function when the scope ends, also by an exception. The function must not throw.
+template<class Function>
+class ScopeGuard
+{
+public:
+    explicit ScopeGuard(Function function) : function_(std::move(function)) { }
+    ~ScopeGuard() { function_(); }
+    ScopeGuard(const ScopeGuard &) = delete;
+    ScopeGuard &operator=(const ScopeGuard &) = delete;
+
+private:
+    Function function_;
+};
+
 } // namespace lovage
--- a/src/net/iothreads.cpp
+++ b/src/net/iothreads.cpp
@@ -92,6 +92,24 @@
     return error;
 }
 
+namespace {
+
+// An exception that leaves a handler costs the event that it handled. The loop goes on, since the
+// other connections and timers of the process have nothing to do with it.
+void runLoop(asio::io_context &context)
+{
+    for (;;) {
+        try {
+            context.run();
+            return;
+        } catch (const std::exception &exception) {
+            fmt::print(stderr, "level=error event=handler_failed what=\"{}\"\n", exception.what());
+        }
+    }
+}
+
+} // namespace
+
 IoThreads::IoThreads(size_t threadCount) : implementation_(std::make_unique<Implementation>())
 {
     auto &contexts = implementation_->contexts;
@@ -101,7 +119,7 @@
         implementation_->guards.push_back(asio::make_work_guard(*contexts.back()));
         implementation_->threads.emplace_back([context = contexts.back().get()] {
             const RcuThread reader;
-            context->run();
+            runLoop(*context);
         });
     }
 }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -336,6 +336,7 @@
 
     void onTick()
     {
+        const ScopeGuard goOn([this] { scheduleTick(); });
         const Time now = currentTime();
         checkPause(now);
         lastTick_ = now;
@@ -349,7 +350,6 @@
         storedJobs_.tick(now);
         flush();
         peers_->sendReports([this] { return contactState(); }, [this] { return report(); }, now);
-        scheduleTick();
     }
 
     // Called before anything is acted on, since events that waited come before the tick.
@@ -421,6 +421,7 @@
             return;
         checkPause(currentTime());
         isFlushing_ = true;
+        const ScopeGuard endFlush([this] { isFlushing_ = false; });
         for (bool isDone = false; !isDone;) {
             const Time now = currentTime();
             auto poolActions = pool_.takeActions(now);
@@ -432,7 +433,6 @@
             for (RouterAction &action : routerActions)
                 std::visit([this](auto &order) { carryOut(std::move(order)); }, action);
         }
-        isFlushing_ = false;
         printNotes();
     }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -53,6 +53,17 @@
 
 } // namespace
 
+// Guards against an unexpected error in one handler that ends the process, or all later ones.
+BOOST_AUTO_TEST_CASE(exception_in_a_handler_costs_that_handler_only)
+{
+    IoThreads threads(1);
+    threads.post(0, [] { throw std::runtime_error("unexpected"); });
+    std::promise<bool> isRun;
+    threads.post(0, [&] { isRun.set_value(true); });
+    BOOST_TEST((isRun.get_future().wait_for(patience) == std::future_status::ready));
+    threads.stop();
+}
+
 BOOST_AUTO_TEST_CASE(requestsReachTheHandlerWhole)
 {
     const EchoServer echo;
