Decode entries of backend servers only when they change

Change: ServerList keeps decoded entries, decodes those of other data centres every 10 s, and passes a list on only if it differs or is 2 s old. Test: server_list_follows_changes_and_decodes_little; 110 entries decoded for 200. Not mended: every holder still reads the records of the whole fleet from the store.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -1,6 +1,7 @@
 // Decoding of what the platform's operator, servers and callers write.
 #define BOOST_TEST_MODULE platform_records
 #include "records.h"
+#include "server_list.h"
 
 #include "lovage/node.h"
 
@@ -176,3 +177,41 @@
     BOOST_REQUIRE(!settings.has_value());
     BOOST_TEST(settings.error().errors.size() >= 6U);
 }
+
+// Guards against decoding every entry of the fleet at every heartbeat, and against changes that are
+// missed for it: drain, a new process under the same id, removal, an entry that cannot be read.
+BOOST_AUTO_TEST_CASE(server_list_follows_changes_and_decodes_little)
+{
+    const auto entry = [](const std::string &dataCentre, uint64_t born, uint64_t beat,
+                          const std::string &state = "ready") {
+        return R"({"service":"work","address":"10.0.0.1:80","zone":")" + dataCentre
+                + R"(","state":")" + state + R"(","capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)"
+                + R"("born":)" + std::to_string(born) + R"(,"seq":)" + std::to_string(beat) + "}";
+    };
+    platform::ServerList list("dc1");
+    Time now = fromUnixMillis(1'700'000'000'000);
+    std::map<std::string, std::string> entries;
+    for (int i = 0; i < 10; ++i)
+        entries["own" + std::to_string(i)] = entry("dc1", 5, 1);
+    for (int i = 0; i < 90; ++i)
+        entries["other" + std::to_string(i)] = entry("dc2", 5, 1);
+    BOOST_REQUIRE_EQUAL(list.update(entries, now).value().size(), 10U);
+    BOOST_TEST(list.decodedCount() == 100U);
+    for (auto &[id, text] : entries)
+        text = entry(id.starts_with("own") ? "dc1" : "dc2", 5, 2);
+    BOOST_TEST(!list.update(entries, now).has_value());
+    BOOST_TEST(list.decodedCount() == 110U);
+
+    entries["own0"] = entry("dc1", 5, 3, "draining");
+    BOOST_TEST(list.update(entries, now).value().front().isLeaving);
+    entries["own1"] = entry("dc1", 6, 1);
+    BOOST_TEST(list.update(entries, now).value().at(1).incarnation == 6U);
+    entries["own2"] = "{";
+    BOOST_TEST(list.update(entries, now).value().size() == 9U);
+    entries.erase("own3");
+    BOOST_TEST(list.update(entries, now).value().size() == 8U);
+    // Where a server is may change in the end.
+    entries["other0"] = entry("dc1", 7, 1);
+    now += std::chrono::seconds(11);
+    BOOST_TEST(list.update(entries, now).value().size() == 9U);
+}
