Split the membership of shard holders out of the node

HeldShards has them now, and the options of the holders' and the keepers' group come from one function.

--- /dev/null
+++ b/src/node/held_shards.cpp
@@ -0,0 +1,70 @@
+#include "held_shards.h"
+
+namespace lovage::node {
+
+HolderOptions holderOptions(const NodeSettings &settings)
+{
+    HolderOptions options;
+    options.groupLease = settings.groupLease;
+    options.joinInterval = settings.groupLease / 4;
+    return options;
+}
+
+HeldShards::HeldShards(const HolderOptions &options, Time started, GroupPort &group, Pool &pool,
+                       std::function<void()> flush)
+    : group_(group), pool_(pool), flush_(std::move(flush)), membership_(options, started)
+{ }
+
+void HeldShards::request(bool wantsShards, Time now)
+{
+    const auto request = membership_.next(wantsShards, pool_.isReleaseReady(), now);
+    if (!request)
+        return;
+    if (const auto *join = std::get_if<JoinGroup>(&*request))
+        group_.join(*join, [this](const Result<GroupMembership> &reply) { onJoined(reply); });
+    else
+        leave();
+}
+
+void HeldShards::leave()
+{
+    group_.leave([this](const Result<void> &reply) {
+        if (!reply.has_value()) {
+            membership_.onJoinFailed(currentTime());
+            return;
+        }
+        membership_.onLeft();
+        pool_.setGrants({}, currentTime());
+        flush_();
+    });
+}
+
+void HeldShards::onJoined(const Result<GroupMembership> &reply)
+{
+    const Time now = currentTime();
+    if (!reply.has_value()) {
+        noteStore(false, reply.error().reason);
+        membership_.onJoinFailed(now);
+        return;
+    }
+    noteStore(true, {});
+    if (!membership_.onJoined(reply.value(), now))
+        return;
+    logEvent(LogLevel::Info, "grants-changed",
+             {{"generation", reply.value().generation},
+              {"shards", reply.value().shards.size()},
+              {"kept_until_idle", membership_.grants().size() - reply.value().shards.size()}});
+    pool_.setGrants(membership_.grants(), now);
+    flush_();
+}
+
+void HeldShards::noteStore(bool isReachable, const std::string &reason)
+{
+    if (isReachable == isStoreReachable_)
+        return;
+    isStoreReachable_ = isReachable;
+    logEvent(LogLevel::Warning, isReachable ? "group-regained" : "group-lost",
+             {{"reason", reason}});
+}
+
+} // namespace lovage::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,3 +1,4 @@
+#include "held_shards.h"
 #include "peers.h"
 #include "stored_jobs.h"
 
@@ -37,14 +38,6 @@
     return options;
 }
 
-HolderOptions holderOptions(const NodeSettings &settings)
-{
-    HolderOptions options;
-    options.groupLease = settings.groupLease;
-    options.joinInterval = settings.groupLease / 4;
-    return options;
-}
-
 VmInfo vmInfo(const NodeSettings &settings, Time now)
 {
     return {settings.name, settings.dataCentre, toString(settings.peer),
@@ -59,9 +52,9 @@
     Implementation(const NodeSettings &settings, IoThreads &threads, const NodePorts &ports,
                    Metrics &metrics)
         : started_(currentTime()), self_(vmInfo(settings, started_)), threads_(threads),
-          servers_(ports.servers), group_(ports.holders), settings_(settings), vms_({}, self_),
-          router_({}, vms_), pool_(poolOptions(settings)), holderOptions_(holderOptions(settings)),
-          membership_(holderOptions_, started_),
+          servers_(ports.servers), settings_(settings), vms_({}, self_), router_({}, vms_),
+          pool_(poolOptions(settings)), holderOptions_(node::holderOptions(settings)),
+          held_(holderOptions_, started_, ports.holders, pool_, [this] { flush(); }),
           storedJobs_(settings, vms_, pool_, ports.keepers, ports.journal,
                       [this](const std::string &vm, const VmMessage &message) {
                           peers_->send(vm, message);
@@ -129,8 +122,7 @@
         storedJobs_.request(std::move(request), deadline, std::move(respond));
         flush();
     }
-    uint32_t pendingJobs(const std::string &queue) { return storedJobs_.pendingJobs(queue); }
-    void setStoredJobsExist(bool exist) { storedJobs_.setExist(exist); }
+    node::StoredJobs &storedJobs() { return storedJobs_; }
 
     uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
     {
@@ -169,7 +161,7 @@
     {
         VmReport report;
         report.vm = self_;
-        report.isHolder = membership_.isMember();
+        report.isHolder = held_.isMember();
         report.isDraining = isDraining_;
         report.configurationVersion = configuration_.version;
         report.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
@@ -183,7 +175,7 @@
     ContactState ownState() const
     {
         ContactState state;
-        state.isHolder = membership_.isMember();
+        state.isHolder = held_.isMember();
         state.isDraining = isDraining_;
         state.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
         return state;
@@ -222,7 +214,7 @@
         flush();
     }
 
-    bool needsServers() const { return membership_.isMember() || shouldHold(currentTime()); }
+    bool needsServers() const { return held_.isMember() || shouldHold(currentTime()); }
 
     bool isReady() const
     {
@@ -248,7 +240,7 @@
 
     bool isDrained() const
     {
-        return isDraining_ && router_.openCount() == 0 && pool_.isIdle() && !membership_.isMember()
+        return isDraining_ && router_.openCount() == 0 && pool_.isIdle() && !held_.isMember()
                 && !storedJobs_.isMember();
     }
 
@@ -345,13 +337,19 @@
         peers_->tick(now);
         pool_.tick(now);
         router_.tick(now);
-        requestGroup(now);
-        storedJobs_.setEligible(!isDraining_ && storedJobs_.exist() && membership_.isMember());
+        held_.request(wantsShards(now), now);
+        storedJobs_.setEligible(!isDraining_ && storedJobs_.exist() && held_.isMember());
         storedJobs_.tick(now);
         flush();
         peers_->sendReports([this] { return contactState(); }, [this] { return report(); }, now);
     }
 
+    // A VM that drains leaves the group when nothing runs on its servers.
+    bool wantsShards(Time now) const
+    {
+        return isDraining_ ? held_.isMember() && !pool_.isIdle() : shouldHold(now);
+    }
+
     // Called before anything is acted on, since events that waited come before the tick.
     void checkPause(Time now)
     {
@@ -363,57 +361,6 @@
         pool_.onPaused(pause, self_.name, now);
     }
 
-    void requestGroup(Time now)
-    {
-        const bool mayLeave = isDraining_ && pool_.isIdle();
-        const bool wantsShards = (isDraining_ && !mayLeave && membership_.isMember())
-                || (!isDraining_ && shouldHold(now));
-        const auto request = membership_.next(wantsShards, pool_.isReleaseReady(), now);
-        if (!request)
-            return;
-        if (const auto *join = std::get_if<JoinGroup>(&*request)) {
-            group_.join(*join, [this](const Result<GroupMembership> &reply) { onJoined(reply); });
-            return;
-        }
-        group_.leave([this](const Result<void> &reply) {
-            if (!reply.has_value()) {
-                membership_.onJoinFailed(currentTime());
-                return;
-            }
-            membership_.onLeft();
-            pool_.setGrants({}, currentTime());
-            flush();
-        });
-    }
-
-    void onJoined(const Result<GroupMembership> &reply)
-    {
-        const Time now = currentTime();
-        if (!reply.has_value()) {
-            noteStore(false, reply.error().reason);
-            membership_.onJoinFailed(now);
-            return;
-        }
-        noteStore(true, {});
-        if (!membership_.onJoined(reply.value(), now))
-            return;
-        logEvent(LogLevel::Info, "grants-changed",
-                 {{"generation", reply.value().generation},
-                  {"shards", reply.value().shards.size()},
-                  {"kept_until_idle", membership_.grants().size() - reply.value().shards.size()}});
-        pool_.setGrants(membership_.grants(), now);
-        flush();
-    }
-
-    void noteStore(bool isReachable, const std::string &reason)
-    {
-        if (isReachable == isStoreReachable_)
-            return;
-        isStoreReachable_ = isReachable;
-        logEvent(LogLevel::Warning, isReachable ? "group-regained" : "group-lost",
-                 {{"reason", reason}});
-    }
-
     // Carries out what the router and the pool have decided until nothing is left.
     void flush()
     {
@@ -519,13 +466,12 @@
     VmInfo self_;
     IoThreads &threads_;
     ServerPort &servers_;
-    GroupPort &group_;
     NodeSettings settings_;
     VmTable vms_;
     Router router_;
     Pool pool_;
     HolderOptions holderOptions_;
-    ShardMembership membership_;
+    node::HeldShards held_;
     node::StoredJobs storedJobs_;
     std::unique_ptr<node::Peers> peers_;
     Configuration configuration_;
@@ -535,7 +481,6 @@
     bool isDraining_ = false;
     Time drainingSince_ {};
     bool isFlushing_ = false;
-    bool isStoreReachable_ = true;
     Time lastTick_ {};
     Time nextConfigurationRequest_ {};
     Counter &submitted_;
@@ -609,12 +554,12 @@
 
 uint32_t Node::pendingJobs(const std::string &queue) const
 {
-    return implementation_->pendingJobs(queue);
+    return implementation_->storedJobs().pendingJobs(queue);
 }
 
 void Node::setStoredJobsExist(bool exist)
 {
-    implementation_->setStoredJobsExist(exist);
+    implementation_->storedJobs().setExist(exist);
 }
 
 bool Node::needsServers() const
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -1,5 +1,7 @@
 #include "stored_jobs.h"
 
+#include "held_shards.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -19,11 +21,10 @@
 constexpr Duration answerMargin = std::chrono::milliseconds(100);
 constexpr Duration announceInterval = std::chrono::seconds(1);
 
-HolderOptions holderOptions(const NodeSettings &settings)
+// The holders of shards have settled before stored jobs are asked for.
+HolderOptions keeperGroupOptions(const NodeSettings &settings)
 {
-    HolderOptions options;
-    options.groupLease = settings.groupLease;
-    options.joinInterval = settings.groupLease / 4;
+    HolderOptions options = holderOptions(settings);
     options.settleTime = Duration::zero();
     return options;
 }
@@ -43,7 +44,7 @@
                        JournalPort &journal, Send send)
     : vms_(vms), pool_(pool), group_(group), journal_(journal), send_(std::move(send)),
       partitionCount_(settings.shardCount), groupLease_(settings.groupLease),
-      membership_(holderOptions(settings), Time {}), keeper_(keeperOptions(settings), vms)
+      membership_(keeperGroupOptions(settings), Time {}), keeper_(keeperOptions(settings), vms)
 { }
 
 void StoredJobs::setExist(bool exist)
