--- a/src/contacts/contact_plan.cpp
+++ b/src/contacts/contact_plan.cpp
@@ -143,11 +143,13 @@
 std::vector<std::string> ContactPlan::chosenOf(const Names &holders, size_t count) const
 {
     std::vector<std::pair<uint64_t, std::string>> ordered;
+    ordered.reserve(holders.size());
     for (const std::string &holder : holders)
         ordered.emplace_back(stableHash(vms_.self().name + holder), holder);
     std::sort(ordered.begin(), ordered.end());
     ordered.resize(std::min(ordered.size(), count));
     std::vector<std::string> chosen;
+    chosen.reserve(ordered.size());
     for (auto &[hash, holder] : ordered)
         chosen.push_back(std::move(holder));
     return chosen;
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -74,6 +74,7 @@
             scaled(predicted, std::exp(implausibleDeviations * model_.deviation(job.offer.queue)));
     const Duration ordinary =
             std::min(scaled(total, 1 / pool::slownessOf(server, common)), longest);
+    // A place is looked for by what this run shows.
     Duration &stepPrediction = job.predicted[job.tasks[run.task].step];
     const Duration before = std::exchange(stepPrediction, ordinary);
     if (canBeMoved(job, run, target, now)) {
@@ -89,9 +90,10 @@
         answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
 }
 
-// Whether another server with room ends the task by the target. Room is kept first
-// for tasks of jobs that have begun, also for those that are about to be stopped for a move: a wide
-// job would otherwise stop all of its tasks for the room of one.
+// Whether another server ends the task by the target, with the room that it has now or, unless an
+// accepted job waits for that, the room that comes. Room is kept first for the waiting tasks of
+// jobs that have begun, and for runs that are being stopped for a move: a wide job would otherwise
+// stop all of its tasks for the room of one.
 bool Pool::Implementation::canBeMoved(const Job &job, const Run &run, Time target, Time now)
 {
     pool::Timetable timetable = makeTimetable(job.offer.service, now);
@@ -118,7 +120,6 @@
         }
     }
     const auto choice = choosePlace(job, job.tasks[run.task], timetable, now);
-    // Jobs that wait were accepted for the room that comes.
     if (!choice || (choice->start > now && isOthersTurn))
         return false;
     const Duration time = choice->end - choice->start;
