--- a/tests/contacts_test.cpp
+++ b/tests/contacts_test.cpp
@@ -256,7 +256,8 @@
     fleet.run(seconds(4));
     for (const char *dataCentre : {"dc0", "dc1", "dc2", "dc3", "dc4"}) {
         const auto holders = fleet.holdersOf(dataCentre);
-        for (const auto &[address, vm] : fleet.vms) {
+        for (const auto &entry : fleet.vms) {
+            const Vm &vm = entry.second;
             const auto heard = std::count_if(holders.begin(), holders.end(), [&](const Vm *other) {
                 return other == &vm || isHeardBy(vm, other->info.name, fleet.now);
             });
@@ -366,7 +367,8 @@
     for (const char *dataCentre : {"dc0", "dc1", "dc2"}) {
         const auto holders = fleet.holdersOf(dataCentre);
         BOOST_TEST(holders.size() >= 4U);
-        for (const auto &[address, vm] : fleet.vms) {
+        for (const auto &entry : fleet.vms) {
+            const Vm &vm = entry.second;
             BOOST_TEST(std::any_of(holders.begin(), holders.end(), [&](const Vm *other) {
                 return other == &vm || isHeardBy(vm, other->info.name, fleet.now);
             }));
@@ -386,7 +388,8 @@
     fleet.isCut = nullptr;
     fleet.run(seconds(1));
     const auto holders = fleet.holdersOf("dc3");
-    for (const auto &[address, vm] : fleet.vms) {
+    for (const auto &entry : fleet.vms) {
+        const Vm &vm = entry.second;
         BOOST_TEST(std::any_of(holders.begin(), holders.end(), [&](const Vm *other) {
             return other == &vm || isHeardBy(vm, other->info.name, fleet.now);
         }));
