--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -11,7 +11,6 @@
 
 using pool::Run;
 using pool::RunState;
-using pool::scaled;
 using pool::Task;
 using pool::Tenure;
 
