Log what a job was given up on, and how far it had got

Callers saw route packs answered 504 with the reason "deadline" more than a second before it. The logs could not tell a passed deadline from a prediction. job-given-up carries the cause and its inputs, job-answered how far the job got, and the answers are counted by number of tasks. No decision changes.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -28,6 +28,16 @@
 // are quicker than a time-out.
 constexpr Duration readyWithoutPool = std::chrono::seconds(3);
 
+// Classes of jobs by their number of tasks, for metrics.
+constexpr std::array<size_t, 4> widthLimits = {2, 4, 8, SIZE_MAX};
+constexpr std::array<std::string_view, 4> widthNames = {"1-2", "3-4", "5-8", "9+"};
+
+size_t widthClass(size_t tasks)
+{
+    return static_cast<size_t>(std::lower_bound(widthLimits.begin(), widthLimits.end(), tasks)
+                               - widthLimits.begin());
+}
+
 PoolOptions poolOptions(const NodeSettings &settings)
 {
     PoolOptions options;
@@ -62,10 +72,13 @@
           submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
           latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
     {
-        for (size_t i = 0; i < resultCounters_.size(); ++i)
-            resultCounters_[i] = &metrics.counter(
-                    "lovage_jobs_answered_total", "answers by result",
-                    {{"result", std::string(toString(static_cast<JobResult>(i)))}});
+        for (size_t result = 0; result < resultCounters_.size(); ++result) {
+            for (size_t width = 0; width < widthNames.size(); ++width)
+                resultCounters_[result][width] = &metrics.counter(
+                        "lovage_jobs_answered_total", "answers by result and number of tasks",
+                        {{"result", std::string(toString(static_cast<JobResult>(result)))},
+                         {"tasks", std::string(widthNames[width])}});
+        }
     }
 
     Result<void> open()
@@ -143,7 +156,8 @@
         offer.priority = queue.priority;
         offer.attempts = queue.attempts;
         offer.job = std::move(job);
-        callers_.emplace(number, Caller {std::move(respond), currentTime()});
+        callers_.emplace(number,
+                         Caller {std::move(respond), currentTime(), taskCount(offer.job)});
         router_.setOwnLoad(pool_.load(currentTime()));
         router_.submit(number, std::move(offer), currentTime());
         flush();
@@ -257,6 +271,7 @@
     {
         Respond respond;
         Time arrived;
+        size_t tasks = 0;
     };
 
     void onPeer(VmReport report)
@@ -452,10 +467,11 @@
     }
     void carryOut(const lovage::Respond &respond)
     {
-        resultCounters_[static_cast<size_t>(respond.answer.result)]->add();
         const auto found = callers_.find(respond.number);
         if (found == callers_.end())
             return;
+        resultCounters_[static_cast<size_t>(respond.answer.result)][widthClass(found->second.tasks)]
+                ->add();
         latency_.record(currentTime() - found->second.arrived);
         const Caller caller = std::move(found->second);
         callers_.erase(found);
@@ -484,7 +500,7 @@
     Time lastTick_ {};
     Time nextConfigurationRequest_ {};
     Counter &submitted_;
-    std::array<Counter *, 4> resultCounters_ {};
+    std::array<std::array<Counter *, widthNames.size()>, 4> resultCounters_ {};
     LatencyHistogram &latency_;
 };
 
--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -41,6 +41,9 @@
     size_t left = 0;
     bool hadToWait = false; // there was no room for all of its tasks at once
     bool isBegun = false;   // some task was ordered to start
+    uint32_t moves = 0;     // runs that were stopped to be started again elsewhere
+    Time lastFirstStart {}; // latest time at which a task was ordered for the first time
+    Duration longestRun {}; // of the runs that succeeded, as an ordinary server would take
 
     const Step &stepOf(const Task &task) const { return offer.job.steps[task.step]; }
     Duration predictedFor(const Task &task) const { return predicted[task.step]; }
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -112,6 +112,9 @@
     void completeTask(Job &job, size_t task, Time now);
     void answer(Job &job, JobResult result, std::string reason, Time now,
                 Duration retryAfter = Duration::zero());
+    void noteAnswered(const Job &job, JobResult result, std::string_view reason, Time now);
+    void noteGivenUp(const Job &job, std::string_view cause, Duration predicted,
+                     std::string_view evidence, Time now);
     void forget(JobNumber number, Time now);
     void stopRunsOf(JobNumber number, Time now);
     Time giveUpAt(const Job &job) const;
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -144,14 +144,38 @@
         break;
     }
     if (jobs_.contains(job.number))
-        note("job-answered", job.offer.job.id,
-             fmt::format("result={} reason={} after_ms={:.0f} objective_ms={:.0f}",
-                         toString(result), reason, toMillis(now - job.arrived),
-                         toMillis(job.objective())));
+        noteAnswered(job, result, reason, now);
     actions_.emplace_back(JobAnswer {job.offer.ticket, result, std::move(reason), retryAfter});
     forget(job.number, now);
 }
 
+void Pool::Implementation::noteAnswered(const Job &job, JobResult result, std::string_view reason,
+                                        Time now)
+{
+    const Duration started = job.isBegun ? job.lastFirstStart - job.arrived : Duration::zero();
+    note("job-answered", job.offer.job.id,
+         fmt::format("result={} reason={} after_ms={:.0f} objective_ms={:.0f} left_ms={:.0f} "
+                     "tasks={} done={} waiting={} moves={} started_ms={:.0f} declared_ms={:.0f} "
+                     "predicted_ms={:.0f} longest_ms={:.0f}",
+                     toString(result), reason, toMillis(now - job.arrived),
+                     toMillis(job.objective()), toMillis(job.deadlineAt - now), job.tasks.size(),
+                     job.tasks.size() - job.left, job.queued, job.moves, toMillis(started),
+                     toMillis(longestChain(job.offer.job)), toMillis(job.chain),
+                     toMillis(job.longestRun)));
+}
+
+// The evidence on which a job is given up before its deadline.
+void Pool::Implementation::noteGivenUp(const Job &job, std::string_view cause, Duration predicted,
+                                       std::string_view evidence, Time now)
+{
+    note("job-given-up", job.offer.job.id,
+         fmt::format("cause={} predicted_ms={:.0f} fast={:.2f} deviation={:.2f} left_ms={:.0f} "
+                     "waiting={} active={}{}{}",
+                     cause, toMillis(predicted), speedOf(job.offer.service).fast,
+                     model_.deviation(job.offer.queue), toMillis(job.deadlineAt - now), job.queued,
+                     job.active, evidence.empty() ? "" : " ", evidence));
+}
+
 void Pool::Implementation::forget(JobNumber number, Time now)
 {
     const auto found = jobs_.find(number);
@@ -264,6 +288,8 @@
     }
     for (const JobNumber number : overdue) {
         Job &job = jobs_.at(number);
+        if (now < job.deadlineAt)
+            noteGivenUp(job, "prediction", pool::longestWaiting(job), {}, now);
         if (job.isBegun)
             answer(job, JobResult::Abandoned, "deadline", now);
         else
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -286,7 +286,8 @@
     const Step &step = job.stepOf(task);
     const std::string name = toString(job.nameOf(index));
     task.state = TaskState::Active;
-    ++task.lastRun;
+    if (++task.lastRun == 1)
+        job.lastFirstStart = now;
     --job.queued;
     ++job.active;
     job.isBegun = true;
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -86,8 +86,15 @@
     const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fast);
     const bool couldBeMoved = now + options_.stopTime + fastest <= job.deadlineAt;
     if (!couldBeMoved && row.percent >= percentToGiveUp
-        && end > job.deadlineAt + scaled(total, projectionError))
+        && end > job.deadlineAt + scaled(total, projectionError)) {
+        noteGivenUp(job, "progress", ordinary,
+                    fmt::format("server={} slowness={:.2f} percent={} elapsed_us={} "
+                                "total_us={}",
+                                server.info().id, pool::slownessOf(server, common), row.percent,
+                                elapsed.count(), total.count()),
+                    now);
         answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
+    }
 }
 
 // Whether another server ends the task by the target, with the room that it has now or, unless an
@@ -135,8 +142,10 @@
          fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", row.task,
                      row.run, server.info().id, cause, row.percent,
                      (now - run.confirmedAt).count()));
-    if (job != jobs_.end())
+    if (job != jobs_.end()) {
+        ++job->second.moves;
         job->second.tasks[run.task].avoid = server.info().id;
+    }
     sendStop(server, row.task, run, now);
 }
 
