Judge what is out of reach by the fastest server, not by a share of the fleet

Cause: the speed of the fast servers was the quantile at 25%, counted from zero. A job with a task that waits was given up, and put behind all others in the queue, as too long for a server that it need not use. Class of fault: one figure of a fleet stands for servers that differ.

Now the fastest server that is held counts. waiting_task_is_kept_for_the_only_ fast_server fails without the change.

--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -75,7 +75,7 @@
     auto operator<=>(const QueueKey &) const = default;
 };
 
-// slowness: run time over prediction on the faster servers of the service.
+// slowness: run time over prediction on the fastest server of the service.
 QueueKey queueKey(const Job &job, double slowness, Time now);
 
 } // namespace lovage::pool
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -59,11 +59,11 @@
     using JobNumber = pool::JobNumber;
 
     // Speed of a service: mean logarithm of run time over prediction on its servers, and the ratio
-    // on its faster servers.
+    // on its fastest server. A task is out of reach only if it is too long for that one.
     struct ServiceSpeed
     {
         double common = 0;
-        double fast = 1;
+        double fastest = 1;
     };
     // When the last waiting task of a job starts and when the last one ends.
     struct Span
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -169,9 +169,9 @@
                                        std::string_view evidence, Time now)
 {
     note("job-given-up", job.offer.job.id,
-         fmt::format("cause={} predicted_ms={:.0f} fast={:.2f} deviation={:.2f} left_ms={:.0f} "
+         fmt::format("cause={} predicted_ms={:.0f} fastest={:.2f} deviation={:.2f} left_ms={:.0f} "
                      "waiting={} active={}{}{}",
-                     cause, toMillis(predicted), speedOf(job.offer.service).fast,
+                     cause, toMillis(predicted), speedOf(job.offer.service).fastest,
                      model_.deviation(job.offer.queue), toMillis(job.deadlineAt - now), job.queued,
                      job.active, evidence.empty() ? "" : " ", evidence));
 }
@@ -251,7 +251,7 @@
 
 bool Pool::Implementation::canEndBy(const Job &job, Duration predicted, Time limit, Time now) const
 {
-    const double factor = speedOf(job.offer.service).fast * optimismFor(job);
+    const double factor = speedOf(job.offer.service).fastest * optimismFor(job);
     return now + scaled(predicted, factor) <= limit;
 }
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace lovage {
 
@@ -23,8 +24,6 @@
 constexpr size_t maxMisses = 32;
 // Share of a server's cores that whole tasks fill, on average.
 constexpr double packing = 0.85;
-// Share of the servers whose speed counts as that of the fast ones.
-constexpr double fastShare = 0.25;
 // Standard deviations of the run time by which a task should end before the objective.
 constexpr double comfort = 1.2;
 // When a job that was accepted is refused after all, its queue is full of work that is more urgent.
@@ -38,19 +37,19 @@
 
 Pool::Implementation::ServiceSpeed Pool::Implementation::speedOf(const std::string &service) const
 {
-    std::vector<double> known;
+    std::vector<const Server *> known;
     for (const auto &[id, server] : servers_) {
         if (server.info().service == service && server.tenure == Tenure::Held && server.samples > 0)
-            known.push_back(server.logSlowness);
+            known.push_back(&server);
     }
     ServiceSpeed speed;
     if (known.empty())
         return speed;
-    std::sort(known.begin(), known.end());
-    for (const double value : known)
-        speed.common += value / static_cast<double>(known.size());
-    speed.fast =
-            std::exp(known[static_cast<size_t>(static_cast<double>(known.size()) * fastShare)]);
+    for (const Server *server : known)
+        speed.common += server->logSlowness / static_cast<double>(known.size());
+    speed.fastest = std::numeric_limits<double>::max();
+    for (const Server *server : known)
+        speed.fastest = std::min(speed.fastest, pool::slownessOf(*server, speed.common));
     return speed;
 }
 
@@ -97,11 +96,11 @@
 // Plays the queue with this job in it on the room as it is, by the rules of placement.
 Pool::Implementation::Forecast Pool::Implementation::forecast(const Job &job, Time now)
 {
-    const double fast = speedOf(job.offer.service).fast;
-    std::vector<std::pair<QueueKey, const Job *>> queue {{queueKey(job, fast, now), &job}};
+    const double fastest = speedOf(job.offer.service).fastest;
+    std::vector<std::pair<QueueKey, const Job *>> queue {{queueKey(job, fastest, now), &job}};
     for (const auto &[number, other] : jobs_) {
         if (other.queued > 0 && other.offer.service == job.offer.service)
-            queue.emplace_back(queueKey(other, fast, now), &other);
+            queue.emplace_back(queueKey(other, fastest, now), &other);
     }
     std::sort(queue.begin(), queue.end(),
               [](const auto &left, const auto &right) { return left.first < right.first; });
@@ -160,7 +159,7 @@
     for (const auto &[number, job] : jobs_) {
         if (job.queued > 0)
             waiting[job.offer.service].push_back(
-                    queueKey(job, speedOf(job.offer.service).fast, now));
+                    queueKey(job, speedOf(job.offer.service).fastest, now));
     }
     std::vector<JobNumber> hopeless;
     for (auto &[service, keys] : waiting) {
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -83,7 +83,7 @@
     }
     // A task alone may take long; the others of its step keep their prediction until one has moved.
     stepPrediction = before;
-    const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fast);
+    const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fastest);
     const bool couldBeMoved = now + options_.stopTime + fastest <= job.deadlineAt;
     if (!couldBeMoved && row.percent >= percentToGiveUp
         && end > job.deadlineAt + scaled(total, projectionError)) {
--- a/tests/pool_sizes_test.cpp
+++ b/tests/pool_sizes_test.cpp
@@ -150,6 +150,30 @@
 
 } // namespace
 
+// Guards against a task that is given up as too long although the one fast server would end it: few
+// servers may be fast, so no share of the fleet stands for them.
+BOOST_AUTO_TEST_CASE(waiting_task_is_kept_for_the_only_fast_server)
+{
+    PoolWorld world;
+    for (const char *id : {"a", "b", "c", "d", "e", "f", "g", "h"})
+        world.addServer(id, 16000, *id == 'a' ? 0.5 : 2);
+    for (auto &[id, server] : world.servers)
+        server.info.labels = {id};
+    world.begin();
+    // All speeds become known.
+    for (int i = 0; i < 160; ++i) {
+        JobOffer job = PoolWorld::makeOffer("warm" + std::to_string(i), 1, 6800, milliseconds(100));
+        job.job.steps.front().requiredLabel = std::string(1, static_cast<char>('a' + i % 8));
+        world.offer(job);
+        world.run(milliseconds(250));
+    }
+    // Two tasks at a time end on a; on the others each one takes 2 s.
+    world.workOf = [](const std::string &) { return Duration(milliseconds(1000)); };
+    world.offer(PoolWorld::makeOffer("job", 3, 6800, milliseconds(1000), deadline));
+    world.run(std::chrono::seconds(2));
+    BOOST_TEST((world.resultOf("job") == JobResult::Completed));
+}
+
 // Guards against large jobs that are given up, or that wait behind small ones, while servers that
 // can end them in time are there: every seed serves each size at least half as often as the kind.
 BOOST_AUTO_TEST_CASE(largest_jobs_are_served_at_high_load)
