Do not take a run that a new process carried out for lapsed

Callers could have seen a task run twice. Cause: when a server's process is replaced, the pool forgets the leases of the earlier one. A start that was not answered and that the new process carried out is found by a look, but the lease that the start had brought was not noted, so the run counted as lapsed at once and its task was started again while it went on.

--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -281,6 +281,8 @@
             if (run.state == RunState::Unsure) {
                 run.state = RunState::Running;
                 run.confirmedAt = now;
+                // A new process may have carried the order out at any time until now.
+                server.noteStarted(now);
             }
             if (!row->second->checkpoint.empty())
                 run.checkpoint = row->second->checkpoint;
--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -273,6 +273,33 @@
     BOOST_TEST(world.overlappingRuns == 0U);
 }
 
+// Guards against a second start of a task that a new process of its server runs: the lease of the
+// earlier process says nothing about it.
+BOOST_AUTO_TEST_CASE(run_found_in_a_new_process_has_not_lapsed)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.checksIncarnation = false;
+    world.workOf = [](const std::string &) { return Duration(milliseconds(400)); };
+    world.begin();
+    bool isFirst = true;
+    world.fate = [&](const std::string &) {
+        OrderFate fate;
+        fate.isAnswered = !std::exchange(isFirst, false);
+        return fate;
+    };
+    world.offer(PoolWorld::makeOffer("job1", 1, 14000, milliseconds(400)));
+    world.servers.at("a").restart(); // before the order arrives
+    world.isLookSent = [] { return false; };
+    world.registerServers();
+    world.run(milliseconds(110)); // the start counts as unanswered
+    world.isLookSent = [] { return true; };
+    world.run(std::chrono::seconds(2));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(world.starts == 1U);
+    BOOST_TEST(world.overlappingRuns == 0U);
+}
+
 // Guards against a process that wakes up and starts, from where it was, tasks of jobs that other
 // VMs have given up meanwhile.
 BOOST_AUTO_TEST_CASE(woken_pool_starts_nothing_old)
