Repeat the stops of unanswered starts to a new process of a server

Callers could have seen a task run twice. Cause: a start that was not answered is barred by a stop before its task goes elsewhere. When the server's process is replaced under the same id, the new one has not seen that stop and carries out a start that comes late; the pool kept the confirmation of the earlier process, or had forgotten the run. Class of fault: a confirmation outlives its giver.

--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -202,4 +202,18 @@
     closedUntil = {};
 }
 
+void LeasedServer::restoreBarredStarts(Time now)
+{
+    std::erase_if(barredStarts_, [&](const auto &entry) { return now > entry.second.until; });
+    for (const auto &[task, barred] : barredStarts_) {
+        if (runs_.contains(task))
+            continue; // a later run, whose stop bars this one too
+        Run run;
+        run.number = barred.run;
+        run.orderedAt = now;
+        run.state = RunState::Stopping;
+        add(task, run);
+    }
+}
+
 } // namespace lovage::pool
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -133,6 +133,13 @@
 
     // Forgets what belongs to an incarnation that has ended.
     void resetLife();
+    // A start that was not answered was stopped, so that the server refuses it if it comes late.
+    void barStart(const std::string &task, uint32_t run, Time until)
+    {
+        barredStarts_[task] = {run, until};
+    }
+    // In a new incarnation, which does not refuse them: adds such starts as runs to be stopped.
+    void restoreBarredStarts(Time now);
 
     Tenure tenure = Tenure::None;
     uint64_t token = 0;
@@ -169,6 +176,13 @@
     std::set<uint64_t> heldEnds_;
     std::set<uint64_t> supersededEnds_; // of heldEnds_
     Time lapseAt_ {};                   // zero: something runs
+
+    struct BarredStart
+    {
+        uint32_t run = 0;
+        Time until {}; // it is not carried out any more
+    };
+    std::map<std::string, BarredStart> barredStarts_; // by task
 };
 
 } // namespace lovage::pool
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -22,7 +22,7 @@
 // No new work while a look is overdue; the next answer reopens the server.
 constexpr Duration closedWhenSilent = std::chrono::milliseconds(500);
 constexpr uint32_t looksBeforeLapse = 2;
-// Runs of an unregistered server whose order was never answered are forgotten after this time.
+// An order that was never answered is not carried out any more after this time.
 constexpr Duration forgetAfter = std::chrono::seconds(15);
 
 } // namespace
@@ -80,7 +80,8 @@
 }
 
 // Everything of the last incarnation has ended. An order that was not answered may be carried out
-// in the new one; its answer, or a look, shows whether it was.
+// in the new one; its answer, or a look, shows whether it was. The new one knows nothing of the
+// stops that the last one had confirmed, so these are sent again.
 void Pool::Implementation::startLife(Server &server, Time now)
 {
     note("server-restarted", {}, fmt::format("server={}", server.info().id));
@@ -95,6 +96,11 @@
     if (server.tenure != Tenure::None)
         server.tenure = Tenure::TakingOver;
     server.nextLookAt = now;
+    server.restoreBarredStarts(now);
+    for (auto &[task, run] : server.runs()) {
+        if (run.state == RunState::Stopping)
+            sendStop(server, task, run, now);
+    }
 }
 
 // Another VM places on the server now and stops what it finds there. Until that has happened the
@@ -170,6 +176,7 @@
 void Pool::Implementation::sendStop(Server &server, const std::string &task, Run &run, Time now)
 {
     run.state = RunState::Stopping;
+    run.stopConfirmedAt = {};
     if (server.tenure == Tenure::None)
         return;
     ++counters_.stops;
@@ -302,6 +309,8 @@
         const Run run = server.remove(task);
         if (run.state == RunState::Running)
             ++counters_.runsLost;
+        if (run.confirmedAt == Time {} && run.job != pool::foreignJob)
+            server.barStart(task, run.number, now + forgetAfter);
         requeue(task, run, now);
     }
     for (const RunningRow &row : reply.running) {
--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -200,7 +200,7 @@
 // Guards every order against lost answers, late execution, restarts and silence, in seeded mixes.
 BOOST_AUTO_TEST_CASE(random_faults_start_no_task_twice)
 {
-    for (uint64_t seed = 1; seed <= 60; ++seed) {
+    for (uint64_t seed = 1; seed <= 600; ++seed) {
         BOOST_TEST_CONTEXT("seed " << seed)
         {
             Random random(seed);
@@ -300,6 +300,38 @@
     BOOST_TEST(world.overlappingRuns == 0U);
 }
 
+// Guards against a late start in a new process of the server, which knows nothing of the stop that
+// the earlier one had confirmed.
+BOOST_AUTO_TEST_CASE(stop_is_repeated_to_a_new_process)
+{
+    // The process is replaced while a look waits for the end of the stop, or after the look.
+    for (const Duration restartAfter : {milliseconds(130), milliseconds(300)}) {
+        PoolWorld world;
+        world.addServer("a", 32000);
+        world.addServer("b", 32000);
+        world.checksIncarnation = false;
+        world.workOf = [](const std::string &) { return Duration(milliseconds(800)); };
+        world.begin();
+        bool isFirst = true;
+        world.fate = [&](const std::string &) {
+            OrderFate fate;
+            if (std::exchange(isFirst, false))
+                fate = {false, milliseconds(600)};
+            return fate;
+        };
+        world.offer(PoolWorld::makeOffer("job1", 1, 14000, milliseconds(800)));
+        world.run(milliseconds(110));
+        world.servers.at("a").info.isLeaving = true; // the task starts again on b
+        world.registerServers();
+        world.run(restartAfter - milliseconds(110));
+        world.servers.at("a").restart();
+        world.registerServers();
+        world.run(std::chrono::seconds(3));
+        BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+        BOOST_TEST(world.overlappingRuns == 0U);
+    }
+}
+
 // Guards against a process that wakes up and starts, from where it was, tasks of jobs that other
 // VMs have given up meanwhile.
 BOOST_AUTO_TEST_CASE(woken_pool_starts_nothing_old)
