Let runs that need a faster server take part in the queue for room

Cause: a run that shows that it ends too late was moved only if a faster server had room at the moment of a look at the slow one. At high load that room had been given to a waiting job at the moment it became free, and while a moved run was being stopped, its new place could be taken too. Class of fault: a need that is looked at only when its own event comes, while others take what it needs at theirs.

Now such runs, and those that are being stopped, are given room before waiting jobs, in placement and in the forecast of a new job, and a run goes on until its new place is free. What progress shows is kept for the task that showed it; the speeds of servers are learned from the prediction alone, which does not depend on them. run_that_ends_too_late_gets_the_fast_server_before_small_jobs fails without the change.

--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -21,6 +21,7 @@
     uint32_t failures = 0; // runs that ended in failure
     std::string avoid {};  // server of the latest run that failed
     Duration lag {};       // longest time a run of it stood still before it was stopped
+    Duration shown {}; // run time on an ordinary server by the progress of a run; zero: none yet
 };
 
 struct Job
@@ -46,7 +47,10 @@
     Duration longestRun {}; // of the runs that succeeded, as an ordinary server would take
 
     const Step &stepOf(const Task &task) const { return offer.job.steps[task.step]; }
-    Duration predictedFor(const Task &task) const { return predicted[task.step]; }
+    Duration predictedFor(const Task &task) const
+    {
+        return task.shown > Duration::zero() ? task.shown : predicted[task.step];
+    }
     Duration objective() const { return objectiveAt - submitted; }
     TaskName nameOf(size_t task) const
     {
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -44,6 +44,8 @@
     Time confirmedAt {};      // of Running
     Duration expected {};     // predicted run time on this server
     bool isSlowNoted = false; // its lack of speed was held against the server
+    uint32_t percent = 0;     // of its work that is done, by the latest look
+    bool needsMove = false;   // it ends too late here
     bool isStopPending = false;
     Time stopConfirmedAt {}; // zero: not yet
     Time nextStopAt {};
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -97,9 +97,8 @@
     void noteEnded(Server &server, const EndedRow &row, Time now);
     void checkProgress(Server &server, const RunningRow &row, pool::Run &run, Time now);
     void confirmFault(const std::string &serverId, Time now);
-    void moveRun(Server &server, const RunningRow &row, pool::Run &run, std::string_view cause,
+    void moveRun(Server &server, const std::string &task, pool::Run &run, std::string_view cause,
                  Time now);
-    bool canBeMoved(const Job &job, const pool::Run &run, Time target, Time now);
     void noteSuccessfulEnd(Server &server, const pool::Run &run, Time now);
     void noteFailedEnd(Server &server, const pool::Run &run, Time now);
     bool checkIncarnation(Server &server, const ServerReading &reading, Time now);
@@ -150,6 +149,19 @@
     template<class Predicate>
     void stopStored(Predicate isMeant, Time now);
 
+    // A run that is to be started again on another server.
+    struct Move
+    {
+        Server *server = nullptr;
+        std::string task;
+        pool::Run *run = nullptr;
+        const Job *job = nullptr;
+    };
+    std::vector<Move> reserveForMoves(const std::string &service, pool::Timetable &timetable,
+                                      Time now);
+    bool isWorthMoving(const Move &move, const Choice &choice, Time now) const;
+    void startMoves(const std::string &service, pool::Timetable &timetable, Time now);
+
     std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
                                       pool::Timetable &timetable, Time now) const;
     struct Placed
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -106,6 +106,7 @@
               [](const auto &left, const auto &right) { return left.first < right.first; });
     Forecast forecast;
     pool::Timetable timetable = makeTimetable(job.offer.service, now);
+    reserveForMoves(job.offer.service, timetable, now);
     std::optional<pool::Timetable> without;
     size_t budget = maxForecastTasks;
     for (const auto &[key, waiting] : queue) {
@@ -157,14 +158,15 @@
     isPlacementDue_ = false;
     std::map<std::string, std::vector<QueueKey>> waiting; // by service
     for (const auto &[number, job] : jobs_) {
+        std::vector<QueueKey> &keys = waiting[job.offer.service];
         if (job.queued > 0)
-            waiting[job.offer.service].push_back(
-                    queueKey(job, speedOf(job.offer.service).fastest, now));
+            keys.push_back(queueKey(job, speedOf(job.offer.service).fastest, now));
     }
     std::vector<JobNumber> hopeless;
     for (auto &[service, keys] : waiting) {
         std::sort(keys.begin(), keys.end());
         pool::Timetable timetable = makeTimetable(service, now);
+        startMoves(service, timetable, now);
         size_t misses = 0;
         for (const QueueKey &key : keys) {
             Job &job = jobs_.at(key.job);
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -37,10 +37,12 @@
 
 } // namespace
 
-// A run that stands still, or that will end too late while another server could still make it, is
-// started again elsewhere. A job that cannot be done in time any more is answered now.
+// A run that stands still is started again elsewhere, and so is one that will end too late, as soon
+// as a server that could still make it has room. A job that cannot be done in time any more is
+// answered now.
 void Pool::Implementation::checkProgress(Server &server, const RunningRow &row, Run &run, Time now)
 {
+    run.percent = row.percent;
     const Duration elapsed = now - run.confirmedAt;
     const bool isOverdue = run.expected > Duration::zero()
             && elapsed >= scaled(run.expected, hangFactor) + hangSlack;
@@ -49,7 +51,7 @@
     if (isOpen && isOverdue && row.percent < hangPercent) {
         pool::avoid(server, options_, now);
         note("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
-        moveRun(server, row, run, "hanging", now);
+        moveRun(server, row.task, run, "hanging", now);
         return;
     }
     if (found == jobs_.end())
@@ -59,14 +61,15 @@
         return;
     const Duration total = scaled(elapsed, 100 / (row.percent + halfPercent));
     run.expected = total;
-    const Duration predicted = job.predictedFor(job.tasks[run.task]);
+    const Duration predicted = job.predicted[job.tasks[run.task].step];
     if (isOverdue && !run.isSlowNoted) {
         run.isSlowNoted = true;
         pool::noteSlow(server, predicted, total);
     }
     const Time end = run.confirmedAt + total;
     const Time target = std::min(job.objectiveAt, job.deadlineAt);
-    if (end <= target)
+    run.needsMove = end > target;
+    if (!run.needsMove)
         return;
     const double common = speedOf(job.offer.service).common;
     // A run that takes far longer than any of its queue tells of the server, not of the job.
@@ -74,15 +77,8 @@
             scaled(predicted, std::exp(implausibleDeviations * model_.deviation(job.offer.queue)));
     const Duration ordinary =
             std::min(scaled(total, 1 / pool::slownessOf(server, common)), longest);
-    // A place is looked for by what this run shows.
-    Duration &stepPrediction = job.predicted[job.tasks[run.task].step];
-    const Duration before = std::exchange(stepPrediction, ordinary);
-    if (canBeMoved(job, run, target, now)) {
-        moveRun(server, row, run, "slow", now);
-        return;
-    }
-    // A task alone may take long; the others of its step keep their prediction until one has moved.
-    stepPrediction = before;
+    job.tasks[run.task].shown = ordinary;
+    isPlacementDue_ = true;
     const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fastest);
     const bool couldBeMoved = now + options_.stopTime + fastest <= job.deadlineAt;
     if (!couldBeMoved && row.percent >= percentToGiveUp
@@ -97,56 +93,79 @@
     }
 }
 
-// Whether another server ends the task by the target, with the room that it has now or, unless an
-// accepted job waits for that, the room that comes. Room is kept first for the waiting tasks of
-// jobs that have begun, and for runs that are being stopped for a move: a wide job would otherwise
-// stop all of its tasks for the room of one.
-bool Pool::Implementation::canBeMoved(const Job &job, const Run &run, Time target, Time now)
+// Keeps room for runs that are to be started again on another server, before any waiting job gets
+// it: for those that are being stopped, and for those that end too late where they are. Returns the
+// ones whose new place is free.
+std::vector<Pool::Implementation::Move>
+Pool::Implementation::reserveForMoves(const std::string &service, pool::Timetable &timetable,
+                                      Time now)
 {
-    pool::Timetable timetable = makeTimetable(job.offer.service, now);
-    const auto reserve = [&](const Job &other, const Task &task) {
-        const auto choice = choosePlace(other, task, timetable, now);
-        if (choice)
-            choice->place->reserve(other.stepOf(task).demand, choice->start, choice->end);
-    };
-    bool isOthersTurn = false;
-    for (const auto &[number, other] : jobs_) {
-        isOthersTurn |= !other.isBegun && other.queued > 0;
-        if (!other.isBegun || other.offer.service != job.offer.service)
-            continue;
-        for (const Task &task : other.tasks) {
-            if (task.state == TaskState::Queued)
-                reserve(other, task);
+    std::vector<Move> moves;
+    for (auto &[id, server] : servers_) {
+        for (auto &[name, run] : server.runs()) {
+            if (run.state != RunState::Stopping
+                && !(run.state == RunState::Running && run.needsMove))
+                continue;
+            const Job *job = jobOfActive(run);
+            if (job && job->offer.service == service)
+                moves.push_back({&server, name, &run, job});
         }
     }
-    for (const auto &[id, server] : servers_) {
-        for (const auto &[name, other] : server.runs()) {
-            const Job *owner = other.state == RunState::Stopping ? jobOfActive(other) : nullptr;
-            if (owner && owner->offer.service == job.offer.service)
-                reserve(*owner, owner->tasks[other.task]);
-        }
+    // Runs that are being stopped have lost their place already.
+    std::stable_sort(moves.begin(), moves.end(), [](const Move &left, const Move &right) {
+        const bool isLeftStopping = left.run->state == RunState::Stopping;
+        const bool isRightStopping = right.run->state == RunState::Stopping;
+        if (isLeftStopping != isRightStopping)
+            return isLeftStopping;
+        return left.job->deadlineAt < right.job->deadlineAt;
+    });
+    std::vector<Move> due;
+    for (const Move &move : moves) {
+        const Task &task = move.job->tasks[move.run->task];
+        const auto choice = choosePlace(*move.job, task, timetable, now);
+        if (!choice)
+            continue;
+        if (move.run->state != RunState::Stopping && !isWorthMoving(move, *choice, now))
+            continue;
+        choice->place->reserve(move.job->stepOf(task).demand, choice->start, choice->end);
+        if (move.run->state != RunState::Stopping && choice->start <= now + options_.stopTime)
+            due.push_back(move);
     }
-    const auto choice = choosePlace(job, job.tasks[run.task], timetable, now);
-    if (!choice || (choice->start > now && isOthersTurn))
-        return false;
-    const Duration time = choice->end - choice->start;
-    const Duration wait = std::max(choice->start - now, options_.stopTime);
-    return now + scaled(wait + time, 1 + moveMargin) <= target;
+    return due;
+}
+
+// A run that would be late but before the deadline is moved only to be in time; one that would miss
+// the deadline, to meet that.
+bool Pool::Implementation::isWorthMoving(const Move &move, const Choice &choice, Time now) const
+{
+    const Duration time = choice.end - choice.start;
+    const Duration wait = std::max(choice.start - now, options_.stopTime);
+    const Time newEnd = now + scaled(wait + time, 1 + moveMargin);
+    const Time end = pool::expectedEnd(*move.run, now);
+    if (newEnd <= std::min(move.job->objectiveAt, move.job->deadlineAt))
+        return true;
+    return end > move.job->deadlineAt && newEnd <= move.job->deadlineAt;
+}
+
+void Pool::Implementation::startMoves(const std::string &service, pool::Timetable &timetable,
+                                      Time now)
+{
+    for (const Move &move : reserveForMoves(service, timetable, now))
+        moveRun(*move.server, move.task, *move.run, "slow", now);
 }
 
-void Pool::Implementation::moveRun(Server &server, const RunningRow &row, Run &run,
+void Pool::Implementation::moveRun(Server &server, const std::string &task, Run &run,
                                    std::string_view cause, Time now)
 {
     const auto job = jobs_.find(run.job);
     note("run-moved", job == jobs_.end() ? run.stored->job : job->second.offer.job.id,
-         fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", row.task,
-                     row.run, server.info().id, cause, row.percent,
-                     (now - run.confirmedAt).count()));
+         fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", task, run.number,
+                     server.info().id, cause, run.percent, (now - run.confirmedAt).count()));
     if (job != jobs_.end()) {
         ++job->second.moves;
         job->second.tasks[run.task].avoid = server.info().id;
     }
-    sendStop(server, row.task, run, now);
+    sendStop(server, task, run, now);
 }
 
 } // namespace lovage
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -388,7 +388,8 @@
     const Duration ran = now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt);
     const double logRatio = std::log(pool::slownessOf(server, speedOf(job.offer.service).common));
     job.longestRun = std::max(job.longestRun, pool::scaled(ran, std::exp(-logRatio)));
-    pool::noteSuccess(server, job.predictedFor(task), ran);
+    // What the progress of runs has shown depends on the speeds that are to be learned here.
+    pool::noteSuccess(server, job.predicted[task.step], ran);
     model_.observe(job.offer.queue, job.stepOf(task).estimate, ran, logRatio);
     completeTask(job, run.task, now);
 }
--- a/tests/pool_sizes_test.cpp
+++ b/tests/pool_sizes_test.cpp
@@ -174,6 +174,45 @@
     BOOST_TEST((world.resultOf("job") == JobResult::Completed));
 }
 
+// Guards against a run that shows that it ends too late, but never gets the faster server, because
+// each time that one has room a small job takes it first.
+BOOST_AUTO_TEST_CASE(run_that_ends_too_late_gets_the_fast_server_before_small_jobs)
+{
+    PoolWorld world;
+    world.addServer("fast", 7000, 0.5);
+    world.addServer("slow", 14000, 1.2);
+    for (auto &[id, server] : world.servers)
+        server.info.labels = {id};
+    world.workOf = [](const std::string &) { return Duration(milliseconds(100)); };
+    world.begin();
+    size_t count = 0;
+    const auto offerSmall = [&](const std::string &label) {
+        JobOffer job =
+                PoolWorld::makeOffer("small" + std::to_string(count++), 1, 6800, milliseconds(100));
+        job.queue = "small";
+        job.job.steps.front().requiredLabel = label;
+        world.offer(job);
+    };
+    // Both speeds become known.
+    for (int i = 0; i < 40; ++i) {
+        offerSmall(i % 2 == 0 ? "fast" : "slow");
+        world.run(milliseconds(150));
+    }
+    // The fast server has no room when the long job comes, and its queue does not run dry.
+    world.workOf = [](const std::string &task) {
+        return Duration(milliseconds(task.starts_with("long") ? 1400 : 100));
+    };
+    offerSmall("fast");
+    JobOffer job = PoolWorld::makeOffer("long", 1, 6800, milliseconds(600), deadline);
+    world.offer(job);
+    for (int i = 0; i < 60; ++i) {
+        offerSmall("fast");
+        world.run(milliseconds(30));
+    }
+    BOOST_TEST((world.resultOf("long") == JobResult::Completed));
+    BOOST_TEST(world.overlappingRuns == 0U);
+}
+
 // Guards against large jobs that are given up, or that wait behind small ones, while servers that
 // can end them in time are there: every seed serves each size at least half as often as the kind.
 BOOST_AUTO_TEST_CASE(largest_jobs_are_served_at_high_load)
