--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -156,8 +156,7 @@
         offer.priority = queue.priority;
         offer.attempts = queue.attempts;
         offer.job = std::move(job);
-        callers_.emplace(number,
-                         Caller {std::move(respond), currentTime(), taskCount(offer.job)});
+        callers_.emplace(number, Caller {std::move(respond), currentTime(), taskCount(offer.job)});
         router_.setOwnLoad(pool_.load(currentTime()));
         router_.submit(number, std::move(offer), currentTime());
         flush();
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -13,7 +13,6 @@
 using pool::RunState;
 using pool::scaled;
 using pool::Task;
-using pool::TaskState;
 
 namespace {
 
--- a/tests/pool_sizes_test.cpp
+++ b/tests/pool_sizes_test.cpp
@@ -66,6 +66,7 @@
     world.begin();
     std::map<uint64_t, PlayedJob> jobs; // by ticket
     std::vector<Time> next;
+    next.reserve(kinds.size());
     for (const Kind &kind : kinds)
         next.push_back(world.now
                        + Duration(static_cast<int64_t>(
@@ -117,6 +118,7 @@
     }
     BOOST_TEST(world.overlappingRuns == 0U);
     std::vector<PlayedJob> played;
+    played.reserve(jobs.size());
     for (const auto &[number, job] : jobs)
         played.push_back(job);
     return played;
