Plan moves only where some server makes them worth it

Clean-up of the queue for room that moves take part in: the runs to move are collected once a pass, without those that no server could end in time, and a service without waiting jobs or moves needs no timetable.

--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -88,6 +88,7 @@
 
     void adoptGrant(Server &server, Time now);
     void startLife(Server &server, Time now);
+    void noteReplaced(Server &server, Time now);
     void loseServer(Server &server, std::string_view cause, Time now);
     void sendLook(Server &server, Time now);
     void sendStop(Server &server, const std::string &task, pool::Run &run, Time now);
@@ -157,10 +158,10 @@
         pool::Run *run = nullptr;
         const Job *job = nullptr;
     };
-    std::vector<Move> reserveForMoves(const std::string &service, pool::Timetable &timetable,
-                                      Time now);
-    bool isWorthMoving(const Move &move, const Choice &choice, Time now) const;
-    void startMoves(const std::string &service, pool::Timetable &timetable, Time now);
+    std::vector<Move> movesOf(const std::string &service, Time now);
+    std::vector<Move> reserveForMoves(const std::vector<Move> &moves, pool::Timetable &timetable,
+                                      Time now) const;
+    bool isWorthMoving(const Move &move, Duration needed, Time now) const;
 
     std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
                                       pool::Timetable &timetable, Time now) const;
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -106,7 +106,7 @@
               [](const auto &left, const auto &right) { return left.first < right.first; });
     Forecast forecast;
     pool::Timetable timetable = makeTimetable(job.offer.service, now);
-    reserveForMoves(job.offer.service, timetable, now);
+    reserveForMoves(movesOf(job.offer.service, now), timetable, now);
     std::optional<pool::Timetable> without;
     size_t budget = maxForecastTasks;
     for (const auto &[key, waiting] : queue) {
@@ -156,7 +156,7 @@
 void Pool::Implementation::placeQueued(Time now)
 {
     isPlacementDue_ = false;
-    std::map<std::string, std::vector<QueueKey>> waiting; // by service
+    std::map<std::string, std::vector<QueueKey>> waiting; // by service of the open jobs
     for (const auto &[number, job] : jobs_) {
         std::vector<QueueKey> &keys = waiting[job.offer.service];
         if (job.queued > 0)
@@ -164,9 +164,13 @@
     }
     std::vector<JobNumber> hopeless;
     for (auto &[service, keys] : waiting) {
+        const std::vector<Move> moves = movesOf(service, now);
+        if (keys.empty() && moves.empty())
+            continue;
         std::sort(keys.begin(), keys.end());
         pool::Timetable timetable = makeTimetable(service, now);
-        startMoves(service, timetable, now);
+        for (const Move &move : reserveForMoves(moves, timetable, now))
+            moveRun(*move.server, move.task, *move.run, "slow", now);
         size_t misses = 0;
         for (const QueueKey &key : keys) {
             Job &job = jobs_.at(key.job);
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -92,25 +92,29 @@
     }
 }
 
-// Keeps room for runs that are to be started again on another server, before any waiting job gets
-// it: for those that are being stopped, and for those that end too late where they are. Returns the
-// ones whose new place is free.
-std::vector<Pool::Implementation::Move>
-Pool::Implementation::reserveForMoves(const std::string &service, pool::Timetable &timetable,
-                                      Time now)
+// The runs that are to be started again on another server: those that are being stopped, which have
+// lost their place already, and then those that end too late where they are, by deadline.
+std::vector<Pool::Implementation::Move> Pool::Implementation::movesOf(const std::string &service,
+                                                                      Time now)
 {
+    const double fastest = speedOf(service).fastest;
     std::vector<Move> moves;
     for (auto &[id, server] : servers_) {
+        if (server.info().service != service)
+            continue;
         for (auto &[name, run] : server.runs()) {
-            if (run.state != RunState::Stopping
-                && !(run.state == RunState::Running && run.needsMove))
+            const bool isStopping = run.state == RunState::Stopping;
+            if (!isStopping && !(run.state == RunState::Running && run.needsMove))
                 continue;
             const Job *job = jobOfActive(run);
-            if (job && job->offer.service == service)
-                moves.push_back({&server, name, &run, job});
+            if (!job)
+                continue;
+            const Move move {&server, name, &run, job};
+            const Duration shortest = scaled(job->predictedFor(job->tasks[run.task]), fastest);
+            if (isStopping || isWorthMoving(move, options_.stopTime + shortest, now))
+                moves.push_back(move);
         }
     }
-    // Runs that are being stopped have lost their place already.
     std::stable_sort(moves.begin(), moves.end(), [](const Move &left, const Move &right) {
         const bool isLeftStopping = left.run->state == RunState::Stopping;
         const bool isRightStopping = right.run->state == RunState::Stopping;
@@ -118,13 +122,24 @@
             return isLeftStopping;
         return left.job->deadlineAt < right.job->deadlineAt;
     });
+    return moves;
+}
+
+// Keeps room for the moves, before any waiting job gets it. Returns those of running tasks whose
+// new place is free.
+std::vector<Pool::Implementation::Move>
+Pool::Implementation::reserveForMoves(const std::vector<Move> &moves, pool::Timetable &timetable,
+                                      Time now) const
+{
     std::vector<Move> due;
     for (const Move &move : moves) {
         const Task &task = move.job->tasks[move.run->task];
         const auto choice = choosePlace(*move.job, task, timetable, now);
         if (!choice)
             continue;
-        if (move.run->state != RunState::Stopping && !isWorthMoving(move, *choice, now))
+        const Duration wait = std::max(choice->start - now, options_.stopTime);
+        const Duration needed = wait + (choice->end - choice->start);
+        if (move.run->state != RunState::Stopping && !isWorthMoving(move, needed, now))
             continue;
         choice->place->reserve(move.job->stepOf(task).demand, choice->start, choice->end);
         if (move.run->state != RunState::Stopping && choice->start <= now + options_.stopTime)
@@ -133,24 +148,14 @@
     return due;
 }
 
-// A run that would be late but before the deadline is moved only to be in time; one that would miss
-// the deadline, to meet that.
-bool Pool::Implementation::isWorthMoving(const Move &move, const Choice &choice, Time now) const
+// `needed` is the time until the end of the task on its new server. A run that would be late but
+// before the deadline is moved only to be in time; one that would miss the deadline, to meet that.
+bool Pool::Implementation::isWorthMoving(const Move &move, Duration needed, Time now) const
 {
-    const Duration time = choice.end - choice.start;
-    const Duration wait = std::max(choice.start - now, options_.stopTime);
-    const Time newEnd = now + scaled(wait + time, 1 + moveMargin);
-    const Time end = pool::expectedEnd(*move.run, now);
-    if (newEnd <= std::min(move.job->objectiveAt, move.job->deadlineAt))
+    const Time end = now + scaled(needed, 1 + moveMargin);
+    if (end <= std::min(move.job->objectiveAt, move.job->deadlineAt))
         return true;
-    return end > move.job->deadlineAt && newEnd <= move.job->deadlineAt;
-}
-
-void Pool::Implementation::startMoves(const std::string &service, pool::Timetable &timetable,
-                                      Time now)
-{
-    for (const Move &move : reserveForMoves(service, timetable, now))
-        moveRun(*move.server, move.task, *move.run, "slow", now);
+    return end <= move.job->deadlineAt && pool::expectedEnd(*move.run, now) > move.job->deadlineAt;
 }
 
 void Pool::Implementation::moveRun(Server &server, const std::string &task, Run &run,
