Back off from a server whose address another one has taken

Cause: an answer of another instance was taken for a new process of the server, and what was left to stop was ordered again at once, to be turned away again. Class of fault: a retry without a delay that grows.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -111,6 +111,7 @@
     Time lookSentAt {};
     Time nextLookAt {};
     uint32_t unansweredLooks = 0; // in a row
+    Duration replacedDelay {};    // between orders while another server answers
     bool wantsLook(Time now) const;
     Duration lookWait(Time now) const;
 
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -28,7 +28,7 @@
              fmt::format("task={} run={} server={} result={}", ref.task, ref.run, ref.server,
                          toString(result)));
     if (result == OrderResult::OtherLife) {
-        startLife(server, now);
+        noteReplaced(server, now);
         if (server.findRun(ref))
             requeue(ref.task, server.remove(ref.task), now);
         return;
@@ -104,7 +104,7 @@
         return;
     }
     if (result == OrderResult::OtherLife) {
-        startLife(server, now);
+        noteReplaced(server, now);
         return;
     }
     if (result == OrderResult::Unknown || result == OrderResult::NotSent
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -19,6 +19,7 @@
 constexpr Duration stopRetryDelay = std::chrono::milliseconds(100);
 // A server that cannot be connected to is looked at again after this time.
 constexpr Duration reconnectDelay = std::chrono::milliseconds(50);
+constexpr Duration longestReconnectDelay = std::chrono::seconds(1);
 // No new work while a look is overdue; the next answer reopens the server.
 constexpr Duration closedWhenSilent = std::chrono::milliseconds(500);
 constexpr uint32_t looksBeforeLapse = 2;
@@ -98,11 +99,22 @@
     server.nextLookAt = now;
     server.restoreBarredStarts(now);
     for (auto &[task, run] : server.runs()) {
-        if (run.state == RunState::Stopping)
-            sendStop(server, task, run, now);
+        run.stopConfirmedAt = {};
+        run.nextStopAt = now;
     }
 }
 
+// Another server answers at the address, so the process is gone. Its entry may stay for seconds.
+void Pool::Implementation::noteReplaced(Server &server, Time now)
+{
+    startLife(server, now);
+    server.replacedDelay =
+            std::clamp(server.replacedDelay * 2, reconnectDelay, longestReconnectDelay);
+    server.nextLookAt = now + server.replacedDelay;
+    for (auto &[task, run] : server.runs())
+        run.nextStopAt = now + server.replacedDelay;
+}
+
 // Another VM places on the server now and stops what it finds there. Until that has happened the
 // runs may go on, so their jobs cannot be started again in time.
 void Pool::Implementation::loseServer(Server &server, std::string_view cause, Time now)
@@ -176,7 +188,6 @@
 void Pool::Implementation::sendStop(Server &server, const std::string &task, Run &run, Time now)
 {
     run.state = RunState::Stopping;
-    run.stopConfirmedAt = {};
     if (server.tenure == Tenure::None)
         return;
     ++counters_.stops;
@@ -228,6 +239,7 @@
     }
     server.noteAcknowledged();
     server.unansweredLooks = 0;
+    server.replacedDelay = {};
     server.noteLookSent();
     server.nextLookAt = now;
     server.closedUntil = {};
@@ -260,8 +272,7 @@
         loseServer(server, "fenced", now);
         return;
     case OrderResult::OtherLife:
-        startLife(server, now);
-        server.nextLookAt = now + reconnectDelay;
+        noteReplaced(server, now);
         return;
     case OrderResult::Unknown:
         ++counters_.looksUnanswered;
--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -332,6 +332,31 @@
     }
 }
 
+// Guards against a flood of orders to a server whose address another one has taken, as each answer
+// says at once: the entry of the lost server may stay for seconds.
+BOOST_FIXTURE_TEST_CASE(orders_to_a_replaced_server_are_bounded, TwoServers)
+{
+    bool isFirst = true;
+    fate = [&](const std::string &) {
+        OrderFate fate;
+        fate.isAnswered = !std::exchange(isFirst, false);
+        return fate;
+    };
+    workOf = [](const std::string &) { return Duration(std::chrono::seconds(3)); };
+    offer(makeOffer("job1", 1, 14000, std::chrono::seconds(3), std::chrono::seconds(10)));
+    offer(makeOffer("job2", 3, 14000, std::chrono::seconds(3), std::chrono::seconds(10)));
+    run(milliseconds(105)); // the first start counts as unanswered
+    const uint64_t before = pool.counters().looks + pool.counters().stops;
+    servers.at("a").isReplaced = true;
+    servers.at("a").restart();
+    pool.withdraw(makeOffer("job1", 1, 14000, std::chrono::seconds(3)).ticket, now);
+    run(std::chrono::seconds(3));
+    const uint64_t orders = pool.counters().looks + pool.counters().stops - before;
+    BOOST_TEST_MESSAGE("orders: " << orders);
+    // A look that waits ends four times a second on the other server.
+    BOOST_TEST(orders <= 60U);
+}
+
 // Guards against a process that wakes up and starts, from where it was, tasks of jobs that other
 // VMs have given up meanwhile.
 BOOST_AUTO_TEST_CASE(woken_pool_starts_nothing_old)
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -43,6 +43,7 @@
     bool failsAll = false;
     bool hangsAll = false;
     bool isUp = true;
+    bool isReplaced = false; // another server answers at its address
     uint64_t token = 0;
     Time leaseUntil {};
     std::map<std::string, SimulatedRun> running;
@@ -325,6 +326,8 @@
     // Common rules of every order; Done if the server carries it out.
     OrderResult check(SimulatedServer &server, uint64_t token, uint64_t incarnation)
     {
+        if (server.isReplaced)
+            return OrderResult::OtherLife;
         if (incarnation != 0 && incarnation != server.info.incarnation)
             return OrderResult::OtherLife;
         if (token < server.token)
@@ -400,6 +403,7 @@
         at(now + back, [this, order, fate] {
             const auto &server = servers.at(order.ref.server);
             const OrderResult result = !fate.isAnswered ? OrderResult::Unknown
+                    : server.isReplaced                 ? OrderResult::OtherLife
                     : server.isUp                       ? OrderResult::Done
                                                         : OrderResult::NotSent;
             pool.onStopAnswered(order.ref, result,
