--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -97,6 +97,8 @@
     void adoptForeign(Server &server, const RunningRow &row, Time now);
     void noteEnded(Server &server, const EndedRow &row, Time now);
     void checkProgress(Server &server, const RunningRow &row, pool::Run &run, Time now);
+    void noteLateRun(Server &server, const RunningRow &row, const pool::Run &run, Job &job,
+                     Duration total, Time now);
     void confirmFault(const std::string &serverId, Time now);
     void moveRun(Server &server, const std::string &task, pool::Run &run, std::string_view cause,
                  Time now);
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -68,8 +68,15 @@
     const Time end = run.confirmedAt + total;
     const Time target = std::min(job.objectiveAt, job.deadlineAt);
     run.needsMove = end > target;
-    if (!run.needsMove)
-        return;
+    if (run.needsMove)
+        noteLateRun(server, row, run, job, total, now);
+}
+
+// Its progress shows that the run takes `total`, which is too long here.
+void Pool::Implementation::noteLateRun(Server &server, const RunningRow &row, const Run &run,
+                                       Job &job, Duration total, Time now)
+{
+    const Duration predicted = job.predicted[job.tasks[run.task].step];
     const double common = speedOf(job.offer.service).common;
     // A run that takes far longer than any of its queue tells of the server, not of the job.
     const Duration longest =
@@ -80,16 +87,15 @@
     isPlacementDue_ = true;
     const Duration fastest = scaled(ordinary, speedOf(job.offer.service).fastest);
     const bool couldBeMoved = now + options_.stopTime + fastest <= job.deadlineAt;
-    if (!couldBeMoved && row.percent >= percentToGiveUp
-        && end > job.deadlineAt + scaled(total, projectionError)) {
-        noteGivenUp(job, "progress", ordinary,
-                    fmt::format("server={} slowness={:.2f} percent={} elapsed_us={} "
-                                "total_us={}",
-                                server.info().id, pool::slownessOf(server, common), row.percent,
-                                elapsed.count(), total.count()),
-                    now);
-        answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
-    }
+    const Time surelyLate = job.deadlineAt + scaled(total, projectionError);
+    if (couldBeMoved || row.percent < percentToGiveUp || run.confirmedAt + total <= surelyLate)
+        return;
+    noteGivenUp(job, "progress", ordinary,
+                fmt::format("server={} slowness={:.2f} percent={} elapsed_us={} total_us={}",
+                            server.info().id, pool::slownessOf(server, common), row.percent,
+                            (now - run.confirmedAt).count(), total.count()),
+                now);
+    answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
 }
 
 // The runs that are to be started again on another server: those that are being stopped, which have
--- a/tests/pool_load_test.cpp
+++ b/tests/pool_load_test.cpp
@@ -20,11 +20,6 @@
     double perSecond;
 };
 
-double normal(Random &random)
-{
-    return std::sqrt(-2 * std::log(1 - random.unit())) * std::cos(6.283185307 * random.unit());
-}
-
 struct DayResult
 {
     size_t offered = 0;
@@ -68,11 +63,12 @@
                 next[k] += Duration(
                         static_cast<int64_t>(random.exponential(1e6 / (kind.perSecond * load))));
                 const auto id = "job" + std::to_string(counter++);
-                const double factor = std::exp(spread * normal(random));
+                const double factor = std::exp(spread * standardNormal(random));
                 const Duration work(
                         static_cast<int64_t>(static_cast<double>(kind.work.count()) * factor));
-                const Duration declared(static_cast<int64_t>(static_cast<double>(work.count())
-                                                             * std::exp(spread * normal(random))));
+                const Duration declared(
+                        static_cast<int64_t>(static_cast<double>(work.count())
+                                             * std::exp(spread * standardNormal(random))));
                 works[id] = work;
                 widths[id] = kind.width;
                 JobOffer offer = PoolWorld::makeOffer(id, kind.width, taskMilliCores, declared,
--- a/tests/pool_sizes_test.cpp
+++ b/tests/pool_sizes_test.cpp
@@ -29,15 +29,10 @@
                                {"heavy", 4, milliseconds(900), 2.1},
                                {"lookup", 2, milliseconds(200), 33}};
 
-double normal(Random &random)
-{
-    return std::sqrt(-2 * std::log(1 - random.unit())) * std::cos(6.283185307 * random.unit());
-}
-
 // Lognormal with the given mean.
 double around(Random &random, double mean, double deviation)
 {
-    return mean * std::exp(deviation * normal(random) - deviation * deviation / 2);
+    return mean * std::exp(deviation * standardNormal(random) - deviation * deviation / 2);
 }
 
 struct PlayedJob
@@ -92,7 +87,7 @@
         }
         JobOffer offer = PoolWorld::makeOffer(
                 id, width, static_cast<uint32_t>(milliCores),
-                Duration(static_cast<int64_t>(micros * std::exp(spread * normal(random)))),
+                Duration(static_cast<int64_t>(micros * std::exp(spread * standardNormal(random)))),
                 deadline);
         offer.queue = kind.name;
         job.objective = longest * 16 / 10 + offer.objectiveSlack;
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -7,8 +7,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <map>
+#include <numbers>
 #include <queue>
 #include <set>
 
@@ -16,6 +18,13 @@
 
 using std::chrono::milliseconds;
 
+// A sample of the normal distribution with mean 0 and deviation 1.
+inline double standardNormal(Random &random)
+{
+    const double radius = std::sqrt(-2 * std::log(1 - random.unit()));
+    return radius * std::cos(2 * std::numbers::pi * random.unit());
+}
+
 // What happens to one order on its way.
 struct OrderFate
 {
