Say "deadline" only when the deadline has passed

Callers saw 504 with the reason "deadline" for jobs that were given up on a prediction, before the deadline; on-call looked for time that had not passed. Now that is "cannot-end-in-time", like a job whose progress shows it. Only the text of the reason changes. job_given_up_before_its_deadline_says_so fails without it.

--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -288,10 +288,11 @@
     }
     for (const JobNumber number : overdue) {
         Job &job = jobs_.at(number);
-        if (now < job.deadlineAt)
+        const bool isPredicted = now < job.deadlineAt;
+        if (isPredicted)
             noteGivenUp(job, "prediction", pool::longestWaiting(job), {}, now);
         if (job.isBegun)
-            answer(job, JobResult::Abandoned, "deadline", now);
+            answer(job, JobResult::Abandoned, isPredicted ? "cannot-end-in-time" : "deadline", now);
         else
             answer(job, JobResult::Refused, "no-room-in-time", now, shortestRetryAfter);
     }
--- a/tests/pool_load_test.cpp
+++ b/tests/pool_load_test.cpp
@@ -184,6 +184,22 @@
     BOOST_TEST(world.overlappingRuns == 0U);
 }
 
+// Guards against the reason "deadline" for a job that is given up before its deadline.
+BOOST_AUTO_TEST_CASE(job_given_up_before_its_deadline_says_so)
+{
+    PoolWorld world;
+    world.addServer("a", 16000); // room for two tasks
+    world.workOf = [](const std::string &) { return Duration(milliseconds(700)); };
+    world.begin();
+    JobOffer job = PoolWorld::makeOffer("job1", 3, 6800, milliseconds(300), milliseconds(900));
+    job.stretchFactor = 4;
+    world.offer(job);
+    world.run(milliseconds(800));
+    BOOST_REQUIRE(world.answerOf("job1"));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Abandoned));
+    BOOST_TEST(world.answerOf("job1")->reason == "cannot-end-in-time");
+}
+
 // Guards against a server that fails everything and so always has room.
 BOOST_AUTO_TEST_CASE(failing_server_is_avoided_after_a_few_failures)
 {
