Delay looks at a server that resets connections

Cause: a look without an answer was repeated at once, on the assumption that its timeout had passed; a reset shows after a round trip. Same class of fault as the orders to a replaced server: a retry without a delay that grows.

Now the next look is sent 50 ms after the last one, doubling to 300 ms, while none is answered. looks_at_a_server_that_resets_connections_are_bounded counts 559 looks in 2 s without the change and 18 with it.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -112,6 +112,7 @@
     Time nextLookAt {};
     uint32_t unansweredLooks = 0; // in a row
     Duration replacedDelay {};    // between orders while another server answers
+    Duration resetDelay {};       // between looks while they are not answered
     bool wantsLook(Time now) const;
     Duration lookWait(Time now) const;
 
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -20,6 +20,8 @@
 // A server that cannot be connected to is looked at again after this time.
 constexpr Duration reconnectDelay = std::chrono::milliseconds(50);
 constexpr Duration longestReconnectDelay = std::chrono::seconds(1);
+// Shorter than a look that times out, so that a silent server is looked at without a pause.
+constexpr Duration longestResetDelay = std::chrono::milliseconds(300);
 // No new work while a look is overdue; the next answer reopens the server.
 constexpr Duration closedWhenSilent = std::chrono::milliseconds(500);
 constexpr uint32_t looksBeforeLapse = 2;
@@ -240,6 +242,7 @@
     server.noteAcknowledged();
     server.unansweredLooks = 0;
     server.replacedDelay = {};
+    server.resetDelay = {};
     server.noteLookSent();
     server.nextLookAt = now;
     server.closedUntil = {};
@@ -275,8 +278,10 @@
         noteReplaced(server, now);
         return;
     case OrderResult::Unknown:
+        // A reset connection shows at once, so that the next look needs a delay of its own.
         ++counters_.looksUnanswered;
-        server.nextLookAt = now;
+        server.resetDelay = std::clamp(server.resetDelay * 2, reconnectDelay, longestResetDelay);
+        server.nextLookAt = std::max(now, server.lookSentAt + server.resetDelay);
         break;
     default:
         server.nextLookAt = now + reconnectDelay;
--- a/tests/pool_orders_test.cpp
+++ b/tests/pool_orders_test.cpp
@@ -357,6 +357,26 @@
     BOOST_TEST(orders <= 60U);
 }
 
+// Guards against a flood of looks to a server that resets each connection: the missing answer shows
+// at once and not after a timeout.
+BOOST_FIXTURE_TEST_CASE(looks_at_a_server_that_resets_connections_are_bounded, TwoServers)
+{
+    workOf = [](const std::string &) { return Duration(milliseconds(600)); };
+    offer(makeOffer("job1", 3, 14000, milliseconds(600)));
+    run(milliseconds(100));
+    const uint64_t before = pool.counters().looks;
+    servers.at("a").resetsConnections = true;
+    run(std::chrono::seconds(2));
+    const uint64_t looks = pool.counters().looks - before;
+    BOOST_TEST_MESSAGE("looks: " << looks);
+    BOOST_TEST(looks <= 40U);
+    servers.at("a").resetsConnections = false;
+    run(milliseconds(500));
+    offer(makeOffer("job2", 4, 14000, milliseconds(100)));
+    run(milliseconds(50));
+    BOOST_TEST(!servers.at("a").running.empty()); // it is in use again
+}
+
 // Guards against a process that wakes up and starts, from where it was, tasks of jobs that other
 // VMs have given up meanwhile.
 BOOST_AUTO_TEST_CASE(woken_pool_starts_nothing_old)
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -52,7 +52,8 @@
     bool failsAll = false;
     bool hangsAll = false;
     bool isUp = true;
-    bool isReplaced = false; // another server answers at its address
+    bool isReplaced = false;        // another server answers at its address
+    bool resetsConnections = false; // looks end at once without an answer
     uint64_t token = 0;
     Time leaseUntil {};
     std::map<std::string, SimulatedRun> running;
@@ -456,7 +457,7 @@
         const auto &server = servers.at(waiting.look.server);
         const bool hasEnd =
                 !server.ended.empty() && server.ended.back().number > waiting.look.ackedThrough;
-        return !server.isUp || hasEnd || now >= waiting.until;
+        return !server.isUp || server.resetsConnections || hasEnd || now >= waiting.until;
     }
 
     void answerLook(const WaitingLook &waiting)
@@ -484,7 +485,12 @@
             reply = {};
             reply.server = waiting.look.server;
         }
-        const Duration back = waiting.fate.isAnswered ? waiting.fate.delay : options_.answerTimeout;
+        Duration back = waiting.fate.isAnswered ? waiting.fate.delay : options_.answerTimeout;
+        if (server.resetsConnections) {
+            reply = {};
+            reply.server = waiting.look.server;
+            back = waiting.fate.delay;
+        }
         at(now + back, [this, reply] { pool.onLooked(reply, now); });
     }
 
