--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -202,9 +202,20 @@
     closedUntil = {};
 }
 
-void LeasedServer::restoreBarredStarts(Time now)
+void LeasedServer::forgetBarredStarts(Time now)
 {
     std::erase_if(barredStarts_, [&](const auto &entry) { return now > entry.second.until; });
+}
+
+void LeasedServer::barStart(const std::string &task, uint32_t run, Time now)
+{
+    forgetBarredStarts(now);
+    barredStarts_[task] = {run, now + longestOrderDelay};
+}
+
+void LeasedServer::restoreBarredStarts(Time now)
+{
+    forgetBarredStarts(now);
     for (const auto &[task, barred] : barredStarts_) {
         if (runs_.contains(task))
             continue; // a later run, whose stop bars this one too
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -62,6 +62,9 @@
     Held,
 };
 
+// An order that was not answered is not carried out any more after this time.
+constexpr Duration longestOrderDelay = std::chrono::seconds(15);
+
 bool hasLabel(const ServerInfo &info, const std::string &label);
 
 class LeasedServer
@@ -138,10 +141,7 @@
     // Forgets what belongs to an incarnation that has ended.
     void resetLife();
     // A start that was not answered was stopped, so that the server refuses it if it comes late.
-    void barStart(const std::string &task, uint32_t run, Time until)
-    {
-        barredStarts_[task] = {run, until};
-    }
+    void barStart(const std::string &task, uint32_t run, Time now);
     // In a new incarnation, which does not refuse them: adds such starts as runs to be stopped.
     void restoreBarredStarts(Time now);
 
@@ -187,6 +187,7 @@
         Time until {}; // it is not carried out any more
     };
     std::map<std::string, BarredStart> barredStarts_; // by task
+    void forgetBarredStarts(Time now);
 };
 
 } // namespace lovage::pool
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -25,8 +25,6 @@
 // No new work while a look is overdue; the next answer reopens the server.
 constexpr Duration closedWhenSilent = std::chrono::milliseconds(500);
 constexpr uint32_t looksBeforeLapse = 2;
-// An order that was never answered is not carried out any more after this time.
-constexpr Duration forgetAfter = std::chrono::seconds(15);
 
 } // namespace
 
@@ -206,7 +204,8 @@
         std::vector<std::string> ended;
         for (auto &[task, run] : server.runs()) {
             const bool isConfirmed = run.confirmedAt != Time {} || run.job == pool::foreignJob;
-            const bool isForgotten = !server.isRegistered && now > run.orderedAt + forgetAfter;
+            const bool isForgotten =
+                    !server.isRegistered && now > run.orderedAt + pool::longestOrderDelay;
             if ((isConfirmed && server.hasLapsed(now) && run.job != pool::foreignJob)
                 || isForgotten) {
                 ended.push_back(task);
@@ -326,7 +325,7 @@
         if (run.state == RunState::Running)
             ++counters_.runsLost;
         if (run.confirmedAt == Time {} && run.job != pool::foreignJob)
-            server.barStart(task, run.number, now + forgetAfter);
+            server.barStart(task, run.number, now);
         requeue(task, run, now);
     }
     for (const RunningRow &row : reply.running) {
