--- a/tests/pool_sizes_test.cpp
+++ b/tests/pool_sizes_test.cpp
@@ -24,7 +24,7 @@
     double perSecond;
 };
 
-// A third of the servers' room is taken by heavy jobs, whose work is most of their deadline.
+// Nearly a third of the work is that of heavy jobs, whose tasks take most of their deadline.
 const std::vector<Kind> kinds {{"quick", 8, milliseconds(60), 11.4},
                                {"heavy", 4, milliseconds(900), 2.1},
                                {"lookup", 2, milliseconds(200), 33}};
