--- /dev/null
+++ b/src/node/job_metrics.cpp
@@ -0,0 +1,40 @@
+#include "job_metrics.h"
+
+#include <algorithm>
+
+namespace lovage::node {
+
+namespace {
+
+// Largest number of tasks of each class.
+constexpr std::array<size_t, 4> widthLimits = {2, 4, 8, SIZE_MAX};
+constexpr std::array<std::string_view, 4> widthNames = {"1-2", "3-4", "5-8", "9+"};
+
+size_t widthClass(size_t tasks)
+{
+    return static_cast<size_t>(std::lower_bound(widthLimits.begin(), widthLimits.end(), tasks)
+                               - widthLimits.begin());
+}
+
+} // namespace
+
+JobMetrics::JobMetrics(Metrics &metrics)
+    : submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
+      latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
+{
+    for (size_t result = 0; result < resultCount; ++result) {
+        const std::string name(toString(static_cast<JobResult>(result)));
+        for (size_t width = 0; width < widthCount; ++width)
+            answered_.at(result).at(width) = &metrics.counter(
+                    "lovage_jobs_answered_total", "answers by result and number of tasks",
+                    {{"result", name}, {"tasks", std::string(widthNames.at(width))}});
+    }
+}
+
+void JobMetrics::noteAnswered(JobResult result, size_t tasks, Duration latency)
+{
+    answered_.at(static_cast<size_t>(result)).at(widthClass(tasks))->add();
+    latency_.record(latency);
+}
+
+} // namespace lovage::node
--- /dev/null
+++ b/src/node/job_metrics.h
@@ -0,0 +1,29 @@
+// Metrics of the jobs that callers bring to this VM.
+#pragma once
+
+#include "lovage/pool.h"
+#include "lovage/telemetry.h"
+
+#include <array>
+
+namespace lovage::node {
+
+// Counts jobs by result and by number of tasks, since large jobs may fare worse than small ones.
+class JobMetrics
+{
+public:
+    explicit JobMetrics(Metrics &metrics);
+
+    void noteSubmitted() { submitted_.add(); }
+    void noteAnswered(JobResult result, size_t tasks, Duration latency);
+
+private:
+    static constexpr size_t resultCount = 4;
+    static constexpr size_t widthCount = 4;
+
+    Counter &submitted_;
+    std::array<std::array<Counter *, widthCount>, resultCount> answered_ {};
+    LatencyHistogram &latency_;
+};
+
+} // namespace lovage::node
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,4 +1,5 @@
 #include "held_shards.h"
+#include "job_metrics.h"
 #include "peers.h"
 #include "stored_jobs.h"
 
@@ -28,16 +29,6 @@
 // are quicker than a time-out.
 constexpr Duration readyWithoutPool = std::chrono::seconds(3);
 
-// Classes of jobs by their number of tasks, for metrics.
-constexpr std::array<size_t, 4> widthLimits = {2, 4, 8, SIZE_MAX};
-constexpr std::array<std::string_view, 4> widthNames = {"1-2", "3-4", "5-8", "9+"};
-
-size_t widthClass(size_t tasks)
-{
-    return static_cast<size_t>(std::lower_bound(widthLimits.begin(), widthLimits.end(), tasks)
-                               - widthLimits.begin());
-}
-
 PoolOptions poolOptions(const NodeSettings &settings)
 {
     PoolOptions options;
@@ -69,17 +60,8 @@
                       [this](const std::string &vm, const VmMessage &message) {
                           peers_->send(vm, message);
                       }),
-          submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
-          latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
-    {
-        for (size_t result = 0; result < resultCounters_.size(); ++result) {
-            for (size_t width = 0; width < widthNames.size(); ++width)
-                resultCounters_[result][width] = &metrics.counter(
-                        "lovage_jobs_answered_total", "answers by result and number of tasks",
-                        {{"result", std::string(toString(static_cast<JobResult>(result)))},
-                         {"tasks", std::string(widthNames[width])}});
-        }
-    }
+          metrics_(metrics)
+    { }
 
     Result<void> open()
     {
@@ -139,7 +121,7 @@
 
     uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, Respond respond)
     {
-        submitted_.add();
+        metrics_.noteSubmitted();
         if (isDraining_ && currentTime() + deadline > drainingSince_ + settings_.stopLimit) {
             // It might not be answered before this process is killed.
             logEvent(LogLevel::Info, "job-refused", {{"job", job.id}, {"cause", "draining"}});
@@ -469,9 +451,8 @@
         const auto found = callers_.find(respond.number);
         if (found == callers_.end())
             return;
-        resultCounters_[static_cast<size_t>(respond.answer.result)][widthClass(found->second.tasks)]
-                ->add();
-        latency_.record(currentTime() - found->second.arrived);
+        metrics_.noteAnswered(respond.answer.result, found->second.tasks,
+                              currentTime() - found->second.arrived);
         const Caller caller = std::move(found->second);
         callers_.erase(found);
         caller.respond(respond.answer);
@@ -498,9 +479,7 @@
     bool isFlushing_ = false;
     Time lastTick_ {};
     Time nextConfigurationRequest_ {};
-    Counter &submitted_;
-    std::array<std::array<Counter *, widthNames.size()>, 4> resultCounters_ {};
-    LatencyHistogram &latency_;
+    node::JobMetrics metrics_;
 };
 
 Node::Node(std::unique_ptr<Implementation> implementation)
