Log lost connections, unsent withdrawals and forgotten VMs

New events: connection-lost, withdrawal-unsent, withdrawal-without-job, vm-forgotten-with-open-jobs. job-accepted has vm, number and part. VmTable::removeLost() becomes removeSilent() and also returns the VMs that are forgotten without being lost. No decision changes.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -229,6 +229,7 @@
         Endpoint to;
         std::vector<std::string> unsent;
         bool wasConnected = false;
+        size_t interrupted = 0; // number of frames whose sending was in progress; they are dropped
     };
     using LostHandler = std::function<void(Lost)>; // runs on the I/O thread
 
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -305,10 +305,15 @@
     void updateLoads(const std::string &vm, std::vector<ServiceLoad> loads);
     // Excludes the VM from new jobs for a short time after a failed connection attempt.
     void markUnreachable(const std::string &vm, Time now);
-    // Removes the VMs whose reports have timed out and returns the names of those that are lost. A
-    // VM that neither follows this VM nor is followed by it is not expected to report, so it is
-    // removed without being lost.
-    std::vector<std::string> removeLost(Time now);
+    struct RemovedVms
+    {
+        std::vector<std::string> lost;
+        // VMs that neither follow this VM nor are followed by it. They are not expected to report,
+        // so they are not lost.
+        std::vector<std::string> forgotten;
+    };
+    // Removes the VMs whose reports have timed out.
+    RemovedVms removeSilent(Time now);
     void remove(const std::string &vm, Time now);
     void setFollowed(const std::string &vm, bool isFollowed, Time now);
     // Returns the VMs that were lost or removed recently and have not reported since.
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -166,7 +166,8 @@
         FrameClient::Lost lost {
                 to_,
                 {std::make_move_iterator(queue_.begin()), std::make_move_iterator(queue_.end())},
-                state_ != State::Connecting && state_ != State::Closed};
+                state_ != State::Connecting && state_ != State::Closed,
+                writing_.size()};
         queue_.clear();
         writing_.clear();
         queuedBytes_ = 0;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -340,8 +340,7 @@
         const Time now = currentTime();
         detectPause(now);
         lastTick_ = now;
-        for (const std::string &vm : vms_.removeLost(now))
-            onVmLost(vm, "silent");
+        removeSilentVms(now);
         peers_->tick(now);
         pool_.tick(now);
         router_.tick(now);
@@ -352,6 +351,19 @@
         peers_->sendReports([this] { return contactState(); }, [this] { return report(); }, now);
     }
 
+    void removeSilentVms(Time now)
+    {
+        const VmTable::RemovedVms removed = vms_.removeSilent(now);
+        for (const std::string &vm : removed.lost)
+            onVmLost(vm, "silent");
+        const std::set<std::string> served =
+                removed.forgotten.empty() ? std::set<std::string> {} : pool_.servedVms();
+        for (const std::string &vm : removed.forgotten) {
+            if (served.contains(vm))
+                logEvent(LogLevel::Warning, "vm-forgotten-with-open-jobs", {{"vm", vm}});
+        }
+    }
+
     // A draining VM leaves the group when nothing runs on its servers.
     bool wantsShards(Time now) const
     {
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -18,6 +18,17 @@
     return std::nullopt;
 }
 
+// Without the withdrawal, the pool runs the job until it ends, its deadline passes or this VM is
+// lost to the pool.
+void logUnsentWithdrawal(const std::string &vm, const VmMessage &message, std::string_view cause)
+{
+    const auto *withdrawal = std::get_if<WithdrawMessage>(&message);
+    if (!withdrawal)
+        return;
+    logEvent(LogLevel::Warning, "withdrawal-unsent",
+             {{"vm", vm}, {"number", withdrawal->ticket.number}, {"cause", cause}});
+}
+
 } // namespace
 
 Peers::Peers(const NodeSettings &settings, const HolderOptions &holders, VmTable &vms,
@@ -75,8 +86,8 @@
     const auto to = row ? parseEndpoint(row->report.vm.address) : std::nullopt;
     if (to)
         frameClient_->send(*to, encodeMessage(message));
-    else
-        reportUnsent(vm, message);
+    else if (!reportUnsent(vm, message))
+        logUnsentWithdrawal(vm, message, "unknown-vm");
 }
 
 // Notifies the sender of an offer or a batch that the message was not sent. Returns false for all
@@ -97,6 +108,12 @@
 void Peers::onFramesLost(const FrameClient::Lost &lost)
 {
     const auto vm = vmByAddress(vms_, toString(lost.to));
+    logEvent(LogLevel::Info, "connection-lost",
+             {{"vm", vm.value_or("unknown")},
+              {"address", toString(lost.to)},
+              {"was_connected", lost.wasConnected},
+              {"unsent", lost.unsent.size()},
+              {"interrupted", lost.interrupted}});
     if (!vm)
         return;
     if (lost.wasConnected)
@@ -105,8 +122,12 @@
         const auto message = decodeMessage(frame);
         if (!message.has_value())
             continue;
-        if (!reportUnsent(*vm, message.value()) && lost.wasConnected)
+        if (reportUnsent(*vm, message.value()))
+            continue;
+        if (lost.wasConnected)
             frameClient_->send(lost.to, frame);
+        else
+            logUnsentWithdrawal(*vm, message.value(), "not-connected");
     }
 }
 
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -107,7 +107,9 @@
                                          span.inTimeWithMargin, !isLate && !delaysAcceptedJobs});
         return;
     }
-    logEvent("job-accepted", job.offer.job.id, inputs);
+    logEvent("job-accepted", job.offer.job.id,
+             fmt::format("vm={} number={} part={} {}", job.offer.ticket.vm, job.offer.ticket.number,
+                         job.offer.ticket.part, inputs));
     job.hadToWait = wait > Duration::zero();
     jobsByTicket_.emplace(job.offer.ticket, job.number);
     jobsById_.emplace(job.offer.job.id, job.number);
@@ -213,8 +215,13 @@
 void Pool::Implementation::withdraw(const JobTicket &ticket, Time now)
 {
     const auto found = jobsByTicket_.find(ticket);
-    if (found == jobsByTicket_.end())
+    if (found == jobsByTicket_.end()) {
+        // The job has ended, or the offer has not arrived yet and will start work that nobody
+        // needs.
+        logEvent("withdrawal-without-job", {},
+                 fmt::format("vm={} number={} part={}", ticket.vm, ticket.number, ticket.part));
         return;
+    }
     const Job &job = jobs_.at(found->second);
     logEvent("job-withdrawn", job.offer.job.id,
              fmt::format("vm={} after_ms={:.0f} begun={}", ticket.vm, toMillis(now - job.arrivedAt),
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -56,20 +56,22 @@
         found->second.avoidUntil = now + unreachableDelay;
 }
 
-std::vector<std::string> VmTable::removeLost(Time now)
+VmTable::RemovedVms VmTable::removeSilent(Time now)
 {
-    std::vector<std::string> lost;
+    RemovedVms removed;
     std::erase_if(rows_, [&](const auto &entry) {
         const Row &row = entry.second;
         if (now <= std::max(row.lastReportAt, row.followedAt) + options_.lostAfter)
             return false;
         if (row.isFollowed || row.report.isFollowing) {
-            lost.push_back(entry.first);
+            removed.lost.push_back(entry.first);
             lostAt_[entry.first] = now;
+        } else {
+            removed.forgotten.push_back(entry.first);
         }
         return true;
     });
-    return lost;
+    return removed;
 }
 
 void VmTable::setFollowed(const std::string &vm, bool isFollowed, Time now)
--- a/tests/contacts_test.cpp
+++ b/tests/contacts_test.cpp
@@ -181,7 +181,7 @@
 
     void tick(Vm &vm)
     {
-        for (const std::string &name : vm.table->removeLost(now))
+        for (const std::string &name : vm.table->removeSilent(now).lost)
             vm.lost.push_back(name);
         if (now > started_ + HolderOptions {}.settleTime
             && vm.plan->shouldHoldShards(vm.state, now)) {
