--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -127,6 +127,10 @@
     };
     // Returns whether a poll reaches its server. If not, the pool is notified 30 ms later.
     std::function<bool()> isPollSent = [] { return true; };
+    // Returns whether the orders to stop a task are lost on the way to its server.
+    std::function<bool(const std::string &task)> isStopLost = [](const std::string &) {
+        return false;
+    };
     // Whether servers refuse orders for an earlier incarnation. Some real servers check only their
     // id, which a new process may share.
     bool checksIncarnation = true;
@@ -402,6 +406,12 @@
 
     void execute(const OrderStop &order)
     {
+        if (isStopLost(order.ref.task)) {
+            schedule(now + options_.answerTimeout, [this, order] {
+                pool.onStopAnswered(order.ref, OrderResult::Unknown, {}, now);
+            });
+            return;
+        }
         const OrderDelivery delivery = this->delivery(order.ref.server);
         schedule(now + delivery.delay, [this, order] {
             auto &server = servers.at(order.ref.server);
