End a run that cannot be stopped before its request is repeated

A caller that lost its connection repeats the job 1.3 s later, possibly at another pool, while the first pool still tries to stop the run.

Cause: polls extend the lease of a server as long as they are answered, also for a run that has to end. An order to stop that is lost again and again, or a server that carries it out late, therefore lets the run go on without a limit. The same holds for runs that a new holder finds on a server.

Change: each run has a time by which it must have ended: resubmitDelay - 50 ms after its job was answered or withdrawn, and at once for a run of an earlier holder. Starts and polls request no lease beyond it, so the run lapses. Servers with such a run get no new work when less than half of a lease is left. The limits are in ResubmissionLimits.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -284,8 +284,29 @@
     auto operator<=>(const ServiceLoad &) const = default;
 };
 
+// Time limits that keep the runs of a job apart from those of its repetition. A caller that has
+// lost its connection sends the job again, possibly to a VM that offers it to another pool. The
+// first pool must have ended its runs by then, because the two pools do not know of each other's
+// jobs.
+struct ResubmissionLimits
+{
+    // Shortest time after which a caller sends a job again, counted from the loss of its connection
+    // or from the answer that the job may have run.
+    Duration resubmitDelay = std::chrono::milliseconds(1300);
+
+    // Time by which every run of the job has ended, counted as above.
+    Duration runLimit() const { return resubmitDelay - messageAllowance; }
+
+    // Maximum time for which the answer to a caller, or the loss of its connection, and an order to
+    // a server are delayed.
+    static constexpr Duration messageAllowance = std::chrono::milliseconds(50);
+
+    auto operator<=>(const ResubmissionLimits &) const = default;
+};
+
 struct PoolOptions
 {
+    ResubmissionLimits resubmission;
     uint32_t shardCount = 24;
     // Duration of the requested leases, which is the longest that servers grant.
     Duration lease = std::chrono::milliseconds(1000);
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -63,7 +63,7 @@
 bool LeasedServer::tryReleaseSupersededEnds(Time now)
 {
     if (lapseAt_ == Time {})
-        lapseAt_ = latestLeaseEnd(now);
+        lapseAt_ = latestLeaseEnd(now, options_.lease);
     if (now <= lapseAt_)
         return false;
     for (const uint64_t end : std::exchange(supersededEnds_, {}))
@@ -121,29 +121,40 @@
 
 // Returns the time by which a lease granted now has ended and its runs have stopped, assuming the
 // slowest possible clock of the server.
-Time LeasedServer::latestLeaseEnd(Time now) const
+Time LeasedServer::latestLeaseEnd(Time now, Duration lease) const
 {
-    const auto slowest = Duration(static_cast<int64_t>(static_cast<double>(options_.lease.count())
-                                                       * (1 + 2 * options_.clockError)));
-    return now + slowest + options_.stopTime;
+    return now + scaled(lease, 1 + 2 * options_.clockError) + options_.stopTime;
 }
 
-int64_t LeasedServer::leaseUntilMs(Time now) const
+// Returns the longest lease that has ended by the limit if it is granted now.
+Duration LeasedServer::leaseWithin(Time now, Time limit) const
 {
-    return clockMs(now).value_or(0) + toMillis(options_.lease);
+    if (limit >= latestLeaseEnd(now, options_.lease))
+        return options_.lease;
+    const Duration left = limit - now - options_.stopTime;
+    return std::max(Duration::zero(), scaled(left, 1 / (1 + 2 * options_.clockError)));
 }
 
-int64_t LeasedServer::leaseForStart(Time now)
+int64_t LeasedServer::leaseUntilMs(Time now, Duration lease) const
 {
-    startLeaseEnd_ = latestLeaseEnd(now);
-    return leaseUntilMs(now);
+    return clockMs(now).value_or(0) + toMillis(lease);
 }
 
-int64_t LeasedServer::leaseForPoll(Time now)
+int64_t LeasedServer::leaseForStart(Time now, Time limit)
 {
+    const Duration lease = leaseWithin(now, limit);
+    startLeaseEnd_ = std::max(startLeaseEnd_, latestLeaseEnd(now, lease));
+    return leaseUntilMs(now, lease);
+}
+
+int64_t LeasedServer::leaseForPoll(Time now, Time limit)
+{
+    const Duration lease = leaseWithin(now, limit);
     committedPollLeaseEnd_ = pollLeaseEnd_;
-    pollLeaseEnd_ = latestLeaseEnd(now);
-    return leaseUntilMs(now);
+    if (toMillis(lease) == 0)
+        return 0;
+    pollLeaseEnd_ = std::max(pollLeaseEnd_, latestLeaseEnd(now, lease));
+    return leaseUntilMs(now, lease);
 }
 
 bool LeasedServer::isPollDue(Time now) const
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -53,6 +53,9 @@
     std::string checkpoint {}; // latest checkpoint that the server listed
     bool isServing = false;
     bool usesSpareCores = false;
+    // Time by which the run must have ended. The lease of its server is not extended beyond it, so
+    // that the run ends even if it cannot be stopped.
+    Time endBy = Time::max();
 };
 
 // Whether this VM may place work on the server.
@@ -94,15 +97,16 @@
     void updateClock(const ServerReading &reading, Time now);
     // Returns a lower bound of the server's clock; nullopt before its first answer.
     std::optional<int64_t> clockMs(Time now) const;
-    // Return the end of the lease to request with a start or a poll, on the server's clock. At most
-    // one poll is pending at a time.
-    int64_t leaseForStart(Time now);
-    int64_t leaseForPoll(Time now);
+    // Return the end of the lease to request with a start or a poll, on the server's clock. The
+    // lease has certainly lapsed by `limit`; a poll requests none (0) if there is no time left
+    // until then. At most one poll is pending at a time.
+    int64_t leaseForStart(Time now, Time limit);
+    int64_t leaseForPoll(Time now, Time limit);
     // Extends the known end of the lease after an order to start was executed. The executing
     // incarnation may have begun after the order was sent, so that its lease is not known yet.
     void onStartExecuted(Time orderedAt)
     {
-        startLeaseEnd_ = std::max(startLeaseEnd_, latestLeaseEnd(orderedAt));
+        startLeaseEnd_ = std::max(startLeaseEnd_, latestLeaseEnd(orderedAt, options_.lease));
     }
     // Takes back the lease of a poll that did not reach the server.
     void rollBackPollLease() { pollLeaseEnd_ = committedPollLeaseEnd_; }
@@ -178,8 +182,9 @@
     Demand used_ {0, 0, 0};
     std::optional<int64_t> clockMs_;
     Time clockReadAt_ {};
-    Time latestLeaseEnd(Time now) const;
-    int64_t leaseUntilMs(Time now) const;
+    Time latestLeaseEnd(Time now, Duration lease) const;
+    Duration leaseWithin(Time now, Time limit) const;
+    int64_t leaseUntilMs(Time now, Duration lease) const;
 
     // Latest possible end of the lease as extended by start orders, by polls including the pending
     // one, and by polls without the pending one.
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -92,6 +92,8 @@
     void onNewIncarnation(Server &server, Time now);
     void onServerReplaced(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
+    static Time leaseLimit(const Server &server);
+    bool isPlaceable(const Server &server, Time now) const;
     void sendPoll(Server &server, Time now);
     void sendStop(Server &server, const std::string &task, pool::Run &run, Time now);
     void onPollFailed(Server &server, OrderResult result, Time now);
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -206,7 +206,10 @@
         return;
     for (auto &[id, server] : servers_) {
         for (auto &[task, run] : server.runs()) {
-            if (run.job == number && run.state != RunState::Stopping)
+            if (run.job != number)
+                continue;
+            run.endBy = now + options_.resubmission.runLimit();
+            if (run.state != RunState::Stopping)
                 sendStop(server, task, run, now);
         }
     }
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -192,7 +192,7 @@
     const double meanLogSlowness = speedOf(service).meanLogSlowness;
     pool::Timetable timetable;
     for (auto &[id, server] : servers_) {
-        if (server.info().service == service && server.isOpen(now) && !server.hasForeignRuns())
+        if (server.info().service == service && isPlaceable(server, now))
             timetable.emplace_back(server, pool::slownessOf(server, meanLogSlowness), now);
     }
     return timetable;
@@ -325,9 +325,9 @@
     start.incarnation = server.info().incarnation;
     start.payload = std::move(payload);
     start.checkpoint = std::move(checkpoint);
-    start.leaseUntilMs = server.leaseForStart(now);
     start.token = server.token;
     server.add(task, std::move(run));
+    start.leaseUntilMs = server.leaseForStart(now, leaseLimit(server));
     actions_.emplace_back(std::move(start));
 }
 
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -168,6 +168,23 @@
     }
 }
 
+// Returns the time by which the lease of the server must have lapsed.
+Time Pool::Implementation::leaseLimit(const Server &server)
+{
+    Time limit = Time::max();
+    for (const auto &[task, run] : server.runs())
+        limit = std::min(limit, run.endBy);
+    return limit;
+}
+
+// Returns whether new runs may be ordered on the server. A server with a run that must end soon
+// could grant them a short lease only.
+bool Pool::Implementation::isPlaceable(const Server &server, Time now) const
+{
+    return server.isOpen(now) && !server.hasForeignRuns()
+            && leaseLimit(server) >= now + options_.lease / 2;
+}
+
 void Pool::Implementation::sendPoll(Server &server, Time now)
 {
     ++counters_.polls;
@@ -182,7 +199,7 @@
     poll.address = server.info().address;
     poll.token = server.token;
     poll.ackedThrough = server.ackedThrough();
-    poll.leaseUntilMs = extendsLease ? server.leaseForPoll(now) : 0;
+    poll.leaseUntilMs = extendsLease ? server.leaseForPoll(now, leaseLimit(server)) : 0;
     poll.wait = server.pollWait(now);
     poll.timeout = poll.wait + options_.answerTimeout;
     server.setPollAck(poll.ackedThrough);
@@ -352,6 +369,7 @@
     Run run;
     run.number = row.run;
     run.orderedAt = now;
+    run.endBy = now; // the caller of its job may have lost its connection long ago
     server.add(row.task, run);
     sendStop(server, row.task, server.runs().at(row.task), now);
 }
