Add the setting resubmitDelayMs

The time after which a caller that got no answer submits its job again at the earliest. The template renders it from bounds.retransmit_ms. Nothing uses it yet: the refusal of old requests and the leases of runs are to be derived from it.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -32,6 +32,9 @@
     Duration lease = std::chrono::milliseconds(1000);
     // Maximum time that a backend server takes to stop a task.
     Duration stopTime = std::chrono::milliseconds(50);
+    // A caller that got no answer submits its job again after this time at the earliest, through
+    // any VM.
+    Duration resubmitDelay = std::chrono::milliseconds(1300);
     // Shortest lease of a member of a group in the store.
     Duration groupLease = std::chrono::milliseconds(1000);
     // Time after SIGTERM at which the process is killed.
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -47,6 +47,7 @@
     reader.readNumber("shardCount", settings.shardCount, 1, maxShards);
     reader.readMillis("leaseMs", settings.lease, 1, maxMillis);
     reader.readMillis("stopTimeMs", settings.stopTime, 1, maxMillis);
+    reader.readMillis("resubmitDelayMs", settings.resubmitDelay, 1, maxMillis);
     reader.readMillis("groupLeaseMs", settings.groupLease, 1, maxMillis);
     reader.readSeconds("stopLimitS", settings.stopLimit, 0, maxSeconds);
     reader.readSeconds("jobRetentionS", settings.jobRetention, 1, maxSeconds);
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -161,6 +161,7 @@
                  {"{{platform.parts|json}}", "24"},
                  {"{{bounds.hold_max_ms|json}}", "1000"},
                  {"{{bounds.stop_ms|json}}", "50"},
+                 {"{{bounds.retransmit_ms|json}}", "1400"},
                  {"{{platform.ttl_min_ms|json}}", "1000"},
                  {"{{bounds.status_s|json}}", "120"},
                  {"{{platform.keep_s|json}}", "300"},
@@ -170,6 +171,7 @@
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings.value().cpuMilliCores == 250U);
     BOOST_TEST((settings.value().stopLimit == std::chrono::milliseconds(6500)));
+    BOOST_TEST((settings.value().resubmitDelay == std::chrono::milliseconds(1400)));
 }
 
 // Guards against reporting only the first of several errors in the settings.
