Separate the decisions of a node from its sockets

NodeLogic takes the time from a Clock and sends datagrams and frames through a PeerPort, so that tests can run whole nodes in virtual time. Node runs it on sockets and I/O threads as before.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -1,7 +1,10 @@
 // A node runs jobs for callers on one VM. It connects the router, the pool and the group membership
 // with the peers, and with backend servers and the store through ports that an adapter implements.
+//
+// NodeLogic makes the decisions of a node without I/O. Node runs it on sockets and I/O threads.
 #pragma once
 
+#include "lovage/contacts.h"
 #include "lovage/keeper.h"
 #include "lovage/net.h"
 #include "lovage/routing.h"
@@ -11,10 +14,19 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lovage {
 
+namespace node {
+class HeldShards;
+class JobMetrics;
+class Peers;
+class StoredJobs;
+struct PeerHandlers;
+} // namespace node
+
 struct NodeSettings
 {
     std::string name;
@@ -93,6 +105,25 @@
     virtual void announce() = 0;
 };
 
+// The source of the current time.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    virtual Time now() const = 0;
+};
+
+// Sends messages to peers. Neither function calls back into the node before it returns.
+class PeerPort
+{
+public:
+    virtual ~PeerPort() = default;
+    // Sends a datagram, which may be lost, duplicated or reordered.
+    virtual void sendDatagram(const Endpoint &to, const std::string &bytes) = 0;
+    // Sends a frame with the guarantees of FrameClient.
+    virtual void sendFrame(const Endpoint &to, std::string frame) = 0;
+};
+
 // Interfaces that an adapter implements. They must outlive the node.
 struct NodePorts
 {
@@ -102,13 +133,125 @@
     JournalPort &journal;
 };
 
+using JobCallback = std::function<void(const JobAnswer &)>;
+// An error tells whether the job may have been stored or cancelled nevertheless.
+using StoredJobCallback = std::function<void(const Result<KeeperAnswer> &)>;
+
+// The decisions of a node. Performs no I/O: time, messages and events of peers pass through the
+// given interfaces, which must outlive the object. Single-threaded. Functions that Node has as well
+// are described there.
+class NodeLogic
+{
+public:
+    NodeLogic(NodeSettings settings, const NodePorts &ports, PeerPort &peers, const Clock &clock,
+              Metrics &metrics);
+    ~NodeLogic();
+    NodeLogic(const NodeLogic &) = delete;
+    NodeLogic &operator=(const NodeLogic &) = delete;
+
+    void start();
+    // Performs the periodic work. Callers call it first after start(), then repeatedly, each time
+    // after tickInterval().
+    void tick();
+    Duration tickInterval() const;
+
+    // Handles a datagram or a frame of a peer.
+    void onPeerBytes(std::string_view bytes);
+    // Handles the loss of the connection on which frames were sent to a peer.
+    void onFramesLost(const FrameClient::Lost &lost);
+
+    void setConfiguration(Configuration configuration);
+    void setServers(const std::vector<ServerInfo> &servers);
+    void setPeers(const std::vector<VmInfo> &peers);
+    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond);
+    void withdraw(uint64_t number);
+    void storeJob(JobSpec job, const Queue &queue, Duration deadline, StoredJobCallback respond);
+    void queryJob(const std::string &job, Duration deadline, StoredJobCallback respond);
+    void cancelJob(const std::string &job, Duration deadline, StoredJobCallback respond);
+    uint32_t pendingJobs(const std::string &queue) const;
+    void setStoredJobsExist(bool exist);
+    bool needsServerList() const;
+    bool isReady() const;
+    const Configuration *configuration() const;
+    const VmInfo &self() const { return self_; }
+    void drain();
+    bool isDrained() const;
+
+private:
+    struct Caller
+    {
+        JobCallback respond;
+        Time arrivedAt;
+        size_t tasks = 0;
+    };
+
+    node::PeerHandlers peerHandlers();
+    void onMessage(VmMessage message);
+    void onOfferUnsent(const std::string &vm, const JobOffer &offer);
+    void onBatchUnsent(const std::string &vm, const TaskBatch &batch);
+    void onVmLost(const std::string &vm, std::string_view cause);
+    template<class Message>
+    void onPeerMessage(Message message);
+    void onPeerMessage(VmReport report);
+    void onPeerMessage(OfferMessage message);
+    void onPeerMessage(AnswerMessage message);
+    void onPeerMessage(const WithdrawMessage &message);
+    void onPeerMessage(const IntroductionMessage &message);
+    void onPeerMessage(const ConfigurationRequest &message);
+    void onPeerMessage(ConfigurationMessage message);
+    void requestConfiguration(const std::string &vm);
+
+    void request(KeeperRequest request, Duration deadline, StoredJobCallback respond);
+    VmReport report() const;
+    // State without the VMs that run jobs of this VM or whose jobs run here.
+    ContactState localState() const;
+    ContactState contactState() const;
+    bool shouldHold(Time now) const;
+    bool wantsShards(Time now) const;
+    void removeSilentVms(Time now);
+    void detectPause(Time now);
+
+    void flush();
+    void writeLogEntries();
+    void execute(OrderStart order);
+    void execute(OrderStop order);
+    void execute(const OrderPoll &order);
+    void execute(JobAnswer answer);
+    void execute(const TaskOutcome &outcome);
+    void execute(SendOffer send);
+    void execute(const SendWithdraw &send);
+    void execute(const Respond &respond);
+
+    const Clock &clock_;
+    Time started_;
+    VmInfo self_;
+    ServerPort &servers_;
+    NodeSettings settings_;
+    VmTable vms_;
+    Router router_;
+    Pool pool_;
+    HolderOptions holderOptions_;
+    std::unique_ptr<node::Peers> peers_;
+    std::unique_ptr<node::HeldShards> heldShards_;
+    std::unique_ptr<node::StoredJobs> storedJobs_;
+    Configuration configuration_;
+    bool hasConfiguration_ = false;
+    std::unordered_map<uint64_t, Caller> callers_;
+    uint64_t nextNumber_ = 1;
+    bool isDraining_ = false;
+    Time drainingSince_ {};
+    bool isFlushing_ = false;
+    Time lastTick_ {};
+    Time nextConfigurationRequest_ {};
+    std::unique_ptr<node::JobMetrics> metrics_;
+};
+
 // Single-threaded: all calls and callbacks take place on thread 0 of the I/O threads.
 class Node
 {
 public:
-    using JobCallback = std::function<void(const JobAnswer &)>;
-    // An error tells whether the job may have been stored or cancelled nevertheless.
-    using StoredJobCallback = std::function<void(const Result<KeeperAnswer> &)>;
+    using JobCallback = lovage::JobCallback;
+    using StoredJobCallback = lovage::StoredJobCallback;
 
     static Result<std::unique_ptr<Node>> open(NodeSettings settings, IoThreads &threads,
                                               const NodePorts &ports, Metrics &metrics);
--- a/src/node/held_shards.cpp
+++ b/src/node/held_shards.cpp
@@ -10,9 +10,10 @@
     return options;
 }
 
-HeldShards::HeldShards(const HolderOptions &options, Time started, GroupPort &group, Pool &pool,
-                       std::function<void()> flush)
-    : group_(group), pool_(pool), flush_(std::move(flush)), membership_(options, started)
+HeldShards::HeldShards(const HolderOptions &options, const Clock &clock, GroupPort &group,
+                       Pool &pool, std::function<void()> flush)
+    : clock_(clock), group_(group), pool_(pool), flush_(std::move(flush)),
+      membership_(options, clock.now())
 { }
 
 void HeldShards::sendDueRequest(bool wantsShards, Time now)
@@ -30,18 +31,18 @@
 {
     group_.leave([this](const Result<void> &reply) {
         if (!reply.has_value()) {
-            membership_.onJoinFailed(currentTime());
+            membership_.onJoinFailed(clock_.now());
             return;
         }
         membership_.onLeft();
-        pool_.setGrants({}, currentTime());
+        pool_.setGrants({}, clock_.now());
         flush_();
     });
 }
 
 void HeldShards::onJoined(const Result<GroupMembership> &reply)
 {
-    const Time now = currentTime();
+    const Time now = clock_.now();
     if (!reply.has_value()) {
         setStoreReachable(false, reply.error().reason);
         membership_.onJoinFailed(now);
--- a/src/node/held_shards.h
+++ b/src/node/held_shards.h
@@ -14,7 +14,7 @@
 {
 public:
     // `flush` is called after the grants have changed.
-    HeldShards(const HolderOptions &options, Time started, GroupPort &group, Pool &pool,
+    HeldShards(const HolderOptions &options, const Clock &clock, GroupPort &group, Pool &pool,
                std::function<void()> flush);
 
     // Sends the request that is due, if any.
@@ -26,6 +26,7 @@
     void onJoined(const Result<GroupMembership> &reply);
     void setStoreReachable(bool isReachable, const std::string &reason);
 
+    const Clock &clock_;
     GroupPort &group_;
     Pool &pool_;
     std::function<void()> flush_;
--- /dev/null
+++ b/src/node/node_logic.cpp
@@ -0,0 +1,298 @@
+#include "held_shards.h"
+#include "job_metrics.h"
+#include "peers.h"
+#include "stored_jobs.h"
+
+#include "lovage/node.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// After a start, jobs wait for pools to become known for this time. Pools are reported once their
+// holders have settled and have read the list of servers.
+constexpr Duration startupPoolWait = std::chrono::milliseconds(1000);
+// Retry-after time of a job that is refused while draining. Another VM can take the job
+// immediately.
+constexpr Duration drainingRetryAfter = std::chrono::seconds(1);
+constexpr Duration busyTickInterval = std::chrono::milliseconds(10);
+constexpr Duration idleTickInterval = std::chrono::milliseconds(50);
+// A longer gap between two ticks means that the process was paused.
+constexpr Duration pauseThreshold = std::chrono::milliseconds(500);
+// A VM that knows of no pool reports that it is ready after this time nevertheless, because callers
+// get its refusals faster than they would get a timeout.
+constexpr Duration readyWithoutPoolAfter = std::chrono::seconds(3);
+
+PoolOptions poolOptions(const NodeSettings &settings)
+{
+    PoolOptions options;
+    options.shardCount = settings.shardCount;
+    options.lease = settings.lease;
+    options.stopTime = settings.stopTime;
+    options.pollWait = settings.lease / 4;
+    return options;
+}
+
+VmInfo vmInfo(const NodeSettings &settings, Time now)
+{
+    return {settings.name, settings.dataCentre, toString(settings.peer),
+            static_cast<uint64_t>(now.time_since_epoch().count()), settings.cpuMilliCores};
+}
+
+} // namespace
+
+NodeLogic::NodeLogic(NodeSettings settings, const NodePorts &ports, PeerPort &peers,
+                     const Clock &clock, Metrics &metrics)
+    : clock_(clock), started_(clock.now()), self_(vmInfo(settings, started_)),
+      servers_(ports.servers), settings_(std::move(settings)), vms_({}, self_), router_({}, vms_),
+      pool_(poolOptions(settings_)), holderOptions_(node::holderOptions(settings_)),
+      peers_(std::make_unique<node::Peers>(settings_, holderOptions_, clock, peers, vms_,
+                                           peerHandlers())),
+      heldShards_(std::make_unique<node::HeldShards>(holderOptions_, clock, ports.holders, pool_,
+                                                     [this] { flush(); })),
+      storedJobs_(std::make_unique<node::StoredJobs>(
+              settings_, clock, vms_, pool_, ports.keepers, ports.journal,
+              [this](const std::string &vm, const VmMessage &message) {
+                  peers_->send(vm, message);
+              })),
+      metrics_(std::make_unique<node::JobMetrics>(metrics))
+{ }
+
+NodeLogic::~NodeLogic() = default;
+
+void NodeLogic::start()
+{
+    router_.waitForPoolsUntil(started_ + startupPoolWait);
+    logEvent(LogLevel::Info, "started",
+             {{"vm", self_.name},
+              {"data_centre", self_.dataCentre},
+              {"incarnation", self_.incarnation}});
+    lastTick_ = clock_.now();
+}
+
+void NodeLogic::tick()
+{
+    const Time now = clock_.now();
+    detectPause(now);
+    lastTick_ = now;
+    removeSilentVms(now);
+    peers_->tick(now);
+    pool_.tick(now);
+    router_.tick(now);
+    heldShards_->sendDueRequest(wantsShards(now), now);
+    storedJobs_->setEligible(!isDraining_ && storedJobs_->jobsExist() && heldShards_->isMember());
+    storedJobs_->tick(now);
+    flush();
+    peers_->sendReports([this] { return contactState(); }, [this] { return report(); }, now);
+}
+
+Duration NodeLogic::tickInterval() const
+{
+    const bool isBusy = router_.openCount() > 0 || !pool_.isIdle() || storedJobs_->isBusy();
+    return isBusy ? busyTickInterval : idleTickInterval;
+}
+
+void NodeLogic::removeSilentVms(Time now)
+{
+    const VmTable::RemovedVms removed = vms_.removeSilent(now);
+    for (const std::string &vm : removed.lost)
+        onVmLost(vm, "silent");
+    const std::set<std::string> served =
+            removed.forgotten.empty() ? std::set<std::string> {} : pool_.servedVms();
+    for (const std::string &vm : removed.forgotten) {
+        if (served.contains(vm))
+            logEvent(LogLevel::Warning, "vm-forgotten-with-open-jobs", {{"vm", vm}});
+    }
+}
+
+// Detects that the process was paused. Called before any event is handled, because events that
+// arrived during the pause are dispatched before the next tick.
+void NodeLogic::detectPause(Time now)
+{
+    if (now <= lastTick_ + pauseThreshold)
+        return;
+    const Duration pause = now - lastTick_;
+    logEvent(LogLevel::Warning, "paused", {{"for_us", pause.count()}});
+    lastTick_ = now;
+    pool_.onPaused(pause, self_.name, now);
+}
+
+uint64_t NodeLogic::submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond)
+{
+    metrics_->recordSubmitted();
+    if (isDraining_ && clock_.now() + deadline > drainingSince_ + settings_.stopLimit) {
+        // The job might not be answered before this process is killed.
+        logEvent(LogLevel::Info, "job-refused", {{"job", job.id}, {"cause", "draining"}});
+        respond({{}, JobResult::Refused, "draining", drainingRetryAfter});
+        return 0;
+    }
+    const uint64_t number = nextNumber_++;
+    JobOffer offer;
+    offer.stretchFactor = queue.stretchFactor;
+    offer.objectiveSlack = queue.objectiveSlack;
+    offer.deadline = deadline;
+    offer.queue = queue.name;
+    offer.service = queue.service;
+    offer.priority = queue.priority;
+    offer.attempts = queue.attempts;
+    offer.job = std::move(job);
+    callers_.emplace(number, Caller {std::move(respond), clock_.now(), taskCount(offer.job)});
+    router_.setOwnLoad(pool_.load(clock_.now()));
+    router_.submit(number, std::move(offer), clock_.now());
+    flush();
+    return number;
+}
+
+void NodeLogic::withdraw(uint64_t number)
+{
+    callers_.erase(number);
+    router_.withdraw(number, clock_.now());
+    flush();
+}
+
+void NodeLogic::request(KeeperRequest request, Duration deadline, StoredJobCallback respond)
+{
+    storedJobs_->request(std::move(request), deadline, std::move(respond));
+    flush();
+}
+
+void NodeLogic::storeJob(JobSpec job, const Queue &queue, Duration deadline,
+                         StoredJobCallback respond)
+{
+    QueueParameters queueParameters {queue.name,     queue.service,       queue.priority,
+                                     queue.attempts, queue.stretchFactor, queue.objectiveSlack};
+    request(StoreJob {{}, std::move(job), std::move(queueParameters)}, deadline,
+            std::move(respond));
+}
+
+void NodeLogic::queryJob(const std::string &job, Duration deadline, StoredJobCallback respond)
+{
+    request(QueryJob {{}, job}, deadline, std::move(respond));
+}
+
+void NodeLogic::cancelJob(const std::string &job, Duration deadline, StoredJobCallback respond)
+{
+    request(CancelJob {{}, job}, deadline, std::move(respond));
+}
+
+uint32_t NodeLogic::pendingJobs(const std::string &queue) const
+{
+    return storedJobs_->pendingJobs(queue);
+}
+
+void NodeLogic::setStoredJobsExist(bool exist)
+{
+    storedJobs_->setJobsExist(exist);
+}
+
+void NodeLogic::setConfiguration(Configuration configuration)
+{
+    if (hasConfiguration_ && configuration.version <= configuration_.version)
+        return;
+    logEvent(LogLevel::Info, "configuration-in-force",
+             {{"version", configuration.version},
+              {"replaces", configuration_.version},
+              {"queues", configuration.queues.size()}});
+    configuration_ = std::move(configuration);
+    hasConfiguration_ = true;
+}
+
+void NodeLogic::setServers(const std::vector<ServerInfo> &servers)
+{
+    std::vector<ServerInfo> own;
+    for (const ServerInfo &server : servers) {
+        if (server.dataCentre == self_.dataCentre)
+            own.push_back(server);
+    }
+    pool_.setServers(own, clock_.now());
+    flush();
+}
+
+void NodeLogic::setPeers(const std::vector<VmInfo> &peers)
+{
+    peers_->addContacts(peers);
+}
+
+bool NodeLogic::needsServerList() const
+{
+    return heldShards_->isMember() || shouldHold(clock_.now());
+}
+
+bool NodeLogic::isReady() const
+{
+    if (isDraining_ || !hasConfiguration_)
+        return false;
+    const bool hasPool = pool_.serverCount() > 0
+            || std::any_of(vms_.rows().begin(), vms_.rows().end(),
+                           [](const auto &entry) { return !entry.second.report.loads.empty(); });
+    return hasPool || clock_.now() > started_ + readyWithoutPoolAfter;
+}
+
+const Configuration *NodeLogic::configuration() const
+{
+    return hasConfiguration_ ? &configuration_ : nullptr;
+}
+
+void NodeLogic::drain()
+{
+    if (isDraining_)
+        return;
+    isDraining_ = true;
+    drainingSince_ = clock_.now();
+    pool_.drain();
+    logEvent(LogLevel::Info, "draining", {{"open_requests", router_.openCount()}});
+    peers_->sendReportNow(contactState(), report(), clock_.now());
+}
+
+bool NodeLogic::isDrained() const
+{
+    return isDraining_ && router_.openCount() == 0 && pool_.isIdle() && !heldShards_->isMember()
+            && !storedJobs_->isMember();
+}
+
+VmReport NodeLogic::report() const
+{
+    VmReport report;
+    report.vm = self_;
+    report.isHolder = heldShards_->isMember();
+    report.isDraining = isDraining_;
+    report.configurationVersion = configuration_.version;
+    report.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
+    report.loads = pool_.load(clock_.now());
+    report.lostVms = vms_.recentlyLost(clock_.now());
+    storedJobs_->addToReport(report);
+    return report;
+}
+
+ContactState NodeLogic::localState() const
+{
+    ContactState state;
+    state.isHolder = heldShards_->isMember();
+    state.isDraining = isDraining_;
+    state.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
+    return state;
+}
+
+ContactState NodeLogic::contactState() const
+{
+    ContactState state = localState();
+    state.offeredVms = router_.offeredVms();
+    state.servedVms = pool_.servedVms();
+    state.needsAllVms = storedJobs_->jobsExist();
+    return state;
+}
+
+bool NodeLogic::shouldHold(Time now) const
+{
+    return peers_->contacts().shouldHoldShards(localState(), now);
+}
+
+// A draining VM leaves the group when nothing runs on its servers.
+bool NodeLogic::wantsShards(Time now) const
+{
+    return isDraining_ ? heldShards_->isMember() && !pool_.isIdle() : shouldHold(now);
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/node/node_messages.cpp
@@ -0,0 +1,153 @@
+// Events and messages of peers.
+#include "peers.h"
+#include "stored_jobs.h"
+
+#include "lovage/node.h"
+
+#include <algorithm>
+
+namespace lovage {
+
+namespace {
+
+// Minimum interval of configuration requests to peers. A new version usually arrives from the store
+// first.
+constexpr Duration configurationRequestInterval = std::chrono::milliseconds(200);
+
+} // namespace
+
+node::PeerHandlers NodeLogic::peerHandlers()
+{
+    node::PeerHandlers handlers;
+    handlers.onMessage = [this](VmMessage message) { onMessage(std::move(message)); };
+    handlers.onOfferUnsent = [this](const std::string &vm, const JobOffer &offer) {
+        onOfferUnsent(vm, offer);
+    };
+    handlers.onBatchUnsent = [this](const std::string &vm, const TaskBatch &batch) {
+        onBatchUnsent(vm, batch);
+    };
+    handlers.onVmLost = [this](const std::string &vm, std::string_view cause) {
+        onVmLost(vm, cause);
+    };
+    return handlers;
+}
+
+void NodeLogic::onPeerBytes(std::string_view bytes)
+{
+    peers_->onBytes(bytes);
+}
+
+void NodeLogic::onFramesLost(const FrameClient::Lost &lost)
+{
+    peers_->onFramesLost(lost);
+}
+
+void NodeLogic::onOfferUnsent(const std::string &vm, const JobOffer &offer)
+{
+    vms_.markUnreachable(vm, clock_.now());
+    router_.onOfferUnsent(vm, offer.ticket, clock_.now());
+    flush();
+}
+
+void NodeLogic::onBatchUnsent(const std::string &vm, const TaskBatch &batch)
+{
+    vms_.markUnreachable(vm, clock_.now());
+    storedJobs_->onBatchUnsent(vm, batch);
+    flush();
+}
+
+void NodeLogic::onVmLost(const std::string &vm, std::string_view cause)
+{
+    logEvent(LogLevel::Warning, "vm-lost", {{"vm", vm}, {"cause", cause}});
+    vms_.remove(vm, clock_.now());
+    router_.onVmLost(vm, clock_.now());
+    pool_.withdrawAll(vm, 0, clock_.now());
+    storedJobs_->onVmLost(vm);
+    flush();
+}
+
+void NodeLogic::onPeerMessage(VmReport report)
+{
+    const std::string vm = report.vm.name;
+    const VmInfo info = report.vm;
+    const uint64_t incarnation = report.vm.incarnation;
+    const VmTable::Row *known = vms_.find(vm);
+    const bool isNewFollower = report.isFollowing && !(known && known->report.isFollowing);
+    if (report.configurationVersion > configuration_.version)
+        requestConfiguration(vm);
+    if (std::find(report.lostVms.begin(), report.lostVms.end(), self_.name)
+        != report.lostVms.end()) {
+        // The sender does not receive this VM's reports and has given up the jobs it offered.
+        pool_.withdrawAll(vm, 0, clock_.now());
+    }
+    storedJobs_->onReport(report);
+    const auto result = vms_.addReport(std::move(report), clock_.now());
+    if (result == VmTable::ReportResult::New || result == VmTable::ReportResult::Restarted) {
+        logEvent(LogLevel::Info, "vm-heard", {{"vm", vm}, {"incarnation", incarnation}});
+        peers_->addContacts({info});
+    }
+    if (isNewFollower || result == VmTable::ReportResult::Restarted)
+        peers_->sendIntroduction(info);
+    if (result != VmTable::ReportResult::Restarted)
+        return;
+    router_.onVmLost(vm, clock_.now());
+    pool_.withdrawAll(vm, incarnation, clock_.now());
+    storedJobs_->onVmLost(vm);
+}
+
+void NodeLogic::onPeerMessage(OfferMessage message)
+{
+    pool_.offer(std::move(message.offer), clock_.now());
+}
+
+void NodeLogic::onPeerMessage(AnswerMessage message)
+{
+    vms_.updateLoads(message.vm, std::move(message.loads));
+    router_.onAnswer(message.vm, std::move(message.answer), clock_.now());
+}
+
+void NodeLogic::onPeerMessage(const WithdrawMessage &message)
+{
+    pool_.withdraw(message.ticket, clock_.now());
+}
+
+void NodeLogic::onPeerMessage(const IntroductionMessage &message)
+{
+    peers_->addContacts(message.vms);
+}
+
+void NodeLogic::onPeerMessage(const ConfigurationRequest &message)
+{
+    if (hasConfiguration_)
+        peers_->send(message.vm, ConfigurationMessage {configuration_});
+}
+
+void NodeLogic::onPeerMessage(ConfigurationMessage message)
+{
+    setConfiguration(std::move(message.configuration));
+}
+
+// All other messages are about stored jobs.
+template<class Message>
+void NodeLogic::onPeerMessage(Message message)
+{
+    storedJobs_->onPeerMessage(std::move(message));
+}
+
+void NodeLogic::onMessage(VmMessage message)
+{
+    detectPause(clock_.now());
+    std::visit([this](auto &alternative) { onPeerMessage(std::move(alternative)); }, message);
+    flush();
+}
+
+void NodeLogic::requestConfiguration(const std::string &vm)
+{
+    const Time now = clock_.now();
+    if (now < nextConfigurationRequest_ || !vms_.find(vm))
+        return;
+    nextConfigurationRequest_ = now + configurationRequestInterval;
+    peers_->send(vm, ConfigurationRequest {self_.name});
+}
+
+} // namespace lovage
--- /dev/null
+++ b/src/node/peer_sockets.cpp
@@ -0,0 +1,42 @@
+#include "peer_sockets.h"
+
+namespace lovage::node {
+
+namespace {
+
+// A connection fails if sent bytes are not acknowledged within this time.
+constexpr Duration ackTimeout = std::chrono::milliseconds(1000);
+
+} // namespace
+
+Result<void> PeerSockets::open(IoThreads &threads, const Endpoint &endpoint,
+                               const BytesHandler &onBytes, FrameClient::LostHandler onLost)
+{
+    auto datagrams = UdpSocket::open(
+            threads, 0, endpoint,
+            [onBytes](const Endpoint &, std::string_view bytes) { onBytes(bytes); });
+    if (!datagrams.has_value())
+        return datagrams.error();
+    datagrams_ = std::move(datagrams.value());
+    FrameOptions options;
+    options.ackTimeout = ackTimeout;
+    frameClient_ = std::make_unique<FrameClient>(threads, 0, options, std::move(onLost));
+    auto server = FrameServer::listen(threads, endpoint, options,
+                                      [onBytes](const std::string &frame) { onBytes(frame); });
+    if (!server.has_value())
+        return server.error();
+    frameServer_ = std::move(server.value());
+    return boost::outcome_v2::success();
+}
+
+void PeerSockets::sendDatagram(const Endpoint &to, const std::string &bytes)
+{
+    datagrams_->send(to, bytes);
+}
+
+void PeerSockets::sendFrame(const Endpoint &to, std::string frame)
+{
+    frameClient_->send(to, std::move(frame));
+}
+
+} // namespace lovage::node
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -6,8 +6,6 @@
 
 // A VM is lost if no report arrives from it within this time after its connection has failed.
 constexpr Duration suspicionTimeout = std::chrono::milliseconds(300);
-// A connection fails if sent bytes are not acknowledged within this time.
-constexpr Duration ackTimeout = std::chrono::milliseconds(1000);
 
 std::optional<std::string> vmByAddress(const VmTable &vms, const std::string &address)
 {
@@ -31,45 +29,15 @@
 
 } // namespace
 
-Peers::Peers(const NodeSettings &settings, const HolderOptions &holders, VmTable &vms,
-             Handlers handlers)
-    : vms_(vms), handlers_(std::move(handlers)), contacts_({}, holders, vms)
+Peers::Peers(const NodeSettings &settings, const HolderOptions &holders, const Clock &clock,
+             PeerPort &port, VmTable &vms, PeerHandlers handlers)
+    : clock_(clock), port_(port), vms_(vms), handlers_(std::move(handlers)),
+      contacts_({}, holders, vms)
 {
     for (const Endpoint &seed : settings.seeds)
         contacts_.addSeed(toString(seed));
 }
 
-Result<std::unique_ptr<Peers>> Peers::open(const NodeSettings &settings,
-                                           const HolderOptions &holders, IoThreads &threads,
-                                           VmTable &vms, Handlers handlers)
-{
-    std::unique_ptr<Peers> peers(new Peers(settings, holders, vms, std::move(handlers)));
-    const Result<void> result = peers->listen(settings, threads);
-    if (!result.has_value())
-        return result.error();
-    return peers;
-}
-
-Result<void> Peers::listen(const NodeSettings &settings, IoThreads &threads)
-{
-    auto datagrams =
-            UdpSocket::open(threads, 0, settings.peer,
-                            [this](const Endpoint &, std::string_view bytes) { onBytes(bytes); });
-    if (!datagrams.has_value())
-        return datagrams.error();
-    reportSocket_ = std::move(datagrams.value());
-    FrameOptions options;
-    options.ackTimeout = ackTimeout;
-    frameClient_ = std::make_unique<FrameClient>(
-            threads, 0, options, [this](const FrameClient::Lost &lost) { onFramesLost(lost); });
-    auto server = FrameServer::listen(threads, settings.peer, options,
-                                      [this](const std::string &frame) { onBytes(frame); });
-    if (!server.has_value())
-        return server.error();
-    frameServer_ = std::move(server.value());
-    return boost::outcome_v2::success();
-}
-
 void Peers::onBytes(std::string_view bytes)
 {
     auto message = decodeMessage(bytes);
@@ -85,7 +53,7 @@
     const VmTable::Row *row = vms_.find(vm);
     const auto to = row ? parseEndpoint(row->report.vm.address) : std::nullopt;
     if (to)
-        frameClient_->send(*to, encodeMessage(message));
+        port_.sendFrame(*to, encodeMessage(message));
     else if (!reportUnsent(vm, message))
         logUnsentWithdrawal(vm, message, "unknown-vm");
 }
@@ -117,7 +85,7 @@
     if (!vm)
         return;
     if (lost.wasConnected)
-        suspects_.try_emplace(*vm, currentTime());
+        suspects_.try_emplace(*vm, clock_.now());
     for (const std::string &frame : lost.unsent) {
         const auto message = decodeMessage(frame);
         if (!message.has_value())
@@ -125,7 +93,7 @@
         if (reportUnsent(*vm, message.value()))
             continue;
         if (lost.wasConnected)
-            frameClient_->send(lost.to, frame);
+            port_.sendFrame(lost.to, frame);
         else
             logUnsentWithdrawal(*vm, message.value(), "not-connected");
     }
@@ -135,7 +103,7 @@
 // that get identical reports share one encoding.
 void Peers::sendReport(VmReport report, const std::vector<ReportTarget> &targets)
 {
-    report.holders = contacts_.holdersToReport(currentTime());
+    report.holders = contacts_.holdersToReport(clock_.now());
     std::map<std::tuple<bool, bool, Duration>, std::string> encoded;
     for (const ReportTarget &target : targets) {
         const auto to = parseEndpoint(target.address);
@@ -149,7 +117,7 @@
             report.nextReportWithin = target.nextReportWithin;
             bytes = encodeMessage(report);
         }
-        reportSocket_->send(*to, bytes);
+        port_.sendDatagram(*to, bytes);
     }
 }
 
@@ -158,8 +126,8 @@
     contacts_.scheduleReport(newcomer.name);
     const auto to = parseEndpoint(newcomer.address);
     if (to)
-        frameClient_->send(
-                *to, encodeMessage(IntroductionMessage {contacts_.introductionFor(newcomer)}));
+        port_.sendFrame(*to,
+                        encodeMessage(IntroductionMessage {contacts_.introductionFor(newcomer)}));
 }
 
 void Peers::tick(Time now)
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -3,49 +3,29 @@
 #pragma once
 
 #include "lovage/contacts.h"
-#include "lovage/net.h"
 #include "lovage/node.h"
 #include "lovage/routing.h"
 
 #include <functional>
 #include <map>
-#include <memory>
 
 namespace lovage::node {
 
-// Callbacks run on the I/O thread. Messages that cannot be decoded are logged and dropped.
+// Callbacks for events of peers.
+struct PeerHandlers
+{
+    std::function<void(VmMessage)> onMessage;
+    std::function<void(const std::string &vm, const JobOffer &offer)> onOfferUnsent;
+    std::function<void(const std::string &vm, const TaskBatch &batch)> onBatchUnsent;
+    std::function<void(const std::string &vm, std::string_view cause)> onVmLost;
+};
+
+// Single-threaded, like the node. Messages that cannot be decoded are logged and dropped.
 class Peers
 {
 public:
-    struct Handlers
-    {
-        std::function<void(VmMessage)> onMessage;
-        std::function<void(const std::string &vm, const JobOffer &offer)> onOfferUnsent;
-        std::function<void(const std::string &vm, const TaskBatch &batch)> onBatchUnsent;
-        std::function<void(const std::string &vm, std::string_view cause)> onVmLost;
-    };
-
-    // Owner must have the methods that Handlers names, and must outlive the returned object.
-    template<class Owner>
-    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings,
-                                               const HolderOptions &holders, IoThreads &threads,
-                                               VmTable &vms, Owner &owner)
-    {
-        return open(settings, holders, threads, vms,
-                    Handlers {[&owner](VmMessage message) { owner.onMessage(std::move(message)); },
-                              [&owner](const std::string &vm, const JobOffer &offer) {
-                                  owner.onOfferUnsent(vm, offer);
-                              },
-                              [&owner](const std::string &vm, const TaskBatch &batch) {
-                                  owner.onBatchUnsent(vm, batch);
-                              },
-                              [&owner](const std::string &vm, std::string_view cause) {
-                                  owner.onVmLost(vm, cause);
-                              }});
-    }
-    static Result<std::unique_ptr<Peers>> open(const NodeSettings &settings,
-                                               const HolderOptions &holders, IoThreads &threads,
-                                               VmTable &vms, Handlers handlers);
+    Peers(const NodeSettings &settings, const HolderOptions &holders, const Clock &clock,
+          PeerPort &port, VmTable &vms, PeerHandlers handlers);
 
     void send(const std::string &vm, const VmMessage &message);
     // Sends the reports that are due. Calls neither function if no report is due.
@@ -67,24 +47,22 @@
     const ContactPlan &contacts() const { return contacts_; }
     void tick(Time now);
 
+    // Handles a datagram or a frame of a peer.
+    void onBytes(std::string_view bytes);
+    void onFramesLost(const FrameClient::Lost &lost);
+
 private:
-    Peers(const NodeSettings &settings, const HolderOptions &holders, VmTable &vms,
-          Handlers handlers);
-    Result<void> listen(const NodeSettings &settings, IoThreads &threads);
     bool reportUnsent(const std::string &vm, const VmMessage &message);
-    void onFramesLost(const FrameClient::Lost &lost);
-    void onBytes(std::string_view bytes);
     void sendReport(VmReport report, const std::vector<ReportTarget> &targets);
 
+    const Clock &clock_;
+    PeerPort &port_;
     VmTable &vms_;
-    Handlers handlers_;
+    PeerHandlers handlers_;
     ContactPlan contacts_;
     // Time of the connection failure of each VM that is lost unless it reports within a short time
     // after the failure, by name of the VM.
     std::map<std::string, Time> suspects_;
-    std::unique_ptr<UdpSocket> reportSocket_;
-    std::unique_ptr<FrameClient> frameClient_;
-    std::unique_ptr<FrameServer> frameServer_;
 };
 
 } // namespace lovage::node
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -44,11 +44,12 @@
 
 } // namespace
 
-StoredJobs::StoredJobs(const NodeSettings &settings, VmTable &vms, Pool &pool, GroupPort &group,
-                       JournalPort &journal, Send send)
-    : vms_(vms), pool_(pool), group_(group), journal_(journal), send_(std::move(send)),
-      partitionCount_(settings.shardCount), groupLease_(settings.groupLease),
-      membership_(keeperGroupOptions(settings), Time {}), keeper_(keeperOptions(settings), vms)
+StoredJobs::StoredJobs(const NodeSettings &settings, const Clock &clock, VmTable &vms, Pool &pool,
+                       GroupPort &group, JournalPort &journal, Send send)
+    : clock_(clock), vms_(vms), pool_(pool), group_(group), journal_(journal),
+      send_(std::move(send)), partitionCount_(settings.shardCount),
+      groupLease_(settings.groupLease), membership_(keeperGroupOptions(settings), Time {}),
+      keeper_(keeperOptions(settings), vms)
 { }
 
 void StoredJobs::setJobsExist(bool exist)
@@ -60,7 +61,7 @@
 
 void StoredJobs::request(KeeperRequest request, Duration deadline, Node::StoredJobCallback respond)
 {
-    const Time now = currentTime();
+    const Time now = clock_.now();
     jobsExist_ = true;
     pool_.expectStoredJobs(true);
     const uint64_t number = nextNumber_++;
@@ -137,7 +138,7 @@
               {"result",
                result.has_value() ? toString(result.value().kind) : toString(result.error().code)},
               {"state", result.has_value() ? toString(result.value().state) : ""},
-              {"after_us", (currentTime() - request.arrivedAt).count()}});
+              {"after_us", (clock_.now() - request.arrivedAt).count()}});
     request.respond(result);
 }
 
@@ -145,7 +146,7 @@
 {
     jobsExist_ = true;
     pool_.expectStoredJobs(true);
-    keeper_.onRequest(std::move(message.request), currentTime());
+    keeper_.onRequest(std::move(message.request), clock_.now());
 }
 
 void StoredJobs::onPeerMessage(const KeeperAnswer &answer)
@@ -164,7 +165,7 @@
         return;
     }
     request.nextSendAt =
-            currentTime() + (isUnavailable ? unavailableRetryDelay : requestResendInterval);
+            clock_.now() + (isUnavailable ? unavailableRetryDelay : requestResendInterval);
 }
 
 void StoredJobs::onPeerMessage(BatchMessage message)
@@ -177,28 +178,28 @@
                   {"for_incarnation", batch.poolIncarnation}});
         return;
     }
-    pool_.startBatch(std::move(message.batch), currentTime());
+    pool_.startBatch(std::move(message.batch), clock_.now());
 }
 
 void StoredJobs::onPeerMessage(const StopJobMessage &message)
 {
-    pool_.stopJob(message.stop, currentTime());
+    pool_.stopJob(message.stop, clock_.now());
 }
 
 void StoredJobs::onPeerMessage(const OutcomeMessage &message)
 {
-    keeper_.onOutcome(message.vm, message.outcome, currentTime());
+    keeper_.onOutcome(message.vm, message.outcome, clock_.now());
 }
 
 void StoredJobs::onPeerMessage(const ConfirmOutcome &message)
 {
-    pool_.confirmOutcome(message.task, message.run, message.isSuperseded, currentTime());
+    pool_.confirmOutcome(message.task, message.run, message.isSuperseded, clock_.now());
 }
 
 void StoredJobs::onReport(const VmReport &report)
 {
     for (const PartitionClaim &claim : report.claims)
-        pool_.updateKeeperEpoch(claim.partition, claim.epoch, currentTime());
+        pool_.updateKeeperEpoch(claim.partition, claim.epoch, clock_.now());
     updateBacklog(report.claims, report.backlog);
 }
 
@@ -223,14 +224,14 @@
 
 void StoredJobs::onVmLost(const std::string &vm)
 {
-    keeper_.onVmLost(vm, currentTime());
+    keeper_.onVmLost(vm, clock_.now());
     for (auto &[number, request] : requests_)
         request.nextSendAt = {};
 }
 
 void StoredJobs::onBatchUnsent(const std::string &vm, const TaskBatch &batch)
 {
-    keeper_.onBatchUnsent(vm, batch, currentTime());
+    keeper_.onBatchUnsent(vm, batch, clock_.now());
 }
 
 void StoredJobs::onOutcome(const TaskOutcome &outcome)
@@ -240,7 +241,7 @@
     if (!keeper)
         return; // the pool repeats the report
     if (*keeper == vms_.self().name)
-        keeper_.onOutcome(vms_.self().name, outcome, currentTime());
+        keeper_.onOutcome(vms_.self().name, outcome, clock_.now());
     else
         send_(*keeper, OutcomeMessage {vms_.self().name, outcome});
 }
@@ -293,19 +294,19 @@
     }
     group_.leave([this](const Result<void> &reply) {
         if (!reply.has_value()) {
-            membership_.onJoinFailed(currentTime());
+            membership_.onJoinFailed(clock_.now());
             return;
         }
         membership_.onLeft();
         leaseUntil_ = {};
-        keeper_.setPartitions({}, 0, currentTime());
+        keeper_.setPartitions({}, 0, clock_.now());
         flush();
     });
 }
 
 void StoredJobs::onJoined(const Result<GroupMembership> &reply, Time sentAt)
 {
-    const Time now = currentTime();
+    const Time now = clock_.now();
     if (!reply.has_value()) {
         membership_.onJoinFailed(now);
         return;
@@ -329,9 +330,9 @@
     if (!jobsExist_)
         return;
     if (!keeper_.isIdle())
-        keeper_.setOwnLoad(pool_.load(currentTime()));
-    for (auto actions = keeper_.takeActions(currentTime()); !actions.empty();
-         actions = keeper_.takeActions(currentTime())) {
+        keeper_.setOwnLoad(pool_.load(clock_.now()));
+    for (auto actions = keeper_.takeActions(clock_.now()); !actions.empty();
+         actions = keeper_.takeActions(clock_.now())) {
         for (KeeperAction &action : actions)
             std::visit([this](auto &call) { execute(std::move(call)); }, action);
     }
@@ -349,7 +350,7 @@
 void StoredJobs::execute(const OpenPartition &call)
 {
     journal_.open(call.partition, call.epoch, [this, call](const Result<uint64_t> &end) {
-        keeper_.onOpened(call.partition, call.epoch, end, currentTime());
+        keeper_.onOpened(call.partition, call.epoch, end, clock_.now());
         flush();
     });
 }
@@ -357,7 +358,7 @@
 void StoredJobs::execute(const ReadPartition &call)
 {
     journal_.read(call.partition, call.fromOffset, [this, call](const Result<JournalPage> &page) {
-        keeper_.onRead(call.partition, call.epoch, page, currentTime());
+        keeper_.onRead(call.partition, call.epoch, page, clock_.now());
         flush();
     });
 }
@@ -367,7 +368,7 @@
     const uint32_t partition = call.partition;
     const uint64_t epoch = call.epoch;
     journal_.append(call, [this, partition, epoch](const Result<uint64_t> &offset) {
-        keeper_.onAppended(partition, epoch, offset, currentTime());
+        keeper_.onAppended(partition, epoch, offset, clock_.now());
         flush();
     });
 }
@@ -380,7 +381,7 @@
 void StoredJobs::execute(SendBatch send)
 {
     if (send.vm == vms_.self().name)
-        pool_.startBatch(std::move(send.batch), currentTime());
+        pool_.startBatch(std::move(send.batch), clock_.now());
     else
         send_(send.vm, BatchMessage {std::move(send.batch)});
 }
@@ -388,7 +389,7 @@
 void StoredJobs::execute(SendStopJob send)
 {
     if (send.vm == vms_.self().name)
-        pool_.stopJob(send.stop, currentTime());
+        pool_.stopJob(send.stop, clock_.now());
     else
         send_(send.vm, StopJobMessage {std::move(send.stop)});
 }
@@ -397,7 +398,7 @@
 {
     if (send.vm == vms_.self().name)
         pool_.confirmOutcome(send.confirm.task, send.confirm.run, send.confirm.isSuperseded,
-                             currentTime());
+                             clock_.now());
     else
         send_(send.vm, send.confirm);
 }
--- a/src/node/stored_jobs.h
+++ b/src/node/stored_jobs.h
@@ -16,8 +16,8 @@
 public:
     using Send = std::function<void(const std::string &vm, VmMessage message)>;
 
-    StoredJobs(const NodeSettings &settings, VmTable &vms, Pool &pool, GroupPort &group,
-               JournalPort &journal, Send send);
+    StoredJobs(const NodeSettings &settings, const Clock &clock, VmTable &vms, Pool &pool,
+               GroupPort &group, JournalPort &journal, Send send);
 
     // Sets whether any VM has received a request about a stored job. Until then, tick() and flush()
     // do nothing, so that a node without stored jobs has no costs.
@@ -91,6 +91,7 @@
     void execute(const SendConfirm &send);
     void execute(const KeeperAnswer &answer);
 
+    const Clock &clock_;
     VmTable &vms_;
     Pool &pool_;
     GroupPort &group_;
