Run the jobs of other VMs under a lease that their VM renews

The caller's connection broke, or it got a 504, and it repeated the job 1.3 s later through another VM, while the first pool still ran it.

Cause: nothing bounded what the first pool does by what the VM with the caller knows. The withdrawal is one frame that can be lost with its connection or wait behind its offer; a pool that is behind reads the offer seconds late and counts the whole deadline from there; the silence of a VM is noticed after 1.2 s, too late for the 1.3 s, or not at all if the two do not follow each other. Two decision makers for one id were kept apart by time-outs only.

Change: an offer carries a lease, a time on the clock of the pool's VM up to which the pool may run the job. The VM with the caller estimates that clock from the pool's reports, as a lower bound, and renews the lease with its own reports while it has the request open. The lease lasts 1 s from the last time at which the VM had handled all of its events. A pool refuses an offer whose lease has ended, gives up a job whose lease ends, and requests no lease from a server beyond lease + 250 ms, so that the run ends in time also if the pool is paused or cannot stop it. Late, lost and reordered messages can only shorten a lease.

The flags of a report share a byte to make room. The message version rises to 6: VMs of the earlier build and of this one do not understand each other.

Evidence: five cases in pool_lease_test and two in router_test.

--- a/include/lovage/contacts.h
+++ b/include/lovage/contacts.h
@@ -55,9 +55,10 @@
     bool needsAllVms = false;
 };
 
-// The receiver of a report that is due. The fields other than the address go into the report.
+// The receiver of a report that is due. The fields other than name and address go into the report.
 struct ReportTarget
 {
+    std::string vm; // empty if the VM is known by its address only
     std::string address;
     bool isFollowing = false; // whether this VM follows the receiver
     bool isFollower = false;  // whether the receiver follows this VM
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -43,7 +44,27 @@
     auto operator<=>(const JobTicket &) const = default;
 };
 
-// A job offered to a pool. All times are relative, because the clocks of VMs differ.
+// The right of a pool to run a job of another VM. That VM has the caller's connection; it renews
+// the lease while the caller is connected. The lease ends by the clock of the pool's VM, so it also
+// ends if no message gets through, or if one arrives late.
+struct JobLease
+{
+    uint64_t poolIncarnation = 0; // incarnation of the pool's VM, to whose clock `until` refers
+    Time until {};
+
+    auto operator<=>(const JobLease &) const = default;
+};
+
+// Extends the leases of jobs. Sent by the VM that has the connections of their callers.
+struct LeaseRenewal
+{
+    JobLease lease;
+    std::vector<uint64_t> requests {}; // numbers of the sender's requests
+
+    auto operator<=>(const LeaseRenewal &) const = default;
+};
+
+// A job offered to a pool. All times but the lease are relative, because the clocks of VMs differ.
 struct JobOffer
 {
     JobTicket ticket;
@@ -60,8 +81,9 @@
     // Whether no other pool will be asked. If not, a pool that would meet the objective without a
     // margin refuses, since another pool may have faster servers free.
     bool isLastOffer = true;
-    Duration elapsed {};  // time since the caller submitted the job
-    Duration deadline {}; // time left until the caller stops waiting
+    Duration elapsed {};              // time since the caller submitted the job
+    Duration deadline {};             // time left until the caller stops waiting
+    std::optional<JobLease> lease {}; // not set for a job of the pool's own VM
 
     auto operator<=>(const JobOffer &) const = default;
 };
@@ -295,11 +317,19 @@
     Duration resubmitDelay = std::chrono::milliseconds(1300);
 
     // Time by which every run of the job has ended, counted as above.
-    Duration runLimit() const { return resubmitDelay - messageAllowance; }
+    constexpr Duration runLimit() const { return resubmitDelay - messageAllowance; }
+    // Duration of the lease of a job, counted from the latest time at which the VM with the
+    // caller's connection knew it to be open.
+    constexpr Duration jobLease() const { return runLimit() - stopAllowance; }
 
     // Maximum time for which the answer to a caller, or the loss of its connection, and an order to
     // a server are delayed.
     static constexpr Duration messageAllowance = std::chrono::milliseconds(50);
+    // Maximum time from the end of a job's lease until its runs have ended: a tick of the pool, the
+    // order to stop, and the stop itself.
+    static constexpr Duration stopAllowance = std::chrono::milliseconds(250);
+    // A shorter delay leaves a lease that does not outlast the loss of two reports.
+    static constexpr std::chrono::milliseconds minResubmitDelay {800};
 
     auto operator<=>(const ResubmissionLimits &) const = default;
 };
@@ -340,6 +370,7 @@
     uint64_t completed = 0;
     uint64_t failed = 0;
     uint64_t abandoned = 0;
+    uint64_t leasesExpired = 0; // jobs whose lease was not renewed in time
     uint64_t starts = 0;
     uint64_t startsRejected = 0;
     uint64_t startsUnanswered = 0;
@@ -384,6 +415,9 @@
     // Withdraws all jobs of a VM and stops the runs of stored jobs that it keeps. Unless
     // exceptIncarnation is 0, that incarnation of the VM is left out.
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
+    // Extends the leases of jobs of the VM. Requests without a job are ignored: a job that was
+    // given up is not resumed.
+    void renewLeases(const std::string &vm, uint64_t incarnation, const LeaseRenewal &renewal);
     // Reports that the process was suspended for a while. Messages that arrived during the pause
     // have not been read yet, so nothing is started until there was time to process them. After a
     // pause of peerTimeout or longer, other VMs have given up their jobs here, so these are
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -159,7 +159,10 @@
     bool isFollowing = false;        // the sender follows the receiver
     bool isReceiverFollower = false; // the sender has recorded the receiver as its follower
     Duration nextReportWithin {};    // the next report to the receiver is sent within this time
-    bool isHolder = false;           // the sender holds shards or has requested them
+    Time sentAt {};                  // on the clock of the sender
+    // Renewal of the leases of the jobs that the receiver runs for the sender.
+    std::optional<LeaseRenewal> renewal {};
+    bool isHolder = false; // the sender holds shards or has requested them
     bool isDraining = false;
     uint64_t configurationVersion = 0;
     // Number of backend servers that the sender knows in its data centre; 0 if it tracks none.
@@ -285,6 +288,8 @@
     {
         VmReport report;
         Time lastReportAt;
+        // Lower bound of the difference between the clock of the VM and that of this VM.
+        Duration clockOffset {};
         Time avoidUntil {};      // end of the delay after a failed connection attempt
         bool isFollowed = false; // whether this VM follows the VM of the row
         // Time at which this VM began to follow the VM of the row. The timeout for a missing report
@@ -319,6 +324,10 @@
     // Returns the VMs that were lost or removed recently and have not reported since.
     std::vector<std::string> recentlyLost(Time now) const;
 
+    // Returns a lower bound of the current time on the clock of the VM. It is behind that clock by
+    // at most the delay of a recent report.
+    static Time clockOf(const Row &row, Time now) { return now + row.clockOffset; }
+
     // Returns whether the VM has reported in time and is not marked unreachable.
     bool isReachable(const Row &row, Time now) const;
     const Row *find(const std::string &vm) const;
@@ -348,6 +357,7 @@
 
 struct RouterOptions
 {
+    ResubmissionLimits resubmission;
     // Number of pools to which a job, or a part of one, is offered in turn. If none of these takes
     // it, the job is divided among pools, offered to its fallback pool or refused.
     size_t maxOffers = 3;
@@ -410,6 +420,9 @@
     // Answers every request of which the VM has a part as abandoned, and withdraws the other parts.
     // Called if the VM has failed or cannot be distinguished from a failed one.
     void onVmLost(const std::string &vm, Time now);
+    // Every event that arrived before this time has been handled, so the callers of the requests
+    // that are still open were connected then. Leases of jobs count from this time.
+    void setHandledThrough(Time time) { handledThrough_ = time; }
     void tick(Time now);
 
     std::vector<RouterAction> takeActions() { return std::exchange(actions_, {}); }
@@ -417,6 +430,9 @@
     size_t openCount() const { return requests_.size(); }
     // Returns the VMs with an offer that they have not answered yet.
     std::set<std::string> offeredVms() const;
+    // Returns the renewals of the leases of all jobs that are offered to other VMs, by name of the
+    // VM.
+    std::map<std::string, LeaseRenewal> leaseRenewals() const;
 
 private:
     // The tasks of a job that are offered to one pool together.
@@ -478,6 +494,8 @@
     bool divideByCapabilities(uint64_t number, Time now);
     // Offers the part to its fallback pool. Returns false if there is none.
     bool offerToFallback(uint64_t number, size_t part, Time now);
+    JobLease leaseAt(const std::string &vm, Time connectedAt) const;
+    Time connectedAt(const Request &request) const;
     void sendOffer(uint64_t number, size_t part, Candidate pool, Time now);
     void offerParts(uint64_t number, Time now);
     void offerWaiting(Time now);
@@ -497,6 +515,7 @@
     VmTable &vms_;
     std::vector<ServiceLoad> ownLoads_;
     Time poolWaitEnd_ {};
+    Time handledThrough_ {};
     std::vector<uint64_t> waiting_;        // numbers of the requests for which no pool is known yet
     std::map<uint64_t, Request> requests_; // unanswered requests, by number
     std::vector<RouterAction> actions_;
--- a/src/contacts/contact_plan.cpp
+++ b/src/contacts/contact_plan.cpp
@@ -303,15 +303,15 @@
     for (auto &[name, contact] : contacts_) {
         if (now >= contact.nextReportAt) {
             contact.nextReportAt = now + contact.interval;
-            targets.push_back({byName_.at(name).address, contact.isFollowed, contact.isFollower,
-                               contact.interval});
+            targets.push_back({name, byName_.at(name).address, contact.isFollowed,
+                               contact.isFollower, contact.interval});
         }
         nextDueAt_ = std::min(nextDueAt_, contact.nextReportAt);
     }
     for (auto &[address, nextReportAt] : seeds_) {
         if (now >= nextReportAt) {
             nextReportAt = now + options_.probeInterval;
-            targets.push_back({address, true, false, options_.probeInterval});
+            targets.push_back({{}, address, true, false, options_.probeInterval});
         }
         nextDueAt_ = std::min(nextDueAt_, nextReportAt);
     }
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -32,6 +32,14 @@
     options.lease = settings.lease;
     options.stopTime = settings.stopTime;
     options.pollWait = settings.lease / 4;
+    options.resubmission.resubmitDelay = settings.resubmitDelay;
+    return options;
+}
+
+RouterOptions routerOptions(const NodeSettings &settings)
+{
+    RouterOptions options;
+    options.resubmission.resubmitDelay = settings.resubmitDelay;
     return options;
 }
 
@@ -46,8 +54,9 @@
 NodeLogic::NodeLogic(NodeSettings settings, const NodePorts &ports, PeerPort &peers,
                      const Clock &clock, Metrics &metrics)
     : clock_(clock), started_(clock.now()), self_(vmInfo(settings, started_)),
-      servers_(ports.servers), settings_(std::move(settings)), vms_({}, self_), router_({}, vms_),
-      pool_(poolOptions(settings_)), holderOptions_(node::holderOptions(settings_)),
+      servers_(ports.servers), settings_(std::move(settings)), vms_({}, self_),
+      router_(routerOptions(settings_), vms_), pool_(poolOptions(settings_)),
+      holderOptions_(node::holderOptions(settings_)),
       peers_(std::make_unique<node::Peers>(settings_, holderOptions_, clock, peers, vms_,
                                            peerHandlers())),
       heldShards_(std::make_unique<node::HeldShards>(holderOptions_, clock, ports.holders, pool_,
@@ -75,6 +84,7 @@
 void NodeLogic::tick()
 {
     const Time now = clock_.now();
+    router_.setHandledThrough(lastTick_);
     detectPause(now);
     lastTick_ = now;
     removeSilentVms(now);
@@ -85,7 +95,8 @@
     storedJobs_->setEligible(!isDraining_ && storedJobs_->jobsExist() && heldShards_->isMember());
     storedJobs_->tick(now);
     flush();
-    peers_->sendReports([this] { return contactState(); }, [this] { return report(); }, now);
+    peers_->sendReports([this] { return contactState(); }, [this] { return report(); },
+                        [this] { return router_.leaseRenewals(); }, now);
 }
 
 Duration NodeLogic::tickInterval() const
@@ -243,7 +254,7 @@
     drainingSince_ = clock_.now();
     pool_.drain();
     logEvent(LogLevel::Info, "draining", {{"open_requests", router_.openCount()}});
-    peers_->sendReportNow(contactState(), report(), clock_.now());
+    peers_->sendReportNow(contactState(), report(), router_.leaseRenewals(), clock_.now());
 }
 
 bool NodeLogic::isDrained() const
--- a/src/node/node_messages.cpp
+++ b/src/node/node_messages.cpp
@@ -80,6 +80,8 @@
         // The sender does not receive this VM's reports and has given up the jobs it offered.
         pool_.withdrawAll(vm, 0, clock_.now());
     }
+    if (report.renewal && report.renewal->lease.poolIncarnation == self_.incarnation)
+        pool_.renewLeases(vm, incarnation, *report.renewal);
     storedJobs_->onReport(report);
     const auto result = vms_.addReport(std::move(report), clock_.now());
     if (result == VmTable::ReportResult::New || result == VmTable::ReportResult::Restarted) {
@@ -95,8 +97,17 @@
     storedJobs_->onVmLost(vm);
 }
 
+// A lease that refers to the clock of another incarnation has no meaning here.
 void NodeLogic::onPeerMessage(OfferMessage message)
 {
+    if (!message.offer.lease || message.offer.lease->poolIncarnation != self_.incarnation) {
+        logEvent(LogLevel::Info, "job-refused",
+                 {{"job", message.offer.job.id},
+                  {"cause", "offer-to-other-incarnation"},
+                  {"vm", message.offer.ticket.vm}});
+        execute(JobAnswer {message.offer.ticket, JobResult::Refused, "restarted"});
+        return;
+    }
     pool_.offer(std::move(message.offer), clock_.now());
 }
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -99,24 +99,32 @@
     }
 }
 
-// Reports to different targets differ only in who follows whom and in the report interval. Targets
-// that get identical reports share one encoding.
-void Peers::sendReport(VmReport report, const std::vector<ReportTarget> &targets)
+// Reports to different targets differ only in who follows whom, in the report interval and in the
+// renewed leases. Targets that get identical reports share one encoding.
+void Peers::sendReport(VmReport report, const LeaseRenewals &renewals,
+                       const std::vector<ReportTarget> &targets)
 {
-    report.holders = contacts_.holdersToReport(clock_.now());
+    report.sentAt = clock_.now();
+    report.holders = contacts_.holdersToReport(report.sentAt);
     std::map<std::tuple<bool, bool, Duration>, std::string> encoded;
     for (const ReportTarget &target : targets) {
         const auto to = parseEndpoint(target.address);
         if (!to)
             continue;
+        report.isFollowing = target.isFollowing;
+        report.isReceiverFollower = target.isFollower;
+        report.nextReportWithin = target.nextReportWithin;
+        const auto renewal = renewals.find(target.vm);
+        if (renewal != renewals.end()) {
+            report.renewal = renewal->second;
+            port_.sendDatagram(*to, encodeMessage(report));
+            report.renewal.reset();
+            continue;
+        }
         std::string &bytes =
                 encoded[{target.isFollowing, target.isFollower, target.nextReportWithin}];
-        if (bytes.empty()) {
-            report.isFollowing = target.isFollowing;
-            report.isReceiverFollower = target.isFollower;
-            report.nextReportWithin = target.nextReportWithin;
+        if (bytes.empty())
             bytes = encodeMessage(report);
-        }
         port_.sendDatagram(*to, bytes);
     }
 }
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -28,18 +28,20 @@
           PeerPort &port, VmTable &vms, PeerHandlers handlers);
 
     void send(const std::string &vm, const VmMessage &message);
-    // Sends the reports that are due. Calls neither function if no report is due.
-    template<class State, class Report>
-    void sendReports(State state, Report report, Time now)
+    using LeaseRenewals = std::map<std::string, LeaseRenewal>; // by name of the receiving VM
+    // Sends the reports that are due. Calls none of the functions if no report is due.
+    template<class State, class Report, class Renewals>
+    void sendReports(State state, Report report, Renewals renewals, Time now)
     {
         const std::vector<ReportTarget> targets = contacts_.dueReports(state, now);
         if (!targets.empty())
-            sendReport(report(), targets);
+            sendReport(report(), renewals(), targets);
     }
     // Sends the report to every contact immediately.
-    void sendReportNow(const ContactState &state, VmReport report, Time now)
+    void sendReportNow(const ContactState &state, VmReport report, const LeaseRenewals &renewals,
+                       Time now)
     {
-        sendReport(std::move(report), contacts_.allReports(state, now));
+        sendReport(std::move(report), renewals, contacts_.allReports(state, now));
     }
     // Answers the first report of a VM with an introduction to other VMs.
     void sendIntroduction(const VmInfo &newcomer);
@@ -53,7 +55,8 @@
 
 private:
     bool reportUnsent(const std::string &vm, const VmMessage &message);
-    void sendReport(VmReport report, const std::vector<ReportTarget> &targets);
+    void sendReport(VmReport report, const LeaseRenewals &renewals,
+                    const std::vector<ReportTarget> &targets);
 
     const Clock &clock_;
     PeerPort &port_;
--- a/src/pool/jobs.cpp
+++ b/src/pool/jobs.cpp
@@ -23,6 +23,8 @@
     job.arrivedAt = now;
     job.submittedAt = now - offer.elapsed;
     job.deadlineAt = now + offer.deadline;
+    if (offer.lease)
+        job.leaseUntil = offer.lease->until;
     JobSpec expected = offer.job;
     for (Step &step : expected.steps) {
         step.estimate = model.predict(offer.queue, step.estimate);
--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -33,6 +33,8 @@
     Time arrivedAt {};
     Time objectiveAt {};
     Time deadlineAt {};
+    // End of the job's lease. A job of the pool's own VM has none: it ends together with the pool.
+    Time leaseUntil = Time::max();
     // Predicted run time of one task of each step on an ordinary server, by index of the step.
     std::vector<Duration> predicted {};
     Duration criticalPathTime {}; // predicted run time of the critical path
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -59,6 +59,11 @@
     implementation_->withdrawAll(vm, exceptIncarnation, now);
 }
 
+void Pool::renewLeases(const std::string &vm, uint64_t incarnation, const LeaseRenewal &renewal)
+{
+    implementation_->renewLeases(vm, incarnation, renewal);
+}
+
 void Pool::onPaused(Duration pause, const std::string &self, Time now)
 {
     implementation_->onPaused(pause, self, now);
@@ -128,6 +133,7 @@
 
 std::vector<PoolAction> Pool::takeActions(Time now)
 {
+    implementation_->dropExpiredLeases(now);
     if (implementation_->isPlacementDue_ && now >= implementation_->startsHeldUntil_)
         implementation_->placeQueued(now);
     implementation_->reportDueOutcomes(now);
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -33,8 +33,10 @@
     void offer(JobOffer offer, Time now);
     void withdraw(const JobTicket &ticket, Time now);
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
+    void renewLeases(const std::string &vm, uint64_t incarnation, const LeaseRenewal &renewal);
     void onPaused(Duration pause, const std::string &self, Time now);
     void dropOverdueJobs(Time now);
+    void dropExpiredLeases(Time now);
 
     // Tasks of stored jobs (pool_stored.cpp).
     void expectStoredJobs(bool exist);
@@ -92,7 +94,7 @@
     void onNewIncarnation(Server &server, Time now);
     void onServerReplaced(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
-    static Time leaseLimit(const Server &server);
+    Time leaseLimit(const Server &server) const;
     bool isPlaceable(const Server &server, Time now) const;
     void sendPoll(Server &server, Time now);
     void sendStop(Server &server, const std::string &task, pool::Run &run, Time now);
@@ -125,6 +127,7 @@
     void removeJob(JobNumber number, Time now);
     void stopRunsOf(JobNumber number, Time now);
     Time giveUpTime(const Job &job) const;
+    static Time runLimit(const Job &job);
     // Returns whether a job with this id is open for another request.
     bool isDuplicate(const JobOffer &offer) const;
     void logEvent(std::string event, const std::string &job, std::string details);
@@ -201,6 +204,8 @@
     // Numbers of the jobs with each id. An id has several jobs if this pool runs several parts.
     std::multimap<std::string, JobNumber> jobsById_;
     JobNumber nextJobNumber_ = 1;
+    // No lease of a job ends before this time.
+    Time earliestLeaseEnd_ = Time::max();
 
     // An outcome that the keeper has not confirmed, and the end of the run, which is acknowledged
     // to the server after the confirmation.
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -68,6 +68,14 @@
         answer(job, JobResult::Abandoned, "already-open", now);
         return;
     }
+    if (now >= job.leaseUntil) {
+        // The offer was delayed, and its caller may have sent the job again.
+        logEvent("job-refused", id,
+                 fmt::format("queue={} cause=stale-offer vm={} expired_ms={:.0f}", job.offer.queue,
+                             job.offer.ticket.vm, toMillis(now - job.leaseUntil)));
+        answer(job, JobResult::Refused, "stale-offer", now);
+        return;
+    }
     const Forecast forecast = this->forecast(job, now);
     if (!forecast.jobSpan) {
         logEvent("job-refused", id, fmt::format("queue={} cause=no-server", job.offer.queue));
@@ -113,6 +121,7 @@
     job.hadToWait = wait > Duration::zero();
     jobsByTicket_.emplace(job.offer.ticket, job.number);
     jobsById_.emplace(job.offer.job.id, job.number);
+    earliestLeaseEnd_ = std::min(earliestLeaseEnd_, job.leaseUntil);
     jobs_.emplace(job.number, std::move(job));
     isPlacementDue_ = true;
 }
@@ -199,6 +208,14 @@
     isPlacementDue_ = true;
 }
 
+// Returns the time by which the runs of the job must have ended if its lease is not renewed.
+Time Pool::Implementation::runLimit(const Job &job)
+{
+    if (job.leaseUntil == Time::max())
+        return Time::max();
+    return job.leaseUntil + ResubmissionLimits::stopAllowance;
+}
+
 void Pool::Implementation::stopRunsOf(JobNumber number, Time now)
 {
     const Job &job = jobs_.at(number);
@@ -208,7 +225,7 @@
         for (auto &[task, run] : server.runs()) {
             if (run.job != number)
                 continue;
-            run.endBy = now + options_.resubmission.runLimit();
+            run.endBy = std::min(runLimit(job), now + options_.resubmission.runLimit());
             if (run.state != RunState::Stopping)
                 sendStop(server, task, run, now);
         }
@@ -247,6 +264,45 @@
     stopRunsOfKeeper(vm, exceptIncarnation, now);
 }
 
+void Pool::Implementation::renewLeases(const std::string &vm, uint64_t incarnation,
+                                       const LeaseRenewal &renewal)
+{
+    for (const uint64_t number : renewal.requests) {
+        const auto firstPart = jobsByTicket_.lower_bound({vm, incarnation, number, 0});
+        const auto end = jobsByTicket_.lower_bound({vm, incarnation, number + 1, 0});
+        for (auto part = firstPart; part != end; ++part) {
+            Job &job = jobs_.at(part->second);
+            job.leaseUntil = std::max(job.leaseUntil, renewal.lease.until);
+        }
+    }
+}
+
+// Gives up the jobs whose leases were not renewed: the connection to the VM with their callers is
+// broken, the VM has failed, or it no longer has the requests.
+void Pool::Implementation::dropExpiredLeases(Time now)
+{
+    if (now < earliestLeaseEnd_)
+        return;
+    std::vector<JobNumber> expired;
+    earliestLeaseEnd_ = Time::max();
+    for (const auto &[number, job] : jobs_) {
+        if (now >= job.leaseUntil)
+            expired.push_back(number);
+        else
+            earliestLeaseEnd_ = std::min(earliestLeaseEnd_, job.leaseUntil);
+    }
+    for (const JobNumber number : expired) {
+        Job &job = jobs_.at(number);
+        ++counters_.leasesExpired;
+        logEvent("job-lease-expired", job.offer.job.id,
+                 fmt::format("vm={} number={} expired_ms={:.0f} begun={}", job.offer.ticket.vm,
+                             job.offer.ticket.number, toMillis(now - job.leaseUntil),
+                             job.hasStarted));
+        answer(job, job.hasStarted ? JobResult::Abandoned : JobResult::Refused, "lease-expired",
+               now);
+    }
+}
+
 void Pool::Implementation::onPaused(Duration pause, const std::string &self, Time now)
 {
     startsHeldUntil_ = now + startDelayAfterPause;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -169,11 +169,15 @@
 }
 
 // Returns the time by which the lease of the server must have lapsed.
-Time Pool::Implementation::leaseLimit(const Server &server)
+Time Pool::Implementation::leaseLimit(const Server &server) const
 {
     Time limit = Time::max();
-    for (const auto &[task, run] : server.runs())
+    for (const auto &[task, run] : server.runs()) {
         limit = std::min(limit, run.endBy);
+        const auto job = jobs_.find(run.job);
+        if (job != jobs_.end())
+            limit = std::min(limit, runLimit(job->second));
+    }
     return limit;
 }
 
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -1,15 +1,17 @@
 // Binary encoding of the messages between VMs.
 #include "serialize.h"
 
+#include <cereal/types/optional.hpp>
 #include <fmt/format.h>
 
+#include <array>
 #include <sstream>
 
 namespace lovage {
 
 namespace {
 
-constexpr uint8_t messageVersion = 5;
+constexpr uint8_t messageVersion = 6;
 
 } // namespace
 
@@ -19,6 +21,13 @@
     archive(ticket.vm, ticket.incarnation, ticket.number, ticket.part);
 }
 
+template<class Archive>
+void serialize(Archive &archive, JobLease &lease)
+{
+    archive(lease.poolIncarnation);
+    timeField(archive, lease.until);
+}
+
 template<class Archive>
 void serialize(Archive &archive, JobOffer &offer)
 {
@@ -29,6 +38,13 @@
     flagField(archive, offer.isLastOffer);
     durationField(archive, offer.elapsed);
     durationField(archive, offer.deadline);
+    archive(offer.lease);
+}
+
+template<class Archive>
+void serialize(Archive &archive, LeaseRenewal &renewal)
+{
+    archive(renewal.lease, renewal.requests);
 }
 
 template<class Archive>
@@ -67,15 +83,32 @@
     archive(backlog.partition, backlog.queue, backlog.jobs);
 }
 
+// Reports are most of the traffic between VMs, so their flags share one byte.
+template<class Archive>
+void reportFlags(Archive &archive, VmReport &report)
+{
+    const std::array<bool *, 4> flags = {&report.isFollowing, &report.isReceiverFollower,
+                                         &report.isHolder, &report.isDraining};
+    uint8_t bits = 0;
+    for (size_t i = 0; i < flags.size(); ++i)
+        bits |= static_cast<uint8_t>(*flags.at(i) ? 1U << i : 0);
+    archive(bits);
+    if (bits >= 1U << flags.size())
+        throw cereal::Exception("unknown flag of a report");
+    for (size_t i = 0; i < flags.size(); ++i)
+        *flags.at(i) = (bits >> i & 1U) != 0;
+}
+
 template<class Archive>
 void serialize(Archive &archive, VmReport &report)
 {
     archive(report.vm);
-    flagField(archive, report.isFollowing);
-    flagField(archive, report.isReceiverFollower);
-    durationField(archive, report.nextReportWithin);
-    flagField(archive, report.isHolder);
-    flagField(archive, report.isDraining);
+    reportFlags(archive, report);
+    auto nextReportMicros = static_cast<uint32_t>(report.nextReportWithin.count());
+    archive(nextReportMicros);
+    report.nextReportWithin = Duration(nextReportMicros);
+    timeField(archive, report.sentAt);
+    archive(report.renewal);
     archive(report.configurationVersion, report.knownServers, report.loads, report.holders,
             report.lostVms, report.claims, report.backlog);
 }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -75,6 +75,42 @@
     return vms;
 }
 
+// Leases of offers that were withdrawn are not renewed.
+std::map<std::string, LeaseRenewal> Router::leaseRenewals() const
+{
+    std::map<std::string, LeaseRenewal> renewals;
+    for (const auto &[number, request] : requests_) {
+        if (request.isGivenUp)
+            continue;
+        for (const Part &part : request.parts) {
+            if (!part.isOffered || part.vm.empty() || part.vm == vms_.self().name)
+                continue;
+            std::vector<uint64_t> &numbers = renewals[part.vm].requests;
+            if (numbers.empty() || numbers.back() != number)
+                numbers.push_back(number);
+        }
+    }
+    for (auto &[vm, renewal] : renewals)
+        renewal.lease = leaseAt(vm, handledThrough_);
+    return renewals;
+}
+
+// Returns the latest time at which the caller is known to have been connected.
+Time Router::connectedAt(const Request &request) const
+{
+    return std::max(request.arrived - request.offer.elapsed, handledThrough_);
+}
+
+// Returns a lease that has ended already if the VM is unknown.
+JobLease Router::leaseAt(const std::string &vm, Time connectedAt) const
+{
+    const VmTable::Row *row = vms_.find(vm);
+    if (!row)
+        return {};
+    return {row->report.vm.incarnation,
+            VmTable::clockOf(*row, connectedAt) + options_.resubmission.jobLease()};
+}
+
 void Router::offerWaiting(Time now)
 {
     for (const uint64_t number : std::exchange(waiting_, {})) {
@@ -215,6 +251,8 @@
     Request &request = requests_.at(number);
     Part &part = request.parts[index];
     JobOffer offer = makePartOffer(request, index, now);
+    if (pool.vm != vms_.self().name)
+        offer.lease = leaseAt(pool.vm, connectedAt(request));
     accountForOffer(*pool.load, offer.job);
     part.vm = pool.vm;
     part.isOffered = true;
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -19,6 +19,14 @@
     duration = Duration(count);
 }
 
+template<class Archive>
+void timeField(Archive &archive, Time &time)
+{
+    Duration sinceEpoch = time.time_since_epoch();
+    durationField(archive, sinceEpoch);
+    time = Time(sinceEpoch);
+}
+
 template<class Archive>
 void flagField(Archive &archive, bool &flag)
 {
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -12,6 +12,9 @@
 // as well.
 constexpr Duration lostVmNoticeTime = std::chrono::seconds(5);
 
+// Inverse of the maximum relative drift between the clocks of two VMs.
+constexpr int maxClockDriftInverse = 50;
+
 ServiceLoad *findLoad(std::vector<ServiceLoad> &loads, const std::string &service)
 {
     const auto found = std::find_if(loads.begin(), loads.end(), [&](const ServiceLoad &load) {
@@ -27,7 +30,8 @@
     if (report.vm.name == self_.name)
         return ReportResult::Stale;
     lostAt_.erase(report.vm.name);
-    const auto [entry, isNew] = rows_.try_emplace(report.vm.name, Row {report, now});
+    const Duration clockOffset = report.sentAt - now;
+    const auto [entry, isNew] = rows_.try_emplace(report.vm.name, Row {report, now, clockOffset});
     if (isNew)
         return ReportResult::New;
     Row &row = entry->second;
@@ -37,6 +41,10 @@
     // Only some reports list the holders, so the last list is kept.
     if (report.holders.empty() && !isRestarted)
         report.holders = std::move(row.report.holders);
+    // A report that was delayed for less long gives a better bound. An earlier bound is lowered by
+    // the possible drift since.
+    const Duration drift = (now - row.lastReportAt) / maxClockDriftInverse;
+    row.clockOffset = isRestarted ? clockOffset : std::max(clockOffset, row.clockOffset - drift);
     row.report = std::move(report);
     row.lastReportAt = now;
     return isRestarted ? ReportResult::Restarted : ReportResult::Known;
--- a/tests/pool_lease_test.cpp
+++ b/tests/pool_lease_test.cpp
@@ -21,6 +21,21 @@
     }
 
     bool isRunning(const std::string &task) const { return servers.at("a").running.contains(task); }
+
+    // Returns a job of another VM whose lease ends after the given time.
+    JobOffer makeLeasedOffer(const std::string &id, Duration lease) const
+    {
+        JobOffer offer = makeOffer(id, 1, 14000, seconds(4), seconds(6));
+        offer.lease = JobLease {1, now + lease};
+        return offer;
+    }
+
+    // Advances the server while the process of the pool does not run.
+    void pauseFor(Duration time)
+    {
+        for (const Time end = now + time; now < end; now += milliseconds(1))
+            servers.at("a").advance(now);
+    }
 };
 
 } // namespace
@@ -55,3 +70,65 @@
     world.runFor(resubmitDelay);
     BOOST_TEST(world.runningCount() == 0U);
 }
+
+// Guards against a pool that outlives the VM with the caller's connection, or that never receives
+// its withdrawal.
+BOOST_FIXTURE_TEST_CASE(job_is_stopped_when_its_lease_is_not_renewed, OneServer)
+{
+    const ResubmissionLimits limits;
+    offer(makeLeasedOffer("job1", limits.jobLease()));
+    runFor(limits.jobLease() - milliseconds(50));
+    BOOST_TEST(isRunning("job1.0.0.0"));
+    runFor(milliseconds(50) + ResubmissionLimits::stopAllowance);
+    BOOST_TEST(!isRunning("job1.0.0.0"));
+    BOOST_TEST((resultOf("job1") == JobResult::Abandoned));
+    BOOST_TEST(pool.counters().leasesExpired == 1U);
+}
+
+// Guards against stopping jobs whose callers are still connected.
+BOOST_FIXTURE_TEST_CASE(renewed_lease_keeps_the_job_running, OneServer)
+{
+    const JobOffer offered = makeLeasedOffer("job1", seconds(1));
+    offer(offered);
+    for (int i = 0; i < 30; ++i) {
+        runFor(milliseconds(100));
+        pool.renewLeases(offered.ticket.vm, offered.ticket.incarnation,
+                         {{1, now + seconds(1)}, {offered.ticket.number}});
+    }
+    BOOST_TEST(isRunning("job1.0.0.0"));
+}
+
+// Guards against an offer that was delayed on its way and is started after its caller has repeated
+// it.
+BOOST_FIXTURE_TEST_CASE(offer_that_arrives_after_its_lease_is_refused, OneServer)
+{
+    offer(makeLeasedOffer("job1", Duration::zero()));
+    runFor(milliseconds(100));
+    BOOST_TEST((resultOf("job1") == JobResult::Refused));
+    BOOST_TEST(starts == 0U);
+}
+
+// Guards against a lease of the server that is extended shortly before the pool's process is
+// paused: the pool cannot stop the run, so the run has to end by itself.
+BOOST_FIXTURE_TEST_CASE(run_ends_in_time_while_the_pool_is_paused, OneServer)
+{
+    const ResubmissionLimits limits;
+    offer(makeLeasedOffer("job1", limits.jobLease()));
+    runFor(limits.jobLease() - milliseconds(50));
+    BOOST_TEST(isRunning("job1.0.0.0"));
+    pauseFor(milliseconds(50) + ResubmissionLimits::stopAllowance);
+    BOOST_TEST(!isRunning("job1.0.0.0"));
+}
+
+// Guards against a job that waits in the queue and is started after its lease has ended.
+BOOST_FIXTURE_TEST_CASE(queued_job_is_not_started_after_its_lease, OneServer)
+{
+    offer(makeOffer("job1", 4, 16000, milliseconds(300), seconds(6)));
+    JobOffer waiting = makeLeasedOffer("job2", milliseconds(200));
+    waiting.stretchFactor = 9;
+    offer(waiting);
+    runTimeOf = [](const std::string &) { return Duration(milliseconds(300)); };
+    runFor(seconds(5));
+    BOOST_TEST((resultOf("job2") == JobResult::Refused));
+    BOOST_TEST(!startedJobs.contains("job2"));
+}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -353,3 +353,47 @@
         }
     }
 }
+
+// Guards against leases in the clock of the wrong VM and against a lease that a delayed message
+// prolongs: the pool's clock is 3 s ahead, and reports take 20 ms or longer.
+BOOST_FIXTURE_TEST_CASE(lease_of_an_offer_ends_by_the_clock_of_the_pool, RouterFixture)
+{
+    const Duration ahead = std::chrono::seconds(3);
+    const auto reportAfter = [&](Duration delay) {
+        VmReport report;
+        report.vm = {"far", "dc2", "10.0.0.2:7000", 7};
+        report.sentAt = now + ahead - delay;
+        report.loads.push_back({"work", 10, 8 * taskMilliCores, 0, 300});
+        table.addReport(report, now);
+    };
+    reportAfter(milliseconds(20));
+    now += milliseconds(100);
+    reportAfter(milliseconds(400));
+    submit(1);
+    BOOST_REQUIRE_EQUAL(offers.size(), 1U);
+    const JobLease lease = offers[0].offer.lease.value_or(JobLease {});
+    BOOST_TEST(lease.poolIncarnation == 7U);
+    const Time latest = now + ahead + ResubmissionLimits {}.jobLease();
+    BOOST_TEST((lease.until <= latest - milliseconds(20)));
+    BOOST_TEST((lease.until >= latest - milliseconds(25)));
+}
+
+// Guards against renewals that are not backed by a connected caller: those of withdrawn requests,
+// and those sent at the end of a pause before the events of the pause are handled.
+BOOST_FIXTURE_TEST_CASE(only_open_requests_are_renewed, RouterFixture)
+{
+    report("far", "dc2", 8);
+    submit(1);
+    now += milliseconds(100);
+    router.setHandledThrough(now);
+    now += std::chrono::seconds(2);
+    const auto renewals = router.leaseRenewals();
+    BOOST_REQUIRE_EQUAL(renewals.count("far"), 1U);
+    const LeaseRenewal &renewal = renewals.at("far");
+    BOOST_TEST(renewal.requests == std::vector<uint64_t> {1}, boost::test_tools::per_element());
+    const Duration clockOffset = table.find("far")->clockOffset;
+    const Time handled = now - std::chrono::seconds(2);
+    BOOST_TEST((renewal.lease.until == handled + clockOffset + ResubmissionLimits {}.jobLease()));
+    router.withdraw(1, now);
+    BOOST_TEST(router.leaseRenewals().empty());
+}
