--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -3,6 +3,8 @@
 // acknowledged.
 #pragma once
 
+#include "simulated_server.h"
+
 #include "lovage/pool.h"
 
 #include <boost/test/unit_test.hpp>
@@ -33,73 +35,6 @@
     Duration delay = std::chrono::microseconds(300); // one-way delay of the order and of its answer
 };
 
-struct SimulatedRun
-{
-    std::string task;
-    uint32_t run = 0;
-    Time startedAt;
-    Time endsAt;
-    RunEnd end = RunEnd::Succeeded;
-    uint32_t milliCores = 0;
-    bool hangs = false;
-    std::string checkpoint {}; // checkpoint that the run was resumed from
-};
-
-class SimulatedServer
-{
-public:
-    ServerInfo info;
-    double slowness = 1;
-    bool failsAll = false;
-    bool hangsAll = false;
-    bool isUp = true;
-    bool isReplaced = false;        // another server answers at its address
-    bool resetsConnections = false; // polls fail immediately without an answer
-    uint64_t token = 0;
-    Time leaseUntil {};
-    std::map<std::string, SimulatedRun> running;
-    std::vector<EndedRow> ended;
-    std::map<std::string, uint32_t> highestEndedRuns; // highest ended run, by task
-    uint64_t nextEnd = 1;
-
-    uint32_t usedMilliCores() const
-    {
-        uint32_t sum = 0;
-        for (const auto &[task, run] : running)
-            sum += run.milliCores;
-        return sum;
-    }
-    void endRun(const std::string &task, RunEnd how)
-    {
-        const SimulatedRun run = running.at(task);
-        running.erase(task);
-        ended.push_back({nextEnd++, task, run.run, how});
-        highestEndedRuns[task] = std::max(highestEndedRuns[task], run.run);
-    }
-    void advance(Time now)
-    {
-        std::vector<std::pair<std::string, RunEnd>> due;
-        for (const auto &[task, run] : running) {
-            if (!run.hangs && run.endsAt <= now && run.endsAt <= leaseUntil)
-                due.emplace_back(task, run.end);
-            else if (now > leaseUntil)
-                due.emplace_back(task, RunEnd::Lapsed);
-        }
-        for (const auto &[task, how] : due)
-            endRun(task, how);
-    }
-    // Replaces the process by a new incarnation without any state.
-    void restart()
-    {
-        running.clear();
-        ended.clear();
-        highestEndedRuns.clear();
-        nextEnd = 1;
-        token = 0;
-        ++info.incarnation;
-    }
-};
-
 class PoolWorld
 {
 public:
@@ -331,25 +266,6 @@
         pool.takeLogEntries();
     }
 
-    ServerReading readingOf(const SimulatedServer &server) const
-    {
-        return {toUnixMillis(now), server.info.incarnation};
-    }
-
-    // Applies the checks that are common to all orders. Returns Done if the server executes the
-    // order.
-    OrderResult checkOrder(SimulatedServer &server, uint64_t token, uint64_t incarnation)
-    {
-        if (server.isReplaced)
-            return OrderResult::OtherIncarnation;
-        if (incarnation != 0 && incarnation != server.info.incarnation)
-            return OrderResult::OtherIncarnation;
-        if (token < server.token)
-            return OrderResult::Fenced;
-        server.token = token;
-        return OrderResult::Done;
-    }
-
     void execute(const OrderStart &order)
     {
         const OrderDelivery delivery = this->delivery(order.ref.server);
@@ -363,14 +279,15 @@
             const OrderResult result =
                     delivery.isAnswered ? startResults_[order.ref] : OrderResult::Unknown;
             pool.onStartAnswered(order.ref, result,
-                                 delivery.isAnswered ? readingOf(server) : ServerReading {}, now);
+                                 delivery.isAnswered ? server.readingAt(now) : ServerReading {},
+                                 now);
         });
     }
 
     OrderResult start(SimulatedServer &server, const OrderStart &order)
     {
         const OrderResult result =
-                checkOrder(server, order.token, checksIncarnation ? order.incarnation : 0);
+                server.checkOrder(order.token, checksIncarnation ? order.incarnation : 0);
         if (result != OrderResult::Done)
             return result;
         const Time lease = fromUnixMillis(order.leaseUntilMs);
@@ -421,7 +338,8 @@
                     : server.isUp                           ? OrderResult::Done
                                                             : OrderResult::NotSent;
             pool.onStopAnswered(order.ref, result,
-                                delivery.isAnswered ? readingOf(server) : ServerReading {}, now);
+                                delivery.isAnswered ? server.readingAt(now) : ServerReading {},
+                                now);
         });
     }
 
@@ -459,9 +377,8 @@
     bool isComplete(const WaitingPoll &waiting)
     {
         const auto &server = servers.at(waiting.order.server);
-        const bool hasEnd =
-                !server.ended.empty() && server.ended.back().number > waiting.order.ackedThrough;
-        return !server.isUp || server.resetsConnections || hasEnd || now >= waiting.until;
+        return !server.isUp || server.resetsConnections
+                || server.hasEndAfter(waiting.order.ackedThrough) || now >= waiting.until;
     }
 
     void answerPoll(const WaitingPoll &waiting)
@@ -471,19 +388,12 @@
         reply.server = waiting.order.server;
         reply.result = OrderResult::NotSent;
         if (server.isUp) {
-            reply.result = checkOrder(server, waiting.order.token, 0);
-            reply.reading = readingOf(server);
+            reply.result = server.checkOrder(waiting.order.token, 0);
+            reply.reading = server.readingAt(now);
         }
         if (reply.result == OrderResult::Done) {
-            if (waiting.order.leaseUntilMs > 0)
-                server.leaseUntil =
-                        std::max(server.leaseUntil, fromUnixMillis(waiting.order.leaseUntilMs));
-            std::erase_if(server.ended, [&](const EndedRow &row) {
-                return row.number <= waiting.order.ackedThrough;
-            });
-            for (const auto &[task, run] : server.running)
-                reply.running.push_back({task, run.run, percentOf(run), run.checkpoint});
-            reply.ended = server.ended;
+            server.executePoll(waiting.order);
+            server.listRuns(reply, now);
         }
         if (!waiting.delivery.isAnswered) {
             reply = {};
@@ -499,15 +409,6 @@
         schedule(now + back, [this, reply] { pool.onPollAnswered(reply, now); });
     }
 
-    uint32_t percentOf(const SimulatedRun &run) const
-    {
-        if (run.hangs)
-            return 0;
-        const double share = static_cast<double>((now - run.startedAt).count())
-                / static_cast<double>(std::max<int64_t>((run.endsAt - run.startedAt).count(), 1));
-        return static_cast<uint32_t>(std::min(share, 1.0) * 100);
-    }
-
     PoolOptions options_;
     std::priority_queue<ScheduledEvent> scheduledEvents_;
     uint64_t nextEventNumber_ = 0;
