Start no job whose earlier runs are still being stopped

What callers saw: a task ran on two servers of one pool at one time. The caller repeated its job at the moment at which the pool stopped the runs of the first one.

Cause: the check for a repeated id looked at open jobs only. A withdrawn job is no longer open, but a run ends up to 50 ms after the order to stop, or at the end of its lease if the order is lost.

Change: an offer is also answered "may have run" (already-open) while a server has a run of a job with this id that is not open any more, runs found by a new holder included.

--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -61,7 +61,7 @@
         answer(job, JobResult::Refused, isDraining_ ? "draining" : "paused", now);
         return;
     }
-    if (isDuplicate(job.offer)) {
+    if (isDuplicate(job.offer) || hasLeftoverRuns(id)) {
         // The caller resubmits the job because it lost its connection. The runs of the first
         // submission may not have ended yet, so new runs could overlap with them.
         logEvent("job-repeated", id, fmt::format("vm={}", job.offer.ticket.vm));
@@ -136,6 +136,21 @@
     });
 }
 
+// Returns whether a server may still run a task of a job with this id that is no longer open.
+bool Pool::Implementation::hasLeftoverRuns(const std::string &jobId) const
+{
+    const std::string prefix = jobId + ".";
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        const auto &runs = entry.second.runs();
+        for (auto run = runs.lower_bound(prefix);
+             run != runs.end() && run->first.starts_with(prefix); ++run) {
+            if (!jobs_.contains(run->second.job))
+                return true;
+        }
+        return false;
+    });
+}
+
 void Pool::Implementation::answer(Job &job, JobResult result, std::string reason, Time now,
                                   Duration retryAfter)
 {
