Let a repeated request join the open one on the same VM

The caller's first connection was broken, which the VM had not noticed yet when the repeat arrived on another connection.

Cause: the router knew requests by their number only.

Change: a request whose id is open on this VM joins the open one. Both get the answer, so a ready answer is delivered to the caller that still waits; the offers are withdrawn when the last of them has gone. A different job under the same id is refused as not run (id-in-use).

--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -410,9 +410,12 @@
     void waitForPoolsUntil(Time time) { poolWaitEnd_ = time; }
 
     // Offers the job to a pool. `number` identifies the request and must be unique within this
-    // incarnation of the VM.
+    // incarnation of the VM. If a request of the same job is open, the new one joins it and gets
+    // the same answer: its caller has lost the connection of the open one, and a second offer could
+    // run the job twice.
     void submit(uint64_t number, JobOffer offer, Time now);
-    // Drops the request because its caller has gone, and withdraws its offers from the pools.
+    // Drops the request because its caller has gone. Withdraws its offers from the pools unless
+    // another request has joined it.
     void withdraw(uint64_t number, Time now);
     void onAnswer(const std::string &vm, JobAnswer answer, Time now);
     // Offers the part of the job to another pool, because no byte of the offer reached the VM.
@@ -462,6 +465,8 @@
     {
         JobOffer offer; // as submitted; its times are relative to the arrival
         Time arrived {};
+        // Numbers of the requests that get the answer: this one and those that have joined it.
+        std::vector<uint64_t> callers {};
         std::vector<Part> parts {};
         // Number of parts that have not completed or, once isGivenUp is set, of parts that are
         // offered to a pool which has not answered yet.
@@ -494,6 +499,7 @@
     bool divideByCapabilities(uint64_t number, Time now);
     // Offers the part to its fallback pool. Returns false if there is none.
     bool offerToFallback(uint64_t number, size_t part, Time now);
+    void join(uint64_t number, Request &open, const JobOffer &offer);
     JobLease leaseAt(const std::string &vm, Time connectedAt) const;
     Time connectedAt(const Request &request) const;
     void sendOffer(uint64_t number, size_t part, Candidate pool, Time now);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -54,7 +54,15 @@
 
 void Router::submit(uint64_t number, JobOffer offer, Time now)
 {
+    const auto open = std::find_if(requests_.begin(), requests_.end(), [&](const auto &entry) {
+        return entry.second.offer.job.id == offer.job.id;
+    });
+    if (open != requests_.end()) {
+        join(number, open->second, offer);
+        return;
+    }
     Request request;
+    request.callers.push_back(number);
     request.offer = std::move(offer);
     request.offer.ticket = {vms_.self().name, vms_.self().incarnation, number};
     request.arrived = now;
@@ -63,6 +71,21 @@
     offerWaiting(now);
 }
 
+void Router::join(uint64_t number, Request &open, const JobOffer &offer)
+{
+    const bool isSameJob = open.offer.job == offer.job;
+    logEntries_.push_back({"job-joined", offer.job.id,
+                           fmt::format("number={} open={} same={}", number,
+                                       open.offer.ticket.number, isSameJob)});
+    if (isSameJob) {
+        open.callers.push_back(number);
+        return;
+    }
+    const JobTicket ticket {vms_.self().name, vms_.self().incarnation, number};
+    actions_.emplace_back(
+            Respond {number, {ticket, JobResult::Refused, "id-in-use", options_.retryAfter}});
+}
+
 std::set<std::string> Router::offeredVms() const
 {
     std::set<std::string> vms;
@@ -141,13 +164,20 @@
 
 void Router::withdraw(uint64_t number, Time now)
 {
-    const auto found = requests_.find(number);
+    const auto found = std::find_if(requests_.begin(), requests_.end(), [&](const auto &entry) {
+        const std::vector<uint64_t> &callers = entry.second.callers;
+        return std::find(callers.begin(), callers.end(), number) != callers.end();
+    });
     if (found == requests_.end())
         return;
+    Request &request = found->second;
     logEntries_.push_back(
-            {"caller-gone", found->second.offer.job.id,
-             fmt::format("number={} after_us={}", number, (now - found->second.arrived).count())});
-    withdrawOpenParts(found->second);
+            {"caller-gone", request.offer.job.id,
+             fmt::format("number={} after_us={}", number, (now - request.arrived).count())});
+    std::erase(request.callers, number);
+    if (!request.callers.empty())
+        return;
+    withdrawOpenParts(request);
     requests_.erase(found);
 }
 
@@ -362,8 +392,9 @@
     logEntries_.push_back({"caller-answered", found->second.offer.job.id,
                            fmt::format("number={} result={} reason={}", number, toString(result),
                                        answer.reason)});
+    for (const uint64_t caller : found->second.callers)
+        actions_.emplace_back(Respond {caller, answer});
     requests_.erase(found);
-    actions_.emplace_back(Respond {number, std::move(answer)});
 }
 
 void Router::onAnswer(const std::string &vm, JobAnswer answer, Time now)
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -397,3 +397,47 @@
     router.withdraw(1, now);
     BOOST_TEST(router.leaseRenewals().empty());
 }
+
+// Guards against offering a job a second time, and against losing its answer, when its caller sends
+// it again to the same VM before that VM has noticed that the first connection is closed.
+BOOST_FIXTURE_TEST_CASE(repeated_request_joins_the_open_one, RouterFixture)
+{
+    report("near", "dc1", 8);
+    report("far", "dc2", 30);
+    router.submit(1, makeOffer(1), now);
+    router.submit(2, makeOffer(1), now);
+    router.withdraw(1, now);
+    collect();
+    BOOST_REQUIRE_EQUAL(offers.size(), 1U);
+    BOOST_TEST(withdrawals.empty());
+    answer(offers[0], JobResult::Completed);
+    BOOST_REQUIRE_EQUAL(responses.size(), 1U);
+    BOOST_TEST(responses[0].number == 2U);
+    BOOST_TEST((responses[0].answer.result == JobResult::Completed));
+}
+
+// Guards against an answer to another job that happens to have the same id.
+BOOST_FIXTURE_TEST_CASE(another_job_with_an_open_id_is_refused, RouterFixture)
+{
+    report("near", "dc1", 8);
+    router.submit(1, makeOffer(1), now);
+    router.submit(2, makeOffer(3), now);
+    collect();
+    BOOST_TEST(offers.size() == 1U);
+    BOOST_REQUIRE_EQUAL(responses.size(), 1U);
+    BOOST_TEST(responses[0].number == 2U);
+    BOOST_TEST((responses[0].answer.result == JobResult::Refused));
+}
+
+// Guards against jobs that run on after all of their callers have gone.
+BOOST_FIXTURE_TEST_CASE(job_is_withdrawn_when_its_last_caller_has_gone, RouterFixture)
+{
+    report("near", "dc1", 8);
+    router.submit(1, makeOffer(1), now);
+    router.submit(2, makeOffer(1), now);
+    router.withdraw(2, now);
+    router.withdraw(1, now);
+    collect();
+    BOOST_TEST(withdrawals.size() == 1U);
+    BOOST_TEST(router.openCount() == 0U);
+}
