Withdraw the offers to a lost VM while its address is known

A VM that is taken for lost may be alive. Its row was removed before the withdrawals of its offers were sent, so they had no address (withdrawal-unsent cause=unknown-vm) and the pool ran the jobs on until their leases ended.

Added the case job_survives_the_loss_of_a_connection_to_another_data_centre of fleet_test, which passes with and without this change: a VM reports every 100 ms while it runs jobs of the other one, so the suspicion of 300 ms does not end before a report arrives.

--- a/src/node/node_messages.cpp
+++ b/src/node/node_messages.cpp
@@ -59,9 +59,11 @@
 void NodeLogic::onVmLost(const std::string &vm, std::string_view cause)
 {
     logEvent(LogLevel::Warning, "vm-lost", {{"vm", vm}, {"cause", cause}});
-    vms_.remove(vm, clock_.now());
+    // The VM may be alive, so the offers to it are withdrawn while its address is known.
     router_.onVmLost(vm, clock_.now());
     pool_.withdrawAll(vm, 0, clock_.now());
+    flush();
+    vms_.remove(vm, clock_.now());
     storedJobs_->onVmLost(vm);
     flush();
 }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -349,6 +349,31 @@
     });
 }
 
+// (e) The connection to a pool of another data centre breaks. Such a VM reports every 350 ms, which
+// is longer than the time of suspicion, unless it reports more often while it runs jobs of this VM.
+BOOST_AUTO_TEST_CASE(job_survives_the_loss_of_a_connection_to_another_data_centre)
+{
+    for (const Duration age : offerAges()) {
+        BOOST_TEST_CONTEXT("age of the offer " << age.count() << " us")
+        {
+            FleetWorld world(twoDataCentres);
+            const size_t entry = world.otherVmOf(0);
+            const size_t pool = world.holderOf(1);
+            for (size_t i = 0; i < 30; ++i)
+                world.callers.submit(makeJob(fmt::format("filler{}", i), seconds(3), seconds(6),
+                                             {world.holderOf(0)}));
+            world.time.runFor(milliseconds(400));
+            world.callers.submit(makeJob("job", seconds(1), seconds(4), {entry}));
+            world.time.runFor(age);
+            BOOST_REQUIRE(world.servers.vmRunning("job") == world.vm(pool).name());
+            world.network.resetConnection(world.vm(entry).host(), world.vm(pool).host());
+            world.time.runFor(seconds(4));
+            BOOST_TEST(world.callers.submissions("job") == 1U);
+            checkRules(world);
+        }
+    }
+}
+
 // (f) A cut holds the offer up until its caller has left.
 BOOST_AUTO_TEST_CASE(offer_arrives_after_its_caller_has_left)
 {
