Measure how far an event loop is behind its input

Cause: the time of arrival of a request is the time of reading.

EventLoopLag decides, without I/O, up to which time all input has been handled: at a tick each 50 ms the loop runs turns until one of them runs no handler. The turn is a posted handler, behind which the kernel is asked without waiting, so a wake-up with more than 128 ready descriptors takes the turns it needs.

Ruled out: TCP_INFO's tcpi_last_data_recv, which counts in jiffies and so not while the machine is suspended, and which a simulated network need not fill; and a gap between ticks alone, which ends with the first tick although epoll reports only 128 descriptors a call.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -25,6 +25,39 @@
 std::optional<Endpoint> parseEndpoint(std::string_view text);
 bool isLoopback(const Endpoint &endpoint);
 
+// Tells how far an event loop is behind its input. Without I/O and not thread safe: the loop
+// reports its progress, from its own thread.
+//
+// At each tick the loop begins a round of turns. In one turn it runs the handlers that are queued
+// and then asks the kernel once for ready descriptors, without waiting. A turn in which no handler
+// ran shows that everything that had arrived before the turn has been handled. The kernel reports
+// at most 128 descriptors at a time, so a loop that wakes up with many of them needs several turns.
+class EventLoopLag
+{
+public:
+    // Interval of the ticks. The lag of a loop that is never late is at most this long.
+    static constexpr Duration tickInterval = std::chrono::milliseconds(50);
+
+    explicit EventLoopLag(Time start) : handledThrough_(start) { }
+
+    // Begins a round of turns at a tick.
+    void onTick(Time now);
+    // Reports the end of a turn and the number of handlers that ran in it. Returns whether the
+    // round needs another turn.
+    bool onTurn(size_t handlers, Time now);
+
+    // Input that arrived before this time has been handled.
+    Time handledThrough() const { return handledThrough_; }
+
+private:
+    Time handledThrough_;
+    Time roundStart_ {};
+    // Beginning of the last turn and of the turn before it.
+    Time lastTurn_ {};
+    Time secondLastTurn_ {};
+    size_t turns_ = 0;
+};
+
 // Owns the threads that run socket handlers. Each thread has its own event loop, so all handlers
 // of one connection run on one thread. Servers and clients must be destroyed after stop().
 class IoThreads
@@ -40,6 +73,8 @@
     void post(size_t thread, std::function<void()> function);
     // Runs a function on one of the threads after a delay. Thread safe.
     void postAfter(size_t thread, Duration delay, std::function<void()> function);
+    // Lag of a thread's event loop. Must be used on that thread.
+    const EventLoopLag &lag(size_t thread) const;
     // Stops the event loops and joins the threads. Handlers that have not run are dropped.
     void stop();
 
--- a/src/net/iothreads.cpp
+++ b/src/net/iothreads.cpp
@@ -92,23 +92,51 @@
     return error;
 }
 
-namespace {
+EventLoop::EventLoop() : io_context(1), lag_(currentTime()), tickTimer_(*this)
+{
+    scheduleTick();
+}
 
 // An exception that escapes from a handler affects only the event being handled. The loop
 // continues, because the other connections and timers of the process are independent of that event.
-void runLoop(asio::io_context &context)
+void EventLoop::runHandlers()
 {
     for (;;) {
         try {
-            context.run();
+            while (run_one() > 0)
+                ++handlersRun_;
             return;
         } catch (const std::exception &exception) {
+            ++handlersRun_;
             fmt::print(stderr, "level=error event=handler_failed what=\"{}\"\n", exception.what());
         }
     }
 }
 
-} // namespace
+void EventLoop::scheduleTick()
+{
+    tickTimer_.expires_after(EventLoopLag::tickInterval);
+    tickTimer_.async_wait([this](boost::system::error_code error) {
+        if (error)
+            return;
+        lag_.onTick(currentTime());
+        scheduleTurn();
+    });
+}
+
+// Queues the end of the turn behind the next query of the kernel, which does not wait because the
+// queue is not empty.
+void EventLoop::scheduleTurn()
+{
+    // The running handler is counted when it returns.
+    handlersRunBeforeTurn_ = handlersRun_ + 1;
+    asio::post(*this, [this] {
+        if (lag_.onTurn(handlersRun_ - handlersRunBeforeTurn_, currentTime()))
+            scheduleTurn();
+        else
+            scheduleTick();
+    });
+}
 
 IoThreads::IoThreads(size_t threadCount) : implementation_(std::make_unique<Implementation>())
 {
@@ -119,7 +147,7 @@
         implementation_->guards.push_back(asio::make_work_guard(*contexts.back()));
         implementation_->threads.emplace_back([context = contexts.back().get()] {
             const RcuThread reader;
-            runLoop(*context);
+            context->runHandlers();
         });
     }
 }
@@ -153,6 +181,11 @@
     });
 }
 
+const EventLoopLag &IoThreads::lag(size_t thread) const
+{
+    return contextOf(*implementation_, thread).lag();
+}
+
 void IoThreads::stop()
 {
     for (auto &guard : implementation_->guards)
--- a/src/net/iothreads.h
+++ b/src/net/iothreads.h
@@ -6,6 +6,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <thread>
@@ -18,8 +19,20 @@
 class EventLoop : public boost::asio::io_context
 {
 public:
-    EventLoop() : io_context(1) { }
+    EventLoop();
+    // Runs handlers until the loop is stopped.
+    void runHandlers();
     void dropHandlers() { shutdown(); }
+    const EventLoopLag &lag() const { return lag_; }
+
+private:
+    void scheduleTick();
+    void scheduleTurn();
+
+    EventLoopLag lag_;
+    boost::asio::steady_timer tickTimer_;
+    size_t handlersRun_ = 0;
+    size_t handlersRunBeforeTurn_ = 0;
 };
 
 struct IoThreads::Implementation
@@ -32,10 +45,13 @@
 };
 
 // The event loop of one thread.
-inline boost::asio::io_context &contextOf(IoThreads &threads, size_t thread)
+inline EventLoop &contextOf(const IoThreads::Implementation &threads, size_t thread)
+{
+    return *threads.contexts[thread % threads.contexts.size()];
+}
+inline EventLoop &contextOf(IoThreads &threads, size_t thread)
 {
-    auto &contexts = threads.implementation().contexts;
-    return *contexts[thread % contexts.size()];
+    return contextOf(threads.implementation(), thread);
 }
 
 // Opens a listening TCP socket.
