Tell how long a request may have waited unread

Cause: HttpServer gave no age with a request, so everything counted from the reading of it.

HttpRequest::waited is an upper bound from the lag of the event loop. A connection keeps its own bound while the loop does not wait for its input: in the accept queue of another thread, and for bytes that arrive behind a request that is being answered.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -108,6 +108,9 @@
     std::vector<HttpHeader> headers;
     std::string body;
     std::shared_ptr<DisconnectSignal> disconnect {}; // set by HttpServer only
+    // Time for which the last byte of the request may have waited unread on this VM, as an upper
+    // bound. Exceeds the true time by EventLoopLag::tickInterval or more. Set by HttpServer only.
+    Duration waited {};
 
     // Value of the first header with this name, ignoring case; empty if absent.
     std::string_view header(std::string_view name) const;
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -31,6 +31,8 @@
     { }
 
     void accept();
+    void acceptPending();
+    void openConnection(asio::ip::tcp::socket socket, const EventLoopLag &lag);
     void closeAfterAnswers() { isClosing_ = true; }
     void closeIdle();
     // `close` may be called from any thread while the connection is idle.
@@ -74,6 +76,9 @@
 
 namespace {
 
+// Thread that accepts connections. They are shared between all threads.
+constexpr size_t acceptThread = 0;
+
 // Response status, code and reason for a request that could not be read.
 struct ParseFailure
 {
@@ -104,8 +109,11 @@
 class HttpConnection : public std::enable_shared_from_this<HttpConnection<Server>>
 {
 public:
-    HttpConnection(asio::ip::tcp::socket socket, std::shared_ptr<Server> server)
-        : stream_(std::move(socket)), server_(std::move(server)), readTimer_(stream_.get_executor())
+    // The connection may have waited in the accept queue since `pendingSince`, with a request.
+    HttpConnection(asio::ip::tcp::socket socket, std::shared_ptr<Server> server,
+                   const EventLoopLag &lag, Time pendingSince)
+        : stream_(std::move(socket)), server_(std::move(server)), lag_(lag),
+          readTimer_(stream_.get_executor()), unreadSince_(pendingSince)
     {
         server_->stats().connections.fetch_add(1, std::memory_order_relaxed);
     }
@@ -122,10 +130,13 @@
         parser_.emplace();
         parser_->body_limit(server_->limits().maxBodyBytes);
         parser_->header_limit(static_cast<uint32_t>(server_->limits().maxHeaderBytes));
+        isReading_ = true;
         if (buffer_.size() > 0) {
             readWholeRequest();
             return;
         }
+        if (unreadSince_ && peek() == PeekResult::Empty)
+            unreadSince_.reset();
         server_->registerIdle(this, [weak = this->weak_from_this()] {
             if (const auto self = weak.lock())
                 asio::post(self->stream_.get_executor(), [self] { self->closeIfIdle(); });
@@ -168,6 +179,11 @@
 
     void finishRead(error_code error)
     {
+        isReading_ = false;
+        const Time arrivedAfter = unreadSince_.value_or(lag_.handledThrough());
+        unreadSince_.reset();
+        if (buffer_.size() > 0)
+            unreadSince_ = arrivedAfter; // the next request has arrived together with this one
         if (error) {
             rejectRequest(error);
             return;
@@ -182,6 +198,7 @@
             request.headers.push_back(
                     {std::string(field.name_string()), std::string(field.value())});
         request.body = std::move(message.body());
+        request.waited = currentTime() - arrivedAfter;
         disconnect_ = std::make_shared<DisconnectSignal>();
         request.disconnect = disconnect_;
         watchForDisconnect();
@@ -204,29 +221,45 @@
         stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
                                     [self = this->shared_from_this()](error_code error) {
                                         self->isWatching_ = false;
-                                        if (error || !self->disconnect_)
-                                            return;
-                                        self->handleReadable();
+                                        if (!error && !self->isReading_)
+                                            self->handleReadable();
                                     });
     }
 
+    // Handles input that arrived while no read is pending.
     void handleReadable()
     {
-        char byte = 0;
-        const auto count =
-                recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool isPending = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (count > 0)
-            return;
-        if (isPending) {
+        const PeekResult result = peek();
+        if (result == PeekResult::Empty) {
             watchForDisconnect();
             return;
         }
+        if (!unreadSince_)
+            unreadSince_ = lag_.handledThrough();
+        if (result == PeekResult::Data || !disconnect_)
+            return;
         const auto signal = std::move(disconnect_);
         if (signal->onClosed)
             signal->onClosed();
     }
 
+    enum class PeekResult {
+        Empty,
+        Data,
+        Closed, // the client has closed the connection, or it is broken
+    };
+
+    PeekResult peek()
+    {
+        char byte = 0;
+        const auto count =
+                recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (count > 0)
+            return PeekResult::Data;
+        const bool isEmpty = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+        return isEmpty ? PeekResult::Empty : PeekResult::Closed;
+    }
+
     void rejectRequest(error_code error)
     {
         if (hasReadTimedOut_)
@@ -285,12 +318,17 @@
 
     beast::tcp_stream stream_;
     std::shared_ptr<Server> server_;
+    const EventLoopLag &lag_; // of the thread of this connection
     asio::steady_timer readTimer_;
     bool hasReadTimedOut_ = false;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
     http::response<http::string_body> response_;
     std::shared_ptr<DisconnectSignal> disconnect_;
+    // Input that is not read yet arrived after this time. Unset if a read or a wait is pending
+    // since the socket was empty; then the lag of the loop is the bound.
+    std::optional<Time> unreadSince_;
+    bool isReading_ = false;
     bool isWatching_ = false;
     bool isIdle_ = false; // between two requests
     bool keepAlive_ = true;
@@ -298,29 +336,48 @@
 
 void HttpServer::Implementation::accept()
 {
-    auto &context = contextOf(threads_, nextThread_++);
-    acceptor_.async_accept(
-            context, [self = shared_from_this()](error_code error, asio::ip::tcp::socket socket) {
-                if (self->isStopping() || error == asio::error::operation_aborted)
-                    return;
-                if (!error) {
-                    self->stats_.accepted.fetch_add(1, std::memory_order_relaxed);
-                    if (self->stats_.connections.load(std::memory_order_relaxed)
-                        >= self->limits_.maxConnections) {
-                        self->stats_.rejectedConnections.fetch_add(1, std::memory_order_relaxed);
-                    } else {
-                        error_code ignored;
-                        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-                        const auto executor = socket.get_executor();
-                        asio::post(executor, [self, socket = std::move(socket)]() mutable {
-                            std::make_shared<HttpConnection<Implementation>>(std::move(socket),
-                                                                             self)
-                                    ->readRequest();
-                        });
-                    }
-                }
-                self->accept();
-            });
+    acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read,
+                         [self = shared_from_this()](error_code error) {
+                             if (self->isStopping() || error == asio::error::operation_aborted)
+                                 return;
+                             self->acceptPending();
+                             self->accept();
+                         });
+}
+
+// Takes all connections that wait. If each took a turn of the event loop, a VM that wakes up with
+// hundreds of them would read the last one long after it has read newer requests.
+void HttpServer::Implementation::acceptPending()
+{
+    for (int i = 0; i < asio::socket_base::max_listen_connections; ++i) {
+        EventLoop &loop = contextOf(threads_, nextThread_);
+        asio::ip::tcp::socket socket(loop);
+        error_code error;
+        acceptor_.accept(socket, error);
+        if (error)
+            return;
+        ++nextThread_;
+        openConnection(std::move(socket), loop.lag());
+    }
+}
+
+void HttpServer::Implementation::openConnection(asio::ip::tcp::socket socket,
+                                                const EventLoopLag &lag)
+{
+    stats_.accepted.fetch_add(1, std::memory_order_relaxed);
+    if (stats_.connections.load(std::memory_order_relaxed) >= limits_.maxConnections) {
+        stats_.rejectedConnections.fetch_add(1, std::memory_order_relaxed);
+        return;
+    }
+    error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto executor = socket.get_executor();
+    // The connection is counted here, before its thread runs, so that the limit holds for all
+    // connections that are taken at once.
+    const auto connection = std::make_shared<HttpConnection<Implementation>>(
+            std::move(socket), shared_from_this(), lag,
+            threads_.lag(acceptThread).handledThrough());
+    asio::post(executor, [connection] { connection->readRequest(); });
 }
 
 void HttpServer::Implementation::closeIdle()
@@ -361,9 +418,10 @@
                                                        HttpLimits limits, Handler handler,
                                                        ErrorBody errorBody)
 {
-    auto acceptor = openAcceptor(contextOf(threads, 0), endpoint);
+    auto acceptor = openAcceptor(contextOf(threads, acceptThread), endpoint);
     if (!acceptor)
         return acceptor.error();
+    acceptor.value().non_blocking(true);
     auto implementation = std::make_shared<Implementation>(
             threads, std::move(acceptor.value()), limits, std::move(handler), std::move(errorBody));
     implementation->accept();
