Refuse requests that waited too long unread

Its deadline was counted from the reading.

Node::submit() takes the time for which the request may have waited. Past the deadline, or after more than half of resubmitDelayMs, the request is refused as not run (job-refused cause=stale-request, lovage_stale_requests_total).

The VMs of the fixture have a thread each now, so that one of them can stall alone.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -105,6 +105,12 @@
     JournalPort &journal;
 };
 
+struct RequestTiming
+{
+    Duration deadline {}; // time for which the caller waits, counted from its request
+    Duration waited {};   // HttpRequest::waited
+};
+
 // Single-threaded: all calls and callbacks take place on thread 0 of the I/O threads.
 class Node
 {
@@ -128,7 +134,12 @@
     void setPeers(const std::vector<VmInfo> &peers);
 
     // Runs a job for a caller that waits for the answer. Returns the number of the request.
-    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond);
+    //
+    // A request that may have waited for half of the resubmit delay, or past its deadline, is
+    // refused: its caller may have left and submitted the job through another VM. The other half is
+    // for the time until a close of the connection is noticed and the job is withdrawn.
+    uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                    JobCallback respond);
     // Withdraws a request whose caller has closed its connection.
     void withdraw(uint64_t number);
 
--- a/src/node/job_metrics.cpp
+++ b/src/node/job_metrics.cpp
@@ -21,6 +21,8 @@
 
 JobMetrics::JobMetrics(Metrics &metrics)
     : submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
+      stale_(metrics.counter("lovage_stale_requests_total",
+                             "jobs refused because their requests may have waited too long")),
       latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
 {
     for (size_t result = 0; result < resultCount; ++result) {
--- a/src/node/job_metrics.h
+++ b/src/node/job_metrics.h
@@ -16,6 +16,7 @@
     explicit JobMetrics(Metrics &metrics);
 
     void recordSubmitted() { submitted_.add(); }
+    void recordStale() { stale_.add(); }
     void recordAnswered(JobResult result, size_t tasks, Duration latency);
 
 private:
@@ -23,6 +24,7 @@
     static constexpr size_t taskCountClasses = 4;
 
     Counter &submitted_;
+    Counter &stale_;
     std::array<std::array<Counter *, taskCountClasses>, resultCount> answered_ {};
     LatencyHistogram &latency_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -21,6 +21,8 @@
 // Retry-after time of a job that is refused while draining. Another VM can take the job
 // immediately.
 constexpr Duration drainingRetryAfter = std::chrono::seconds(1);
+// Retry-after time of a job that is refused because its request waited too long.
+constexpr Duration staleRetryAfter = std::chrono::seconds(1);
 constexpr Duration busyTickInterval = std::chrono::milliseconds(10);
 constexpr Duration idleTickInterval = std::chrono::milliseconds(50);
 // A longer gap between two ticks means that the process was paused.
@@ -42,6 +44,13 @@
     return options;
 }
 
+// Returns the time by which the event loop was late for a request, without the inaccuracy of the
+// bound on a loop that is in time.
+Duration latenessOf(const RequestTiming &timing)
+{
+    return std::max(timing.waited - EventLoopLag::tickInterval, Duration::zero());
+}
+
 VmInfo vmInfo(const NodeSettings &settings, Time now)
 {
     return {settings.name, settings.dataCentre, toString(settings.peer),
@@ -122,9 +131,16 @@
     }
     node::StoredJobs &storedJobs() { return storedJobs_; }
 
-    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond)
+    uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                    JobCallback respond)
     {
         metrics_.recordSubmitted();
+        const Duration lateness = latenessOf(timing);
+        const Duration deadline = timing.deadline - lateness;
+        if (timing.waited > staleRequestLimit() || deadline <= Duration::zero()) {
+            refuseStaleRequest(job.id, timing, respond);
+            return 0;
+        }
         if (isDraining_ && currentTime() + deadline > drainingSince_ + settings_.stopLimit) {
             // The job might not be answered before this process is killed.
             logEvent(LogLevel::Info, "job-refused", {{"job", job.id}, {"cause", "draining"}});
@@ -135,13 +151,16 @@
         JobOffer offer;
         offer.stretchFactor = queue.stretchFactor;
         offer.objectiveSlack = queue.objectiveSlack;
+        offer.elapsed = lateness;
         offer.deadline = deadline;
         offer.queue = queue.name;
         offer.service = queue.service;
         offer.priority = queue.priority;
         offer.attempts = queue.attempts;
         offer.job = std::move(job);
-        callers_.emplace(number, Caller {std::move(respond), currentTime(), taskCount(offer.job)});
+        callers_.emplace(
+                number,
+                Caller {std::move(respond), currentTime() - lateness, taskCount(offer.job)});
         router_.setOwnLoad(pool_.load(currentTime()));
         router_.submit(number, std::move(offer), currentTime());
         flush();
@@ -261,6 +280,23 @@
         size_t tasks = 0;
     };
 
+    Duration staleRequestLimit() const { return settings_.resubmitDelay / 2; }
+
+    void refuseStaleRequest(const std::string &job, const RequestTiming &timing,
+                            const JobCallback &respond)
+    {
+        using std::chrono::duration_cast;
+        using std::chrono::milliseconds;
+        logEvent(LogLevel::Warning, "job-refused",
+                 {{"job", job},
+                  {"cause", "stale-request"},
+                  {"waited_ms", duration_cast<milliseconds>(timing.waited).count()},
+                  {"limit_ms", duration_cast<milliseconds>(staleRequestLimit()).count()},
+                  {"deadline_ms", duration_cast<milliseconds>(timing.deadline).count()}});
+        metrics_.recordStale();
+        respond({{}, JobResult::Refused, "stale-request", staleRetryAfter});
+    }
+
     void onPeerMessage(VmReport report)
     {
         const std::string vm = report.vm.name;
@@ -543,9 +579,10 @@
     implementation_->peers().addContacts(peers);
 }
 
-uint64_t Node::submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond)
+uint64_t Node::submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                      JobCallback respond)
 {
-    return implementation_->submit(std::move(job), queue, deadline, std::move(respond));
+    return implementation_->submit(std::move(job), queue, timing, std::move(respond));
 }
 
 void Node::withdraw(uint64_t number)
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -13,6 +13,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <future>
 #include <thread>
 
 using namespace lovage;
@@ -40,7 +41,7 @@
 // One VM: a node with the platform adapter, connected as in the daemon.
 struct Vm
 {
-    Vm(IoThreads &threads, const std::string &name, uint16_t port, const Endpoint &storeAddress,
+    Vm(const std::string &name, uint16_t port, const Endpoint &storeAddress,
        const std::vector<Endpoint> &seeds)
         : store(threads, storeAddress), shardGroup(store, "shards-z", "shards", name),
           keeperGroup(store, "keepers", "jobs", name), journal(store),
@@ -89,12 +90,26 @@
         node->setServers(list);
     }
     Result<HttpResponse> send(const std::string &method, const std::string &target,
-                              const std::string &body = {}) const
+                              const std::string &body = {},
+                              std::vector<HttpHeader> headers = {}) const
     {
-        return sendHttp({"127.0.0.1", http->port()},
-                        {method, target, {{"Host", "work.example"}}, body}, milliseconds(5000));
+        headers.push_back({"Host", "work.example"});
+        return sendHttp({"127.0.0.1", http->port()}, {method, target, std::move(headers), body},
+                        milliseconds(5000));
     }
 
+    // Keeps the VM from running anything, as if its process were paused. Returns once it has begun.
+    void stall(Duration duration)
+    {
+        std::promise<void> begun;
+        threads.post(0, [&begun, duration] {
+            begun.set_value();
+            std::this_thread::sleep_for(duration);
+        });
+        begun.get_future().get();
+    }
+
+    IoThreads threads {1};
     Metrics metrics;
     platform::Store store;
     platform::StoreGroup shardGroup;
@@ -118,10 +133,14 @@
         store.put("keyed.servers", "odd", "\xff not json");
         const auto [first, second] = freePorts();
         const std::vector<Endpoint> seeds {{"127.0.0.1", first}, {"127.0.0.1", second}};
-        vm1 = std::make_unique<Vm>(threads, "vm1", first, store.endpoint(), seeds);
-        vm2 = std::make_unique<Vm>(threads, "vm2", second, store.endpoint(), seeds);
+        vm1 = std::make_unique<Vm>("vm1", first, store.endpoint(), seeds);
+        vm2 = std::make_unique<Vm>("vm2", second, store.endpoint(), seeds);
+    }
+    ~Deployment()
+    {
+        vm1->threads.stop();
+        vm2->threads.stop();
     }
-    ~Deployment() { threads.stop(); }
 
     static std::string job(uint32_t count)
     {
@@ -157,7 +176,6 @@
     FakeStore store {platformThreads};
     FakeExecutor executor1 {platformThreads, "e1", milliseconds(60)};
     FakeExecutor executor2 {platformThreads, "e2", milliseconds(60)};
-    IoThreads threads {1};
     std::unique_ptr<Vm> vm1;
     std::unique_ptr<Vm> vm2;
 };
@@ -275,3 +293,46 @@
         std::this_thread::sleep_for(milliseconds(5));
     BOOST_TEST(executor1.stops() + executor2.stops() == 4U);
 }
+
+// Guards against a second run of a task at one time: a VM that was paused reads a request whose
+// caller may have sent it through another VM meanwhile, and its close need not have arrived.
+BOOST_FIXTURE_TEST_CASE(request_that_waited_too_long_starts_nothing, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000e1") == 200);
+    BOOST_TEST(submitUntilServed(*vm2, "00000000000000e2") == 200);
+    // One of the two holds the servers, the other one offers its jobs to it.
+    for (Vm *vm : {vm1.get(), vm2.get()}) {
+        const std::string id = "00000000000000f" + std::to_string(vm == vm1.get() ? 1 : 2);
+        vm->stall(milliseconds(800));
+        const auto response = vm->send("POST", "/a/" + id, job(2));
+        BOOST_REQUIRE(response.has_value());
+        BOOST_TEST(response.value().status == 503);
+        BOOST_TEST(response.value().body.find("not-run") != std::string::npos);
+        BOOST_TEST(response.value().body.find("stale-request") != std::string::npos);
+        BOOST_TEST(!response.value().header("Retry-After").empty());
+        BOOST_TEST(startsOf(id) == 0U);
+        BOOST_TEST(vm->metrics.prometheusText().find("lovage_stale_requests_total 1")
+                   != std::string::npos);
+    }
+}
+
+// Guards against requests that are refused after a short stall, and against a deadline that is
+// counted from the reading of the request.
+BOOST_FIXTURE_TEST_CASE(request_that_waited_briefly_is_served_within_its_deadline, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000e1") == 200);
+    BOOST_TEST(submitUntilServed(*vm2, "00000000000000e2") == 200);
+    for (Vm *vm : {vm1.get(), vm2.get()}) {
+        const std::string suffix = vm == vm1.get() ? "1" : "2";
+        vm->stall(milliseconds(250));
+        const auto served = vm->send("POST", "/a/00000000000000f" + suffix, job(2));
+        BOOST_REQUIRE(served.has_value());
+        BOOST_TEST(served.value().status == 200);
+        vm->stall(milliseconds(400));
+        const auto late = vm->send("POST", "/a/00000000000000c" + suffix, job(2),
+                                   {{"Lovagedeal-Deadline-Ms", "300"}});
+        BOOST_REQUIRE(late.has_value());
+        BOOST_TEST(late.value().status == 503);
+        BOOST_TEST(startsOf("00000000000000c" + suffix) == 0U);
+    }
+}
