Drop requests whose callers have closed their connections

What callers could see: tasks ran for callers that had left.

HttpServer peeks at the connection before the request is handled. A closed or broken one means that the request is dropped, logged (request-abandoned) and counted (lovage_abandoned_requests). One more system call for a request. A client that half-closes its connection after the request gets no response; before, its job was withdrawn.

Before, with a stall of 0.25 s during which the caller sends and leaves:

request_of_a_caller_that_has_left_starts_nothing: check startsOf(id) == 0U has failed [2 != 0] request_of_a_closed_connection_is_not_handled: check server.handledCount() == handledBefore + 1 has failed [102 != 101]

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -147,7 +147,8 @@
     std::atomic<uint64_t> accepted = 0;
     std::atomic<uint64_t> rejectedConnections = 0; // above maxConnections
     std::atomic<uint64_t> requests = 0;
-    std::atomic<uint64_t> badRequests = 0; // malformed, too large or not received in time
+    std::atomic<uint64_t> badRequests = 0;       // malformed, too large or not received in time
+    std::atomic<uint64_t> abandonedRequests = 0; // the client had closed the connection already
 };
 
 // HTTP/1.1 server. The server itself answers malformed, oversized and slow requests with 4xx; they
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,5 +1,7 @@
 #include "iothreads.h"
 
+#include "lovage/telemetry.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -199,6 +201,10 @@
                     {std::string(field.name_string()), std::string(field.value())});
         request.body = std::move(message.body());
         request.waited = currentTime() - arrivedAfter;
+        if (peek() == PeekResult::Closed) {
+            dropRequest(request);
+            return;
+        }
         disconnect_ = std::make_shared<DisconnectSignal>();
         request.disconnect = disconnect_;
         watchForDisconnect();
@@ -211,6 +217,18 @@
                         });
     }
 
+    // A request whose client has closed the connection is not handled: nobody waits for the
+    // response, and the client may have sent the request to another server meanwhile.
+    void dropRequest(const HttpRequest &request)
+    {
+        server_->stats().abandonedRequests.fetch_add(1, std::memory_order_relaxed);
+        logEvent(LogLevel::Info, "request-abandoned",
+                 {{"method", request.method},
+                  {"target", request.target},
+                  {"waited_us", request.waited.count()}});
+        stream_.close();
+    }
+
     // At most one wait is pending. It also completes when the next request arrives;
     // handleReadable() peeks at the socket to distinguish that from a closed connection.
     void watchForDisconnect()
--- a/tests/http_server_age_test.cpp
+++ b/tests/http_server_age_test.cpp
@@ -248,3 +248,29 @@
     for (const auto &[target, arrival] : arrivals)
         BOOST_TEST((server.waitFor(target).waited < 500ms));
 }
+
+// Guards against the work of callers that have left: the requests and the closes of their
+// connections are read together.
+BOOST_AUTO_TEST_CASE(request_of_a_closed_connection_is_not_handled)
+{
+    RecordingServer server;
+    Callers kept = connectCallers(server, 100);
+    for (size_t i = 0; i < kept.size(); ++i) {
+        kept[i]->send("/first" + std::to_string(i));
+        kept[i]->awaitResponse();
+    }
+    const size_t handledBefore = server.handledCount();
+    server.stall(200ms);
+    Callers fresh = connectCallers(server, 100);
+    for (const Callers *callers : {&kept, &fresh}) {
+        for (const auto &caller : *callers) {
+            caller->send("/abandoned");
+            caller->close();
+        }
+    }
+    Caller last(server);
+    last.send("/last");
+    last.awaitResponse();
+    BOOST_TEST(server.handledCount() == handledBefore + 1);
+    BOOST_TEST(server.server->stats().abandonedRequests == kept.size() + fresh.size());
+}
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -90,12 +90,12 @@
         node->setServers(list);
     }
     Result<HttpResponse> send(const std::string &method, const std::string &target,
-                              const std::string &body = {},
-                              std::vector<HttpHeader> headers = {}) const
+                              const std::string &body = {}, std::vector<HttpHeader> headers = {},
+                              Duration timeout = milliseconds(5000)) const
     {
         headers.push_back({"Host", "work.example"});
         return sendHttp({"127.0.0.1", http->port()}, {method, target, std::move(headers), body},
-                        milliseconds(5000));
+                        timeout);
     }
 
     // Keeps the VM from running anything, as if its process were paused. Returns once it has begun.
@@ -316,6 +316,22 @@
     }
 }
 
+// Guards against tasks that start for a caller that has closed its connection: the close is read
+// behind the request.
+BOOST_FIXTURE_TEST_CASE(request_of_a_caller_that_has_left_starts_nothing, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000e1") == 200);
+    BOOST_TEST(submitUntilServed(*vm2, "00000000000000e2") == 200);
+    for (Vm *vm : {vm1.get(), vm2.get()}) {
+        const std::string id = "00000000000000f" + std::to_string(vm == vm1.get() ? 1 : 2);
+        vm->stall(milliseconds(250));
+        const auto response = vm->send("POST", "/a/" + id, job(2), {}, milliseconds(50));
+        BOOST_TEST(!response.has_value());
+        std::this_thread::sleep_for(milliseconds(500));
+        BOOST_TEST(startsOf(id) == 0U);
+    }
+}
+
 // Guards against requests that are refused after a short stall, and against a deadline that is
 // counted from the reading of the request.
 BOOST_FIXTURE_TEST_CASE(request_that_waited_briefly_is_served_within_its_deadline, Deployment)
