Accept the first pending connection as before

async_accept() tries to accept when it is armed, so a connection that arrives between the last accept of a batch and the wait is never missed, whatever an emulated epoll does when a wait is armed on a descriptor that is ready. The rest of the batch is taken as before. No new test: on Linux both are right, wake_up_with_hundreds_of_connections covers the batch.

--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -354,13 +354,18 @@
 
 void HttpServer::Implementation::accept()
 {
-    acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read,
-                         [self = shared_from_this()](error_code error) {
-                             if (self->isStopping() || error == asio::error::operation_aborted)
-                                 return;
-                             self->acceptPending();
-                             self->accept();
-                         });
+    EventLoop &loop = contextOf(threads_, nextThread_);
+    acceptor_.async_accept(
+            loop,
+            [self = shared_from_this(), &loop](error_code error, asio::ip::tcp::socket socket) {
+                if (self->isStopping() || error == asio::error::operation_aborted)
+                    return;
+                if (!error) {
+                    self->openConnection(std::move(socket), loop.lag());
+                    self->acceptPending();
+                }
+                self->accept();
+            });
 }
 
 // Takes all connections that wait. If each took a turn of the event loop, a VM that wakes up with
@@ -374,7 +379,6 @@
         acceptor_.accept(socket, error);
         if (error)
             return;
-        ++nextThread_;
         openConnection(std::move(socket), loop.lag());
     }
 }
@@ -382,6 +386,7 @@
 void HttpServer::Implementation::openConnection(asio::ip::tcp::socket socket,
                                                 const EventLoopLag &lag)
 {
+    ++nextThread_;
     stats_.accepted.fetch_add(1, std::memory_order_relaxed);
     if (stats_.connections.load(std::memory_order_relaxed) >= limits_.maxConnections) {
         stats_.rejectedConnections.fetch_add(1, std::memory_order_relaxed);
