Give batches of stored tasks a limit to their start

A batch has no age: a pool that reads it 4 to 8 s late starts tasks that the keeper has given to another pool or that were cancelled. And a pool started a later run of a task beside an earlier one on another of its servers, when both batches arrived late.

Change: a batch carries the time on the pool's clock after which nothing of it is started, 1 s after it was sent; the tasks are then reported as not started. Each resend gets a new time. A pool that still has an earlier run of a task stops it and reports the later one as not started.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -210,6 +210,7 @@
         Duration resendInterval;
     };
     void resendBatches(Time now);
+    Time startByFor(const std::string &vm, Time now) const;
 
     KeeperOptions options_;
     VmTable &vms_;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -141,6 +141,9 @@
     // Incarnation of the VM with the pool. A process that started later ignores the batch: it
     // cannot know whether the tasks still run.
     uint64_t poolIncarnation = 0;
+    // Time on the clock of the pool's VM after which the pool does not start the tasks. The keeper
+    // may have given them to another pool by then.
+    Time startBy = Time::max();
     std::string job;
     std::string payload;
     std::string queue;
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -21,6 +21,9 @@
 // Interval at which an unanswered batch is resent. It doubles with each resend up to the maximum.
 constexpr Duration initialResendInterval = std::chrono::seconds(1);
 constexpr Duration maxResendInterval = std::chrono::seconds(8);
+// Time after which a pool does not start the tasks of a batch. It is at most the first resend
+// interval, and less than the time after which the tasks of a lost pool are started elsewhere.
+constexpr Duration batchValidity = std::chrono::seconds(1);
 // Batch size for tasks that occupy no cores.
 constexpr size_t zeroCoreBatchSize = 20;
 
@@ -162,6 +165,7 @@
                     partition.epoch()};
     const VmTable::Row *row = vms_.find(vm);
     batch.poolIncarnation = row ? row->report.vm.incarnation : vms_.self().incarnation;
+    batch.startBy = startByFor(vm, now);
     batch.job = job.spec().id;
     batch.payload = job.spec().payload;
     batch.queue = job.queueParameters().queue;
@@ -194,6 +198,16 @@
     actions_.emplace_back(SendBatch {vm, std::move(batch)});
 }
 
+// Returns the end of the validity of a batch on the clock of the VM. A batch to a VM that is not
+// known any more has no validity.
+Time JobKeeper::startByFor(const std::string &vm, Time now) const
+{
+    if (vm == vms_.self().name)
+        return now + batchValidity;
+    const VmTable::Row *row = vms_.find(vm);
+    return row ? VmTable::clockOf(*row, now) + batchValidity : Time {};
+}
+
 void JobKeeper::resendBatches(Time now)
 {
     while (!sentBatches_.empty() && sentBatches_.begin()->first <= now) {
@@ -211,6 +225,7 @@
         });
         if (sent.batch.tasks.empty())
             continue;
+        sent.batch.startBy = startByFor(sent.vm, now);
         if (isAuthoritative(*partition, now))
             actions_.emplace_back(SendBatch {sent.vm, sent.batch});
         sent.resendInterval = std::min(sent.resendInterval * 2, maxResendInterval);
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -149,6 +149,7 @@
     pool::Timetable makeTimetable(const std::string &service, Time now);
     std::vector<pool::ServerTimetable *> planBatch(const TaskBatch &batch, Duration predicted,
                                                    pool::Timetable &timetable, Time now) const;
+    bool stopEarlierRuns(const std::string &task, uint32_t before, Time now);
     void orderStoredRun(Server &server, const TaskBatch &batch, const TaskStart &start,
                         Duration predicted, Time now);
     void orderRun(Server &server, const std::string &task, pool::Run run, std::string payload,
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -97,9 +97,14 @@
         return; // the batch is a repetition
     const Duration predicted = model_.predict(batch.queue, batch.step.estimate);
     pool::Timetable timetable;
-    if (isCurrent && !isDraining_ && now >= startsHeldUntil_)
+    const bool isLate = now >= batch.startBy;
+    if (isCurrent && !isLate && !isDraining_ && now >= startsHeldUntil_)
         timetable = makeTimetable(batch.service, now);
-    const auto places = planBatch(batch, predicted, timetable, now);
+    auto places = planBatch(batch, predicted, timetable, now);
+    for (size_t i = 0; i < places.size(); ++i) {
+        if (stopEarlierRuns(nameOf(batch, batch.tasks[i]), batch.tasks[i].run, now))
+            places[i] = nullptr;
+    }
     const bool isWhole = std::find(places.begin(), places.end(), nullptr) == places.end();
     size_t started = 0;
     for (size_t i = 0; i < batch.tasks.size(); ++i) {
@@ -115,10 +120,26 @@
     logEvent(
             "batch-started", batch.job,
             fmt::format("step={} occurrence={} tasks={} started={} keeper={} partition={} epoch={} "
-                        "servers={}",
+                        "servers={} late={}",
                         batch.stepNumber, batch.occurrence, batch.tasks.size(), started,
                         batch.keeper.vm, batch.keeper.partition, batch.keeper.epoch,
-                        timetable.size()));
+                        timetable.size(), isLate));
+}
+
+// Stops the runs of the task before the given one, which the keeper takes for ended. Returns
+// whether any run of the task is left on a server.
+bool Pool::Implementation::stopEarlierRuns(const std::string &task, uint32_t before, Time now)
+{
+    bool hasRuns = false;
+    for (auto &[id, server] : servers_) {
+        const auto run = server.runs().find(task);
+        if (run == server.runs().end())
+            continue;
+        hasRuns = true;
+        if (run->second.number < before && run->second.state != RunState::Stopping)
+            sendStop(server, task, run->second, now);
+    }
+    return hasRuns;
 }
 
 void Pool::Implementation::orderStoredRun(Server &server, const TaskBatch &batch,
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -231,8 +231,10 @@
 void serialize(Archive &archive, BatchMessage &message)
 {
     TaskBatch &batch = message.batch;
-    archive(batch.keeper, batch.poolIncarnation, batch.job, batch.payload, batch.queue,
-            batch.service, batch.step, batch.stepNumber, batch.occurrence, batch.tasks);
+    archive(batch.keeper, batch.poolIncarnation);
+    timeField(archive, batch.startBy);
+    archive(batch.job, batch.payload, batch.queue, batch.service, batch.step, batch.stepNumber,
+            batch.occurrence, batch.tasks);
 }
 
 template<class Archive>
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -22,7 +22,8 @@
 template<class Archive>
 void timeField(Archive &archive, Time &time)
 {
-    Duration sinceEpoch = time.time_since_epoch();
+    constexpr Duration latest {INT64_MAX / 4}; // the limit of durationField()
+    Duration sinceEpoch = std::min(time.time_since_epoch(), latest);
     durationField(archive, sinceEpoch);
     time = Time(sinceEpoch);
 }
--- a/tests/pool_stored_test.cpp
+++ b/tests/pool_stored_test.cpp
@@ -197,3 +197,41 @@
     BOOST_TEST(world.runningCount() == 1U);
     BOOST_TEST(world.outcomesOf(Kind::NotStarted) == 1U);
 }
+
+// Guards against a batch that was delayed on its way and starts tasks which the keeper has given to
+// another pool in the meantime.
+BOOST_AUTO_TEST_CASE(delayed_batch_starts_nothing)
+{
+    PoolWorld world;
+    world.addServer("a", 64000);
+    world.begin();
+    TaskBatch batch = PoolWorld::makeBatch("job1", 2, 10000);
+    batch.startBy = world.now - milliseconds(1);
+    world.startBatch(batch);
+    world.runFor(milliseconds(100));
+    BOOST_TEST(world.starts == 0U);
+    BOOST_TEST(world.outcomesOf(TaskOutcome::Kind::NotStarted) == 2U);
+}
+
+// Guards against two runs of one task in one pool: the keeper sends a later run because it has not
+// learned that the pool has started the first one.
+BOOST_AUTO_TEST_CASE(later_run_is_not_started_beside_an_earlier_one)
+{
+    PoolWorld world;
+    world.addServer("a", 64000);
+    world.addServer("b", 64000);
+    world.runTimeOf = [](const std::string &) { return Duration(std::chrono::seconds(2)); };
+    world.begin();
+    TaskBatch batch = PoolWorld::makeBatch("job1", 1, 10000);
+    world.startBatch(batch);
+    world.runFor(milliseconds(50));
+    batch.tasks[0].run = 2;
+    world.startBatch(batch);
+    world.runFor(milliseconds(200));
+    BOOST_TEST(world.overlappingRuns == 0U);
+    BOOST_TEST(world.runningCount() == 0U);
+    batch.tasks[0].run = 3;
+    world.startBatch(batch);
+    world.runFor(milliseconds(50));
+    BOOST_TEST(world.runningCount() == 1U);
+}
