--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -48,6 +48,27 @@
     return text ? std::strtoull(text, nullptr, 10) : fallback;
 }
 
+// Runs load and random faults. LOVAGE_FLEET_FIRST_SEED and LOVAGE_FLEET_LAST_SEED select other
+// seeds.
+void runRandomFaults(FleetOptions options)
+{
+    const uint64_t last = seedFrom("LOVAGE_FLEET_LAST_SEED", 6);
+    for (uint64_t seed = seedFrom("LOVAGE_FLEET_FIRST_SEED", 1); seed <= last; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            options.seed = seed;
+            FleetWorld world(options);
+            FleetFaults(world, options, {}).run();
+            BOOST_TEST_MESSAGE(
+                    fmt::format("seed {}: {} jobs, {} completed, {} ended, {} violations", seed,
+                                world.callers.jobCount(), world.callers.completedCount(),
+                                world.callers.endedCount(), world.violations.size()));
+            BOOST_TEST(world.callers.endedCount() == world.callers.jobCount());
+            checkRules(world);
+        }
+    }
+}
+
 // A job that a VM without servers has offered to the pool of its data centre. If the caller submits
 // it again, it does so through another data centre. The run is long enough to overlap with one that
 // the second submission starts.
@@ -466,23 +487,14 @@
     });
 }
 
-// All faults together. LOVAGE_FLEET_FIRST_SEED and LOVAGE_FLEET_LAST_SEED select other seeds.
+// All faults together.
 BOOST_AUTO_TEST_CASE(random_faults_in_a_large_fleet)
 {
-    for (uint64_t seed = seedFrom("LOVAGE_FLEET_FIRST_SEED", 1);
-         seed <= seedFrom("LOVAGE_FLEET_LAST_SEED", 6); ++seed) {
-        BOOST_TEST_CONTEXT("seed " << seed)
-        {
-            FleetOptions options;
-            options.seed = seed;
-            FleetWorld world(options);
-            FleetFaults(world, options, {}).run();
-            BOOST_TEST_MESSAGE(
-                    fmt::format("seed {}: {} jobs, {} completed, {} ended, {} violations", seed,
-                                world.callers.jobCount(), world.callers.completedCount(),
-                                world.callers.endedCount(), world.violations.size()));
-            BOOST_TEST(world.callers.endedCount() == world.callers.jobCount());
-            checkRules(world);
-        }
-    }
+    runRandomFaults({5, 4});
+}
+
+// All faults together, in a fleet in which every VM follows every other.
+BOOST_AUTO_TEST_CASE(random_faults_in_a_small_fleet)
+{
+    runRandomFaults({2, 2});
 }
