Do not offer a job again to a pool that refused it because of other jobs

On a VM the process would hang and its memory would grow; with another VM's pool, offers and refusals would follow each other until the deadline.

Cause: a pool that refuses a job because it would delay accepted jobs states that it could run all tasks. divideByCapabilities() made a single part of that, which is offered with no record of the refusal, and refused in the same way.

Evidence: pool_that_could_run_the_job_but_refuses_is_not_asked_forever failed before and passes.

--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -308,7 +308,7 @@
     }
     std::vector<Part> parts;
     uint32_t nextIndex = 0;
-    for (const auto &[vm, capability] : std::exchange(request.capabilities, {})) {
+    for (const auto &[vm, capability] : request.capabilities) {
         const uint32_t extra = std::min(capability.tasks - shares[vm], left);
         left -= extra;
         const uint32_t share = shares[vm] + extra;
@@ -318,6 +318,11 @@
         parts.back().hasTasksWithoutMargin = extra > 0;
         nextIndex += share;
     }
+    // A pool that could run the whole job in time has refused it because of other jobs. It would
+    // refuse the same offer again.
+    if (parts.size() < 2)
+        return false;
+    request.capabilities.clear();
     request.parts = std::move(parts);
     request.openParts = request.parts.size();
     offerParts(number, now);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -314,6 +314,25 @@
     BOOST_TEST(table.find("vm2")->report.vm.incarnation == 6U);
 }
 
+// Guards against offering a job again and again to a pool that could run it in time but refuses it,
+// because it would delay other jobs. The pool on the VM itself answers at once, so the VM would
+// hang.
+BOOST_FIXTURE_TEST_CASE(pool_that_could_run_the_job_but_refuses_is_not_asked_forever, RouterFixture)
+{
+    constexpr size_t maxOffers = 10;
+    report("near", "dc1", 8);
+    submit(4);
+    for (size_t offer = 0; offer < offers.size() && offer < maxOffers; ++offer) {
+        JobAnswer answer {offers[offer].offer.ticket, JobResult::Refused, "backlog", {}};
+        answer.couldRun = 4;
+        answer.couldRunWithMargin = 4;
+        router.onAnswer("near", answer, now);
+        collect();
+    }
+    BOOST_TEST(offers.size() < maxOffers);
+    BOOST_TEST(responses.size() == 1U);
+}
+
 // Guards against messages that change in encoding and decoding, against accepting truncated ones,
 // and against a decoder that crashes or allocates without bound on corrupted input.
 BOOST_AUTO_TEST_CASE(messages_round_trip_and_malformed_ones_are_rejected)
