--- a/tests/fleet_callers.h
+++ b/tests/fleet_callers.h
@@ -175,8 +175,10 @@
         vm.post([this, number, &vm] {
             Connection &connection = connections_.at(number);
             const FleetJob &job = jobs_.at(connection.job).job;
+            // The bound that the HTTP server gives.
+            const Duration waited = time_.now() - connection.sentAt + EventLoopLag::tickInterval;
             const uint64_t request = vm.node().submit(
-                    specOf(job), queue, job.deadline,
+                    specOf(job), queue, {job.deadline, waited},
                     [this, number](const JobAnswer &answer) { onAnswered(number, answer); });
             if (!connection.isAnswered)
                 connection.request = request;
