--- a/tests/fleet_faults.h
+++ b/tests/fleet_faults.h
@@ -119,10 +119,10 @@
     void starveVm()
     {
         FleetVm &vm = world_.vm(anyVm());
-        vm.setLag(between(milliseconds(50), milliseconds(300)));
+        vm.setSliceInterval(between(milliseconds(50), milliseconds(900)));
         world_.time.note(vm.name() + " is starved");
         world_.time.scheduleAfter(between(milliseconds(500), milliseconds(3000)),
-                                  [&vm] { vm.setLag({}); });
+                                  [&vm] { vm.setSliceInterval({}); });
     }
     void resetVm() { world_.resetConnections(anyVm(), closeNotice()); }
 
--- a/tests/fleet_vm.h
+++ b/tests/fleet_vm.h
@@ -27,8 +27,8 @@
 class FleetVm : public NetworkProcess, public PeerPort
 {
 public:
-    FleetVm(FleetEnvironment environment, NodeSettings settings)
-        : environment_(environment), settings_(std::move(settings)),
+    FleetVm(FleetEnvironment environment, NodeSettings settings, const SkewedClock &clock)
+        : environment_(environment), settings_(std::move(settings)), clock_(clock),
           host_(environment.network.addHost(settings_.dataCentre, false)), serverPort_(*this),
           groupPort_(*this)
     { }
@@ -41,7 +41,7 @@
     // Returns whether the process has handled its events without delay since this time.
     bool isPromptSince(Time time) const
     {
-        return isUp() && !isPaused_ && lag_ == Duration::zero() && delayedUntil_ <= time;
+        return isUp() && !isPaused_ && sliceInterval_ == Duration::zero() && delayedUntil_ <= time;
     }
     uint64_t generation() const { return generation_; }
     NodeLogic &node() { return *node_; }
@@ -52,7 +52,7 @@
         environment_.network.startProcess(host_, settings_.peer, *this);
         node_ = std::make_unique<NodeLogic>(
                 settings_, NodePorts {serverPort_, groupPort_, groupPort_, journalPort_}, *this,
-                environment_.time, metrics_);
+                clock_, metrics_);
         node_->setConfiguration(configuration);
         node_->start();
         scheduleTick();
@@ -65,7 +65,7 @@
         node_.reset();
         inbox_.clear();
         isPaused_ = false;
-        lag_ = {};
+        sliceInterval_ = {};
     }
     void pause() { isPaused_ = true; }
     void resume()
@@ -76,10 +76,11 @@
             postTick();
         schedulePump();
     }
-    // Delays the handling of every event by a time.
-    void setLag(Duration lag)
+    // Lets the process run only once in each interval. It then handles everything that has arrived.
+    // With an interval of zero it always runs.
+    void setSliceInterval(Duration interval)
     {
-        lag_ = lag;
+        sliceInterval_ = interval;
         delayedUntil_ = environment_.time.now();
     }
 
@@ -211,12 +212,19 @@
     static constexpr Duration eventTime = std::chrono::microseconds(20);
     static constexpr Duration serverListInterval = std::chrono::milliseconds(100);
 
+    Time nextSlice(Time time) const
+    {
+        if (sliceInterval_ <= Duration::zero())
+            return time;
+        return time + sliceInterval_ - time.time_since_epoch() % sliceInterval_;
+    }
+
     void schedulePump()
     {
         if (isPumpScheduled_ || isPaused_ || inbox_.empty())
             return;
         isPumpScheduled_ = true;
-        const Time at = std::max(inbox_.front().arrivedAt + lag_, busyUntil_);
+        const Time at = std::max(nextSlice(inbox_.front().arrivedAt), busyUntil_);
         environment_.time.schedule(at, [this] {
             isPumpScheduled_ = false;
             if (isPaused_ || inbox_.empty())
@@ -263,6 +271,7 @@
 
     FleetEnvironment environment_;
     NodeSettings settings_;
+    SkewedClock clock_;
     HostId host_;
     VmServerPort serverPort_;
     VmGroupPort groupPort_;
@@ -275,8 +284,8 @@
     bool isPumpScheduled_ = false;
     bool isPaused_ = false;
     bool isTickMissed_ = false;
-    Duration lag_ {};
-    Time delayedUntil_ {}; // end of the last pause or lag
+    Duration sliceInterval_ {};
+    Time delayedUntil_ {}; // end of the last pause or starvation
 };
 
 } // namespace lovage::test
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -23,7 +23,7 @@
 public:
     explicit FleetWorld(const FleetOptions &options = {})
         : network(time, options.seed), servers(time, network),
-          callers(time, vms_, violations, options.seed)
+          callers(time, vms_, violations, options.seed), random_(options.seed)
     {
         setLogLevel(LogLevel::Error);
         servers.kindOf = [this](const std::string &job) { return callers.kindOf(job); };
@@ -140,9 +140,19 @@
             settings.dataCentre = name;
             settings.peer = {fmt::format("10.0.0.{}", vms_.size() + 1), 7000};
             vms_.push_back(std::make_unique<FleetVm>(
-                    FleetEnvironment {time, network, servers, holders_, isStoreDown}, settings));
+                    FleetEnvironment {time, network, servers, holders_, isStoreDown}, settings,
+                    nextClock()));
         }
     }
+    // The clocks of VMs differ by seconds, and their rates by up to 2%.
+    SkewedClock nextClock()
+    {
+        constexpr double maxOffsetSeconds = 10;
+        constexpr double maxRateError = 0.01;
+        const double offset = (random_.unit() * 2 - 1) * maxOffsetSeconds;
+        return {time, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(offset)),
+                1 + (random_.unit() * 2 - 1) * maxRateError};
+    }
     // The store lists the VMs that are up.
     void introduceVms()
     {
@@ -155,6 +165,7 @@
             vm->post([&vm = *vm, infos] { vm.node().setPeers(infos); });
     }
 
+    Random random_;
     Configuration configuration_;
     std::map<std::string, FleetGroup> holders_;
 };
--- a/tests/virtual_time.h
+++ b/tests/virtual_time.h
@@ -62,4 +62,25 @@
     uint64_t nextNumber_ = 0;
 };
 
+// A clock that differs from the virtual time by an offset and by its rate.
+class SkewedClock : public Clock
+{
+public:
+    SkewedClock(const VirtualTime &time, Duration offset, double rate)
+        : time_(time), started_(time.now()), offset_(offset), rate_(rate)
+    { }
+
+    Time now() const override
+    {
+        const auto elapsed = static_cast<double>((time_.now() - started_).count());
+        return started_ + offset_ + Duration(static_cast<int64_t>(elapsed * rate_));
+    }
+
+private:
+    const VirtualTime &time_;
+    Time started_;
+    Duration offset_;
+    double rate_;
+};
+
 } // namespace lovage::test
