--- a/tests/fleet_servers.h
+++ b/tests/fleet_servers.h
@@ -41,9 +41,11 @@
     std::function<TaskKind(const std::string &job)> kindOf;
     std::function<void(const RunStart &)> onStart;
 
-    void add(const std::string &id, const std::string &dataCentre, uint32_t milliCores)
+    void add(const std::string &id, const std::string &dataCentre, uint32_t milliCores,
+             const SkewedClock &clock)
     {
         Entry &entry = servers_[id];
+        entry.clock = std::make_unique<SkewedClock>(clock);
         entry.host = network_.addHost(dataCentre, true);
         ServerInfo &info = entry.server.info;
         info.id = id;
@@ -112,7 +114,7 @@
             return;
         time_.scheduleAfter(network_.delay(from, host), [this, from, order, done, call] {
             Entry &entry = servers_.at(order.server);
-            entry.server.advance(time_.now());
+            entry.server.advance(entry.clock->now());
             if (entry.server.checkOrder(order.token, 0) == OrderResult::Done)
                 entry.server.executePoll(order);
             entry.polls.push_back(
@@ -139,6 +141,7 @@
     {
         SimulatedServer server;
         HostId host = 0;
+        std::unique_ptr<SkewedClock> clock {};
         std::vector<WaitingPoll> polls;
         std::map<std::string, std::string> orderedBy; // VM that ordered each running task
     };
@@ -152,7 +155,7 @@
     {
         time_.scheduleAfter(stepInterval, [this] {
             for (auto &[id, entry] : servers_) {
-                entry.server.advance(time_.now());
+                entry.server.advance(entry.clock->now());
                 completePolls(entry);
             }
             scheduleStep();
@@ -175,7 +178,7 @@
                 network_.delay(from, host), [this, from, host, id, execute, done, call] {
                     Entry &entry = servers_.at(id);
                     const OrderResult result = execute(entry);
-                    const ServerReading reading = entry.server.readingAt(time_.now());
+                    const ServerReading reading = entry.server.readingAt(entry.clock->now());
                     if (!network_.isOpen(host, from))
                         return;
                     time_.scheduleAfter(network_.delay(host, from), [call, done, result, reading] {
@@ -188,7 +191,7 @@
     OrderResult execute(Entry &entry, const std::string &vm, const OrderStart &order)
     {
         SimulatedServer &server = entry.server;
-        const Time now = time_.now();
+        const Time now = entry.clock->now();
         server.advance(now);
         const OrderResult result = server.checkOrder(order.token, order.incarnation);
         if (result != OrderResult::Done)
@@ -217,7 +220,7 @@
     {
         RunStart start {order.ref.task, order.ref.server, vm, {}};
         for (auto &[id, entry] : servers_) {
-            entry.server.advance(time_.now());
+            entry.server.advance(entry.clock->now());
             if (entry.server.running.contains(order.ref.task))
                 start.otherRuns.push_back(id + " by " + entry.orderedBy[order.ref.task]);
         }
@@ -232,8 +235,8 @@
             return result;
         auto &highest = server.highestEndedRuns[order.ref.task];
         highest = std::max(highest, order.ref.run);
-        time_.scheduleAfter(stopTime, [&server, order, this] {
-            server.advance(time_.now());
+        time_.scheduleAfter(stopTime, [&server, order, clock = entry.clock.get()] {
+            server.advance(clock->now());
             const auto found = server.running.find(order.ref.task);
             if (found != server.running.end() && found->second.run <= order.ref.run)
                 server.endRun(order.ref.task, RunEnd::Stopped);
@@ -260,9 +263,9 @@
         PollReply reply;
         reply.server = poll.order.server;
         reply.result = entry.server.checkOrder(poll.order.token, 0);
-        reply.reading = entry.server.readingAt(time_.now());
+        reply.reading = entry.server.readingAt(entry.clock->now());
         if (reply.result == OrderResult::Done)
-            entry.server.listRuns(reply, time_.now());
+            entry.server.listRuns(reply, entry.clock->now());
         if (network_.isOpen(entry.host, poll.from))
             time_.scheduleAfter(network_.delay(entry.host, poll.from),
                                 [done = poll.done, reply] { done(reply); });
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -133,7 +133,8 @@
     {
         holders_.emplace(name, FleetGroup(NodeSettings().shardCount));
         for (size_t server = 0; server < options.serversEach; ++server)
-            servers.add(fmt::format("{}-s{}", name, server), name, options.serverMilliCores);
+            servers.add(fmt::format("{}-s{}", name, server), name, options.serverMilliCores,
+                        nextClock());
         for (size_t i = 0; i < options.vmsEach; ++i) {
             NodeSettings settings;
             settings.name = fmt::format("vm{}", vms_.size());
@@ -144,7 +145,7 @@
                     nextClock()));
         }
     }
-    // The clocks of VMs differ by seconds, and their rates by up to 2%.
+    // The clocks of VMs and servers differ by seconds, and their rates by up to 2%.
     SkewedClock nextClock()
     {
         constexpr double maxOffsetSeconds = 10;
