Close the soak's descriptors in the daemons that it starts

Seen: caller-gone was hardly ever logged in soaks of 20 VMs, although callers give up after 3 s and the soak pauses VMs for longer.

Cause: posix_spawn passed the soak's descriptors on, so each daemon held copies of the callers' sockets. A connection that a caller closes stays open while a copy exists, and the VM reads no end of it.

Change: the new process closes all descriptors above the standard ones. Ledger::addViolation() locks (it was called without the lock from the main thread), and violations and faults are printed with their time in the format of the daemons' logs, the overlap of two runs also with the start of the first. An old log in the folder is emptied at the start.

--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -4,6 +4,7 @@
 
 #include "lovage/core.h"
 
+#include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include <map>
@@ -14,13 +15,22 @@
 
 namespace lovage::soak {
 
-// Thread safe, except addViolation(), which does not lock.
+// The format of the time in the daemons' log lines, so that both can be matched.
+inline std::string formatTime(Time time)
+{
+    const int64_t millis = toUnixMillis(time);
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z",
+                       fmt::gmtime(static_cast<time_t>(millis / 1000)), millis % 1000);
+}
+
+// Thread safe. Violations start with their time in Unix milliseconds, as the log lines of the
+// daemons do.
 class Ledger
 {
 public:
     struct Task
     {
-        std::set<std::string> runningOn; // names of servers
+        std::map<std::string, Time> runningOn; // names of servers, and start of the run
         uint64_t starts = 0;
         // A success was acknowledged, and no lease lapsed between the end of the run and this.
         bool isSuccessAcknowledged = false;
@@ -50,10 +60,10 @@
         entry.isAccepted = status == 200;
         entry.isRefused = status == 404 || status == 429 || status == 503;
         if (entry.isRefused && startsOfFirstTask(job) > 0)
-            addViolation(fmt::format("job {} was refused after one of its tasks had started", job));
+            addLocked(fmt::format("job {} was refused after one of its tasks had started", job));
         if (entry.isAccepted && !entry.isStored && succeededTasks(job) < entry.tasks)
-            addViolation(fmt::format("job {} is complete with {} of {} tasks done", job,
-                                     succeededTasks(job), entry.tasks));
+            addLocked(fmt::format("job {} is complete with {} of {} tasks done", job,
+                                  succeededTasks(job), entry.tasks));
     }
     void recordCancel(const std::string &job)
     {
@@ -66,17 +76,19 @@
         Task &entry = tasks_[task];
         const std::string job = task.substr(0, task.find('.'));
         if (!jobs_.contains(job))
-            addViolation(fmt::format("task {} belongs to a job that was never submitted", task));
+            addLocked(fmt::format("task {} belongs to a job that was never submitted", task));
         if (jobs_[job].isRefused)
-            addViolation(fmt::format("task {} starts after its job was refused", task));
+            addLocked(fmt::format("task {} starts after its job was refused", task));
         if (!entry.runningOn.empty())
-            addViolation(fmt::format("task {} run {} starts on {} while the task still runs on {}",
-                                     task, run, server, *entry.runningOn.begin()));
+            addLocked(fmt::format(
+                    "task {} run {} starts on {} while the task still runs on {} since {}", task,
+                    run, server, entry.runningOn.begin()->first,
+                    formatTime(entry.runningOn.begin()->second)));
         if (entry.isSuccessAcknowledged && jobs_[job].isStored)
-            addViolation(fmt::format(
+            addLocked(fmt::format(
                     "task {} run {} starts after a success of the task was acknowledged", task,
                     run));
-        entry.runningOn.insert(server);
+        entry.runningOn.emplace(server, currentTime());
         ++entry.starts;
         entry.lastStartedRun = run;
     }
@@ -96,10 +108,14 @@
         entry.isSuccessAcknowledged = true;
         const std::string job = task.substr(0, task.find('.'));
         if (jobs_[job].isStored && entry.lastStartedRun != run)
-            addViolation(fmt::format("task {} run {} was acknowledged after run {} had started",
-                                     task, run, entry.lastStartedRun));
+            addLocked(fmt::format("task {} run {} was acknowledged after run {} had started", task,
+                                  run, entry.lastStartedRun));
+    }
+    void addViolation(const std::string &what)
+    {
+        const std::lock_guard lock(mutex_);
+        addLocked(what);
     }
-    void addViolation(const std::string &what) { violations_.push_back(what); }
 
     std::vector<std::string> violations()
     {
@@ -121,6 +137,10 @@
     }
 
 private:
+    void addLocked(const std::string &what)
+    {
+        violations_.push_back(fmt::format("{} {}", formatTime(currentTime()), what));
+    }
     uint64_t startsOfFirstTask(const std::string &job) const
     {
         const auto task = tasks_.lower_bound(job + ".");
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -59,6 +59,8 @@
     {
         const std::string folder = absl::GetFlag(FLAGS_folder);
         settings_ = folder + "/" + name_ + ".json";
+        log_ = folder + "/" + name_ + ".log";
+        std::ofstream(log_, std::ios::trunc); // an earlier run may have left its lines
         std::string list;
         for (const std::string &seedAddress : seedAddresses)
             list += fmt::format(R"({}{{"address":"{}:1"}})", list.empty() ? "" : ",", seedAddress);
@@ -84,15 +86,17 @@
         if (pid_ > 0)
             return;
         const std::string daemon = absl::GetFlag(FLAGS_daemon);
-        const std::string log = absl::GetFlag(FLAGS_folder) + "/" + name_ + ".log";
         std::string flag = "--settings=" + settings_;
         std::array<char *, 3> arguments = {const_cast<char *>(daemon.c_str()), flag.data(),
                                            nullptr};
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
-        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_.c_str(),
                                          O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        // A daemon with copies of the callers' sockets would keep their connections open after a
+        // caller has closed them, and no VM would notice that the caller has gone.
+        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
         if (posix_spawn(&pid_, daemon.c_str(), &actions, nullptr, arguments.data(), environ) != 0)
             pid_ = 0;
         posix_spawn_file_actions_destroy(&actions);
@@ -126,7 +130,8 @@
 
     std::string name_;
     std::string address_;
-    std::string settings_;
+    std::string settings_; // file
+    std::string log_;      // file
     pid_t pid_ = 0;
 };
 
@@ -394,7 +399,7 @@
 
     void recordFault(const char *fault, uint64_t target)
     {
-        fmt::print("{} fault={} where={}\n", toUnixMillis(currentTime()), fault, target);
+        fmt::print("{} fault={} where={}\n", formatTime(currentTime()), fault, target);
         std::fflush(stdout);
         ++faultCount_;
     }
