Add the setting peerAdvertised, and bind frame connections to the peer address

A VM behind address translation is not reached at the address that it listens on. It may now announce another one to its peers; without the setting it announces its peer address, as before.

Connections for frames are bound to the address of the peer port, as the socket for datagrams already is. The receiver of a frame then sees the same source address as that of a datagram; firewalls, and the proxies between the VMs of the fault soak, know the sender by it.

Tests: advertised_peer_address_is_optional, advertised_address_replaces_the_peer_address.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     Endpoint readiness; // address of the readiness check for the load balancer
     Endpoint metrics;   // address at which metrics are served; with port 0 they are not served
     Endpoint peer;      // address for messages from peers, TCP and UDP
+    // Address at which peers reach this VM, if address translation makes it differ from `peer`.
+    std::optional<Endpoint> peerAdvertised;
     Endpoint store;
     std::vector<Endpoint> seeds; // addresses of the initial peers; may be out of date
     uint32_t cpuMilliCores = 1000;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -44,7 +44,8 @@
 
 VmInfo vmInfo(const NodeSettings &settings, Time now)
 {
-    return {settings.name, settings.dataCentre, toString(settings.peer),
+    return {settings.name, settings.dataCentre,
+            toString(settings.peerAdvertised.value_or(settings.peer)),
             static_cast<uint64_t>(now.time_since_epoch().count()), settings.cpuMilliCores};
 }
 
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -60,6 +60,8 @@
     reportSocket_ = std::move(datagrams.value());
     FrameOptions options;
     options.ackTimeout = ackTimeout;
+    // Frames have the same source address as datagrams, so that a firewall needs one rule for both.
+    options.localAddress = settings.peer.address;
     frameClient_ = std::make_unique<FrameClient>(
             threads, 0, options, [this](const FrameClient::Lost &lost) { onFramesLost(lost); });
     auto server = FrameServer::listen(threads, settings.peer, options,
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -22,6 +22,14 @@
     });
 }
 
+void readPeerAdvertised(ObjectReader &reader, NodeSettings &settings)
+{
+    Endpoint advertised;
+    reader.readEndpoint("peerAdvertised", advertised, false);
+    if (advertised != Endpoint {})
+        settings.peerAdvertised = advertised;
+}
+
 // The limit is a share of each of the VM's cores.
 void readCpuLimit(ObjectReader &reader, NodeSettings &settings)
 {
@@ -41,6 +49,7 @@
     reader.readEndpoint("readiness", settings.readiness, true);
     reader.readEndpoint("metrics", settings.metrics, false);
     reader.readEndpoint("peer", settings.peer, true);
+    readPeerAdvertised(reader, settings);
     reader.readEndpoint("store", settings.store, true);
     readSeeds(reader, settings);
     readCpuLimit(reader, settings);
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -37,6 +37,15 @@
     return {first.local_endpoint().port(), second.local_endpoint().port()};
 }
 
+NodeSettings nodeSettings(const std::string &name, uint16_t port)
+{
+    NodeSettings settings;
+    settings.name = name;
+    settings.dataCentre = "z";
+    settings.peer = {"127.0.0.1", port};
+    return settings;
+}
+
 // One VM: a node with the platform adapter, connected as in the daemon.
 struct Vm
 {
@@ -50,10 +59,7 @@
           serverFollower(threads, store, "keyed.servers", Duration::zero(), milliseconds(20),
                          [this](const auto &values) { onServers(values); })
     {
-        NodeSettings settings;
-        settings.name = name;
-        settings.dataCentre = "z";
-        settings.peer = {"127.0.0.1", port};
+        NodeSettings settings = nodeSettings(name, port);
         settings.seeds = seeds;
         settings.groupLease = milliseconds(1000);
         node = std::move(Node::open(settings, threads,
@@ -275,3 +281,18 @@
         std::this_thread::sleep_for(milliseconds(5));
     BOOST_TEST(executor1.stops() + executor2.stops() == 4U);
 }
+
+// Guards against a VM that tells its peers an address at which they cannot reach it.
+BOOST_FIXTURE_TEST_CASE(advertised_address_replaces_the_peer_address, Deployment)
+{
+    BOOST_TEST(vm1->node->self().address.starts_with("127.0.0.1:"));
+    NodeSettings settings = nodeSettings("vm3", freePorts().front());
+    settings.peerAdvertised = Endpoint {"192.0.2.7", 33};
+    Metrics metrics;
+    auto node =
+            Node::open(settings, threads,
+                       {vm1->executors, vm1->shardGroup, vm1->keeperGroup, vm1->journal}, metrics);
+    BOOST_REQUIRE(node.has_value());
+    BOOST_TEST(node.value()->self().address == "192.0.2.7:33");
+    threads.stop();
+}
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -172,6 +172,24 @@
     BOOST_TEST((settings.value().stopLimit == std::chrono::milliseconds(6500)));
 }
 
+// Guards against peers that cannot reach a VM behind address translation.
+BOOST_AUTO_TEST_CASE(advertised_peer_address_is_optional)
+{
+    const std::string required =
+            R"("name": "a", "dataCentre": "z", "http": "10.0.0.1:1", "readiness": "10.0.0.1:2",)"
+            R"("peer": "10.0.0.1:3", "store": "10.0.0.2:4")";
+    const auto plain = parseNodeSettings("{" + required + "}");
+    BOOST_REQUIRE(plain.has_value());
+    BOOST_TEST(!plain.value().peerAdvertised.has_value());
+    const auto translated =
+            parseNodeSettings("{" + required + R"(, "peerAdvertised": "192.0.2.7:33"})");
+    BOOST_REQUIRE(translated.has_value());
+    BOOST_TEST((translated.value().peerAdvertised == Endpoint {"192.0.2.7", 33}));
+    BOOST_TEST((translated.value().peer == Endpoint {"10.0.0.1", 3}));
+    BOOST_TEST(
+            !parseNodeSettings("{" + required + R"(, "peerAdvertised": "nowhere"})").has_value());
+}
+
 // Guards against reporting only the first of several errors in the settings.
 BOOST_AUTO_TEST_CASE(every_error_in_the_settings_is_reported)
 {
