--- /dev/null
+++ b/tests/soak/faults.h
@@ -0,0 +1,64 @@
+// Injects random faults one after the other, and undoes them.
+#pragma once
+
+#include "ledger.h"
+#include "network_faults.h"
+#include "process_faults.h"
+
+namespace lovage::soak {
+
+class FaultInjector
+{
+public:
+    FaultInjector(const Options &options, Fleet &fleet, Platform &platform)
+        : options_(options), fleet_(fleet), random_(options.seed),
+          processFaults_(fleet, platform, schedule_), networkFaults_(options, fleet, schedule_)
+    { }
+
+    // Injects faults until the duration of the soak has passed. Faults that are still in force then
+    // remain until undoAll().
+    void run()
+    {
+        const Time end = currentTime() + std::chrono::seconds(options_.seconds);
+        while (currentTime() < end) {
+            schedule_.wait(std::chrono::milliseconds(100 + static_cast<int>(random_.below(900))));
+            inject(processFaults_);
+            if (options_.hasNetworkFaults && random_.unit() < networkFaultShare)
+                inject(networkFaults_);
+            fleet_.startAll();
+        }
+    }
+    void undoAll()
+    {
+        schedule_.runAll();
+        fleet_.startAll();
+    }
+    uint64_t faultCount() const { return faultCount_; }
+
+private:
+    static constexpr double networkFaultShare = 0.6; // network faults per process fault
+
+    template<typename Faults>
+    void inject(Faults &faults)
+    {
+        const auto choice = faults.choose(random_);
+        const std::string name(faults.nameOf(choice));
+        if (options_.excludedFaults.contains(name))
+            return;
+        const FaultTarget target = faults.inject(choice);
+        fmt::print("{} fault={} where={} for_ms={}\n", formatTime(currentTime()), name, target.name,
+                   target.time.count());
+        std::fflush(stdout);
+        ++faultCount_;
+    }
+
+    const Options &options_;
+    Fleet &fleet_;
+    Random random_;
+    Schedule schedule_;
+    ProcessFaults processFaults_;
+    NetworkFaults networkFaults_;
+    uint64_t faultCount_ = 0;
+};
+
+} // namespace lovage::soak
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -23,8 +23,16 @@
                        fmt::gmtime(static_cast<time_t>(millis / 1000)), millis % 1000);
 }
 
-// Thread safe. Violations start with their time in Unix milliseconds, as the log lines of the
-// daemons do.
+struct Violation
+{
+    Time time;
+    std::string job; // empty if it concerns no single job
+    std::string what;
+
+    auto operator<=>(const Violation &) const = default;
+};
+
+// Thread safe.
 class Ledger
 {
 public:
@@ -60,9 +68,11 @@
         entry.isAccepted = status == 200;
         entry.isRefused = status == 404 || status == 429 || status == 503;
         if (entry.isRefused && startsOfFirstTask(job) > 0)
-            addLocked(fmt::format("job {} was refused after one of its tasks had started", job));
+            addLocked(job,
+                      fmt::format("job {} was refused after one of its tasks had started", job));
         if (entry.isAccepted && !entry.isStored && succeededTasks(job) < entry.tasks)
-            addLocked(fmt::format("job {} is complete with {} of {} tasks done", job,
+            addLocked(job,
+                      fmt::format("job {} is complete with {} of {} tasks done", job,
                                   succeededTasks(job), entry.tasks));
     }
     void recordCancel(const std::string &job)
@@ -76,18 +86,21 @@
         Task &entry = tasks_[task];
         const std::string job = task.substr(0, task.find('.'));
         if (!jobs_.contains(job))
-            addLocked(fmt::format("task {} belongs to a job that was never submitted", task));
+            addLocked(job, fmt::format("task {} belongs to a job that was never submitted", task));
         if (jobs_[job].isRefused)
-            addLocked(fmt::format("task {} starts after its job was refused", task));
+            addLocked(job, fmt::format("task {} starts after its job was refused", task));
         if (!entry.runningOn.empty())
-            addLocked(fmt::format(
-                    "task {} run {} starts on {} while the task still runs on {} since {}", task,
-                    run, server, entry.runningOn.begin()->first,
-                    formatTime(entry.runningOn.begin()->second)));
+            addLocked(
+                    job,
+                    fmt::format(
+                            "task {} run {} starts on {} while the task still runs on {} since {}",
+                            task, run, server, entry.runningOn.begin()->first,
+                            formatTime(entry.runningOn.begin()->second)));
         if (entry.isSuccessAcknowledged && jobs_[job].isStored)
-            addLocked(fmt::format(
-                    "task {} run {} starts after a success of the task was acknowledged", task,
-                    run));
+            addLocked(job,
+                      fmt::format(
+                              "task {} run {} starts after a success of the task was acknowledged",
+                              task, run));
         entry.runningOn.emplace(server, currentTime());
         ++entry.starts;
         entry.lastStartedRun = run;
@@ -108,16 +121,17 @@
         entry.isSuccessAcknowledged = true;
         const std::string job = task.substr(0, task.find('.'));
         if (jobs_[job].isStored && entry.lastStartedRun != run)
-            addLocked(fmt::format("task {} run {} was acknowledged after run {} had started", task,
+            addLocked(job,
+                      fmt::format("task {} run {} was acknowledged after run {} had started", task,
                                   run, entry.lastStartedRun));
     }
-    void addViolation(const std::string &what)
+    void addViolation(const std::string &job, const std::string &what)
     {
         const std::lock_guard lock(mutex_);
-        addLocked(what);
+        addLocked(job, what);
     }
 
-    std::vector<std::string> violations()
+    std::vector<Violation> violations()
     {
         const std::lock_guard lock(mutex_);
         return violations_;
@@ -137,9 +151,9 @@
     }
 
 private:
-    void addLocked(const std::string &what)
+    void addLocked(const std::string &job, const std::string &what)
     {
-        violations_.push_back(fmt::format("{} {}", formatTime(currentTime()), what));
+        violations_.push_back({currentTime(), job, what});
     }
     uint64_t startsOfFirstTask(const std::string &job) const
     {
@@ -159,7 +173,7 @@
     std::map<std::string, Job> jobs_;
     std::map<std::string, Task> tasks_;
     std::set<std::string> succeeded_;
-    std::vector<std::string> violations_;
+    std::vector<Violation> violations_;
 };
 
 } // namespace lovage::soak
