Refuse to play a soak on addresses that another one uses

Soaks of other seeds with the same subnet (seed modulo 250) ran at the same time; the daemons could not listen, and the proxies passed the jobs to those of the other soak.

Change: the soak ends with exit code 2 if something listens at one of its addresses.

--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -21,6 +21,7 @@
     {
         std::filesystem::create_directories(options.folder);
         for (size_t vm = 0; vm < options.vms; ++vm) {
+            requireFreeAddress(vm);
             storeProxies_.push_back(
                     std::make_unique<Proxy>(proxies, loopback(0), loopback(storePort)));
             callerProxies_.push_back(std::make_unique<Proxy>(
@@ -66,6 +67,13 @@
     }
 
 private:
+    // Throws if a daemon listens there already, for example one of another soak with the same
+    // subnet. The proxies would pass the jobs of one soak to the daemons of the other.
+    void requireFreeAddress(size_t vm) const
+    {
+        boost::asio::io_context context;
+        const tcp::acceptor probe(context, httpEndpoint(addresses_.vm(vm)));
+    }
     static tcp::endpoint httpEndpoint(const std::string &address)
     {
         return {boost::asio::ip::make_address(address), httpPort};
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -172,6 +172,12 @@
         fmt::print(stderr, "soak: --vms must be from 1 to {}\n", lovage::soak::Addresses::maxVms);
         return 2;
     }
-    lovage::soak::Soak soak(options);
-    return soak.run();
+    try {
+        lovage::soak::Soak soak(options);
+        return soak.run();
+    } catch (const boost::system::system_error &error) {
+        fmt::print(stderr, "soak: cannot use the addresses of seed {}: {}\n", options.seed,
+                   error.code().message());
+        return 2;
+    }
 }
