--- a/src/node/peer_sockets.cpp
+++ b/src/node/peer_sockets.cpp
@@ -20,6 +20,8 @@
     datagrams_ = std::move(datagrams.value());
     FrameOptions options;
     options.ackTimeout = ackTimeout;
+    // Frames have the same source address as datagrams, so that a firewall needs one rule for both.
+    options.localAddress = endpoint.address;
     frameClient_ = std::make_unique<FrameClient>(threads, 0, options, std::move(onLost));
     auto server = FrameServer::listen(threads, endpoint, options,
                                       [onBytes](const std::string &frame) { onBytes(frame); });
