--- a/include/lovage/contacts.h
+++ b/include/lovage/contacts.h
@@ -11,6 +11,27 @@
 
 namespace lovage {
 
+// Order in which the VMs of a data centre become shard holders: by descending CPU limit, then by
+// name.
+struct HolderRank
+{
+    uint32_t cpuMilliCores = 0;
+    std::string name;
+
+    bool operator==(const HolderRank &) const = default;
+    std::strong_ordering operator<=>(const HolderRank &other) const
+    {
+        if (cpuMilliCores != other.cpuMilliCores)
+            return other.cpuMilliCores <=> cpuMilliCores;
+        return name <=> other.name;
+    }
+};
+
+inline HolderRank rankOf(const VmInfo &vm)
+{
+    return {vm.cpuMilliCores, vm.name};
+}
+
 struct ContactOptions
 {
     // In a fleet with up to this many other VMs, every VM follows all others.
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -27,27 +27,6 @@
     auto operator<=>(const VmInfo &) const = default;
 };
 
-// Order in which the VMs of a data centre become shard holders: by descending CPU limit, then by
-// name.
-struct HolderRank
-{
-    uint32_t cpuMilliCores = 0;
-    std::string name;
-
-    bool operator==(const HolderRank &) const = default;
-    std::strong_ordering operator<=>(const HolderRank &other) const
-    {
-        if (cpuMilliCores != other.cpuMilliCores)
-            return other.cpuMilliCores <=> cpuMilliCores;
-        return name <=> other.name;
-    }
-};
-
-inline HolderRank rankOf(const VmInfo &vm)
-{
-    return {vm.cpuMilliCores, vm.name};
-}
-
 // Parameters of a queue that apply to a stored job. They are copied when the job is accepted, so
 // later configuration changes do not affect it.
 struct QueueParameters
