--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -139,6 +139,12 @@
     JournalPort &journal;
 };
 
+struct RequestTiming
+{
+    Duration deadline {}; // time for which the caller waits, counted from its request
+    Duration waited {};   // HttpRequest::waited
+};
+
 using JobCallback = std::function<void(const JobAnswer &)>;
 // An error tells whether the job may have been stored or cancelled nevertheless.
 using StoredJobCallback = std::function<void(const Result<KeeperAnswer> &)>;
@@ -169,7 +175,8 @@
     void setConfiguration(Configuration configuration);
     void setServers(const std::vector<ServerInfo> &servers);
     void setPeers(const std::vector<VmInfo> &peers);
-    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond);
+    uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                    JobCallback respond);
     void withdraw(uint64_t number);
     void storeJob(JobSpec job, const Queue &queue, Duration deadline, StoredJobCallback respond);
     void queryJob(const std::string &job, Duration deadline, StoredJobCallback respond);
@@ -207,6 +214,9 @@
     void onPeerMessage(ConfigurationMessage message);
     void requestConfiguration(const std::string &vm);
 
+    Duration staleRequestLimit() const { return settings_.resubmitDelay / 2; }
+    void refuseStaleRequest(const std::string &job, const RequestTiming &timing,
+                            const JobCallback &respond);
     void request(KeeperRequest request, Duration deadline, StoredJobCallback respond);
     VmReport report() const;
     // State without the VMs that run jobs of this VM or whose jobs run here.
@@ -274,7 +284,12 @@
     void setPeers(const std::vector<VmInfo> &peers);
 
     // Runs a job for a caller that waits for the answer. Returns the number of the request.
-    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond);
+    //
+    // A request that may have waited for half of the resubmit delay, or past its deadline, is
+    // refused: its caller may have left and submitted the job through another VM. The other half is
+    // for the time until a close of the connection is noticed and the job is withdrawn.
+    uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                    JobCallback respond);
     // Withdraws a request whose caller has closed its connection.
     void withdraw(uint64_t number);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -88,9 +88,10 @@
     implementation_->logic().setPeers(peers);
 }
 
-uint64_t Node::submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond)
+uint64_t Node::submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                      JobCallback respond)
 {
-    return implementation_->logic().submit(std::move(job), queue, deadline, std::move(respond));
+    return implementation_->logic().submit(std::move(job), queue, timing, std::move(respond));
 }
 
 void Node::withdraw(uint64_t number)
