--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -306,6 +306,7 @@
     BOOST_TEST(vm1->node->self().address.starts_with("127.0.0.1:"));
     NodeSettings settings = nodeSettings("vm3", freePorts().front());
     settings.peerAdvertised = Endpoint {"192.0.2.7", 33};
+    IoThreads threads {1};
     Metrics metrics;
     auto node =
             Node::open(settings, threads,
