Start no run on a server whose lease outlives that of the job

What callers could see: a task ran twice although its job was under a lease (found in review; shown in the fleet emulator by holding an offer up for 700 to 850 ms, killing the VM with the caller and pausing the pool).

Cause: a server's lease covers all of its runs and never shortens. A job that is placed late in its own lease, on a server whose lease was just extended for other runs, inherited that longer lease.

Change: a task is placed on a server only if the server's lease, as far as it was requested, ends by the time at which the runs of the job must have ended.

Evidence: late_job_does_not_inherit_the_longer_lease_of_a_server fails without the check in pool_placement.cpp (the run is still there 250 ms after the lease of its job) and passes.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -112,8 +112,10 @@
     void rollBackPollLease() { pollLeaseEnd_ = committedPollLeaseEnd_; }
     // Keeps the lease of a poll that may have reached the server.
     void commitPollLease() { committedPollLeaseEnd_ = pollLeaseEnd_; }
+    // Returns the latest time at which the lease, as far as it was requested, has lapsed.
+    Time leaseEnd() const { return std::max(startLeaseEnd_, pollLeaseEnd_); }
     // Returns whether the lease has lapsed, so that everything started under it has ended.
-    bool hasLapsed(Time now) const { return now > std::max(startLeaseEnd_, pollLeaseEnd_); }
+    bool hasLapsed(Time now) const { return now > leaseEnd(); }
 
     bool isPollPending = false;
     Time pollSentAt {};
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -243,6 +243,9 @@
         if (server.info().capacity.milliCores < step.demand.milliCores
             || server.runs().contains(name) || !isAllowed(server, step, name))
             continue;
+        // A server never shortens its lease, so the run might outlive the lease of its job.
+        if (server.leaseEnd() > runLimit(job))
+            continue;
         Choice choice {&place, place.earliestStart(step.demand), {}};
         const bool isNow = choice.start <= now;
         if (isNow && !server.fits(step.demand))
--- a/tests/pool_lease_test.cpp
+++ b/tests/pool_lease_test.cpp
@@ -132,3 +132,15 @@
     BOOST_TEST((resultOf("job2") == JobResult::Refused));
     BOOST_TEST(!startedJobs.contains("job2"));
 }
+
+// Guards against a run that is started late in the lease of its job on a server whose own lease was
+// extended for other runs: a server never shortens its lease.
+BOOST_FIXTURE_TEST_CASE(late_job_does_not_inherit_the_longer_lease_of_a_server, OneServer)
+{
+    offer(makeOffer("job1", 1, 14000, seconds(4), seconds(6)));
+    runFor(milliseconds(300)); // a poll has extended the lease of the server
+    offer(makeLeasedOffer("job2", milliseconds(150)));
+    runFor(milliseconds(5));
+    pauseFor(milliseconds(150) + ResubmissionLimits::stopAllowance);
+    BOOST_TEST(!isRunning("job2.0.0.0"));
+}
