Renew leases every 100 ms also at a VM whose reports are late

A pool that is behind sends its reports late, so it counted as unreachable and got reports every 500 ms. These renew the leases of its jobs; the loss of one datagram ended a lease of 1 s. Reports to a VM with an open offer go every 100 ms now.

--- a/src/contacts/contact_plan.cpp
+++ b/src/contacts/contact_plan.cpp
@@ -239,11 +239,14 @@
 Duration ContactPlan::intervalFor(const std::string &vm, bool isFollowed, const ContactState &state,
                                   Time now) const
 {
+    // These reports renew the leases of the jobs that the VM runs.
+    if (state.offeredVms.contains(vm))
+        return options_.activeInterval;
     if (isFollowed && !isReachable(vm, now))
         return options_.probeInterval;
     const bool isLocal = byName_.at(vm).dataCentre == vms_.self().dataCentre;
-    const bool isActive = state.offeredVms.contains(vm) || state.servedVms.contains(vm)
-            || (state.isHolder && isLocal) || byName_.size() <= options_.fullMeshLimit;
+    const bool isActive = state.servedVms.contains(vm) || (state.isHolder && isLocal)
+            || byName_.size() <= options_.fullMeshLimit;
     return isActive ? options_.activeInterval : options_.idleInterval;
 }
 
