Take a VM with a broken connection for lost only when its report is overdue

A VM whose connection breaks was lost if no report of it arrived within 300 ms, while VMs without work for each other report every 350 ms.

The suspicion now also waits until the next report is overdue by the interval that the VM has announced, and a pool reports every 100 ms to the keepers of its runs.

--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -305,10 +305,12 @@
 
     // Returns a lower bound of the current time on the clock of the VM. It is behind that clock by
     // at most the delay of a recent report.
-    static Time clockOf(const Row &row, Time now) { return now + row.clockOffset; }
+    static Time clockOf(const Row &row, Time now);
 
     // Returns whether the VM has reported in time and is not marked unreachable.
     bool isReachable(const Row &row, Time now) const;
+    // Returns whether the next report of the VM is overdue.
+    bool isReportOverdue(const Row &row, Time now) const;
     const Row *find(const std::string &vm) const;
     std::map<std::string, Row> &rows() { return rows_; }
     const std::map<std::string, Row> &rows() const { return rows_; }
@@ -392,7 +394,8 @@
     // incarnation of the VM. If a request of the same job is open, the new one joins it and gets
     // the same answer: its caller has lost the connection of the open one, and a second offer could
     // run the job twice.
-    void submit(uint64_t number, JobOffer offer, Time now);
+    // The caller is known to have been connected at `connectedAt`.
+    void submit(uint64_t number, JobOffer offer, Time connectedAt, Time now);
     // Drops the request because its caller has gone. Withdraws its offers from the pools unless
     // another request has joined it.
     void withdraw(uint64_t number, Time now);
@@ -412,8 +415,7 @@
     size_t openCount() const { return requests_.size(); }
     // Returns the VMs with an offer that they have not answered yet.
     std::set<std::string> offeredVms() const;
-    // Returns the renewals of the leases of all jobs that are offered to other VMs, by name of the
-    // VM.
+    // Returns the renewals of the leases of all jobs that are offered to pools, by name of the VM.
     std::map<std::string, LeaseRenewal> leaseRenewals() const;
 
 private:
@@ -444,6 +446,7 @@
     {
         JobOffer offer; // as submitted; its times are relative to the arrival
         Time arrived {};
+        Time connectedAt {}; // latest time at which the caller was known to be connected on arrival
         // Numbers of the requests that get the answer: this one and those that have joined it.
         std::vector<uint64_t> callers {};
         std::vector<Part> parts {};
--- a/src/node/peers.cpp
+++ b/src/node/peers.cpp
@@ -141,17 +141,20 @@
 void Peers::tick(Time now)
 {
     std::vector<std::string> lost;
-    for (const auto &[vm, since] : suspects_) {
-        if (now > since + suspicionTimeout)
-            lost.push_back(vm);
-    }
-    for (const std::string &vm : lost) {
+    std::erase_if(suspects_, [&](const auto &entry) {
+        const auto &[vm, since] = entry;
         const VmTable::Row *row = vms_.find(vm);
-        const bool isSilent = row && row->lastReportAt < suspects_.at(vm);
-        suspects_.erase(vm);
-        if (isSilent)
-            handlers_.onVmLost(vm, "connection-broken");
-    }
+        if (!row || row->lastReportAt >= since)
+            return true;
+        // A VM reports as rarely as it has announced, so one late report does not mean that it has
+        // failed.
+        if (now <= since + suspicionTimeout || !vms_.isReportOverdue(*row, now))
+            return false;
+        lost.push_back(vm);
+        return true;
+    });
+    for (const std::string &vm : lost)
+        handlers_.onVmLost(vm, "connection-broken");
 }
 
 } // namespace lovage::node
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -171,6 +171,12 @@
     std::set<std::string> vms;
     for (const auto &[ticket, number] : implementation_->jobsByTicket_)
         vms.insert(ticket.vm);
+    for (const auto &[id, server] : implementation_->servers_) {
+        for (const auto &[task, run] : server.runs()) {
+            if (run.stored)
+                vms.insert(run.stored->keeper.vm);
+        }
+    }
     return vms;
 }
 
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -127,10 +127,21 @@
 }
 
 bool VmTable::isReachable(const Row &row, Time now) const
+{
+    return !isReportOverdue(row, now) && now >= row.avoidUntil;
+}
+
+bool VmTable::isReportOverdue(const Row &row, Time now) const
 {
     const Duration timeout = std::max(options_.unreachableAfter,
                                       2 * row.report.nextReportWithin + options_.reportSlack);
-    return now <= row.lastReportAt + timeout && now >= row.avoidUntil;
+    return now > row.lastReportAt + timeout;
+}
+
+Time VmTable::clockOf(const Row &row, Time now)
+{
+    const Duration drift = (now - row.lastReportAt) / maxClockDriftInverse;
+    return now + row.clockOffset - drift;
 }
 
 const VmTable::Row *VmTable::find(const std::string &vm) const
