Put the jobs of the pool's own VM under a lease, and count leases from what is known

- A job whose pool is on the VM with its caller had no lease.
If the VM reads the broken connection late and then stands still, or the order to stop is lost, the run outlives the repeat.
Such jobs have a lease now, renewed at each tick.
- With leaseMs of 3,000 or resubmitDelayMs of 800, servers held leases beyond the caller's delay, and servers with a job of another VM took no further work.
The requested lease is at most jobLease().
- The first lease of a request counted from a time up to 50 ms too late.
It counts from the upper bound of the wait.

A poll that requests a shortened lease is logged (lease-shortened), since it can end runs of other jobs.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -109,7 +109,7 @@
     std::string body;
     std::shared_ptr<DisconnectSignal> disconnect {}; // set by HttpServer only
     // Time for which the last byte of the request may have waited unread on this VM, as an upper
-    // bound. Exceeds the true time by EventLoopLag::tickInterval or more. Set by HttpServer only.
+    // bound. Up to EventLoopLag::tickInterval on a loop that is in time. Set by HttpServer only.
     Duration waited {};
 
     // Value of the first header with this name, ignoring case; empty if absent.
--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -257,7 +257,8 @@
     bool isDraining_ = false;
     Time drainingSince_ {};
     bool isFlushing_ = false;
-    Time lastTick_ {};
+    Time lastTick_ {};       // time of the last tick, or of the last event after a pause
+    Time previousTickAt_ {}; // time of the last tick
     Time nextConfigurationRequest_ {};
     std::unique_ptr<node::JobMetrics> metrics_;
 };
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -44,9 +44,9 @@
     auto operator<=>(const JobTicket &) const = default;
 };
 
-// The right of a pool to run a job of another VM. That VM has the caller's connection; it renews
-// the lease while the caller is connected. The lease ends by the clock of the pool's VM, so it also
-// ends if no message gets through, or if one arrives late.
+// The right of a pool to run a job. The VM with the caller's connection renews the lease while the
+// caller is connected. The lease ends by the clock of the pool's VM, so it also ends if no message
+// gets through, or if one arrives late.
 struct JobLease
 {
     uint64_t poolIncarnation = 0; // incarnation of the pool's VM, to whose clock `until` refers
@@ -83,7 +83,7 @@
     bool isLastOffer = true;
     Duration elapsed {};              // time since the caller submitted the job
     Duration deadline {};             // time left until the caller stops waiting
-    std::optional<JobLease> lease {}; // not set for a job of the pool's own VM
+    std::optional<JobLease> lease {}; // without a lease, the job ends together with the pool
 
     auto operator<=>(const JobOffer &) const = default;
 };
@@ -455,7 +455,7 @@
     bool isReleaseReady() const;
     // Returns whether no job is open and no run is left on the servers of this pool.
     bool isIdle() const;
-    // Returns the VMs whose jobs are open in this pool.
+    // Returns the VMs whose jobs are open in this pool, and the keepers of its runs.
     std::set<std::string> servedVms() const;
     // Returns the number of servers that this pool holds and may place on.
     size_t serverCount() const;
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -31,10 +31,11 @@
 {
     PoolOptions options;
     options.shardCount = settings.shardCount;
-    options.lease = settings.lease;
-    options.stopTime = settings.stopTime;
-    options.pollWait = settings.lease / 4;
     options.resubmission.resubmitDelay = settings.resubmitDelay;
+    // A longer lease could not be granted to the runs of a job whose own lease ends earlier.
+    options.lease = std::min(settings.lease, options.resubmission.jobLease());
+    options.stopTime = settings.stopTime;
+    options.pollWait = options.lease / 4;
     return options;
 }
 
@@ -94,11 +95,17 @@
 void NodeLogic::tick()
 {
     const Time now = clock_.now();
-    router_.setHandledThrough(lastTick_);
+    // Events that arrived before the last tick were handled between the two ticks. A pause does not
+    // count: it may end with events that are read after this tick.
+    router_.setHandledThrough(std::exchange(previousTickAt_, now));
     detectPause(now);
     lastTick_ = now;
     removeSilentVms(now);
     peers_->tick(now);
+    const auto renewals = router_.leaseRenewals();
+    const auto own = renewals.find(self_.name);
+    if (own != renewals.end())
+        pool_.renewLeases(self_.name, self_.incarnation, own->second);
     pool_.tick(now);
     router_.tick(now);
     heldShards_->sendDueRequest(wantsShards(now), now);
@@ -185,7 +192,8 @@
     callers_.emplace(number,
                      Caller {std::move(respond), clock_.now() - lateness, taskCount(offer.job)});
     router_.setOwnLoad(pool_.load(clock_.now()));
-    router_.submit(number, std::move(offer), clock_.now());
+    const Time now = clock_.now();
+    router_.submit(number, std::move(offer), now - timing.waited, now);
     flush();
     return number;
 }
--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -33,7 +33,7 @@
     Time arrivedAt {};
     Time objectiveAt {};
     Time deadlineAt {};
-    // End of the job's lease. A job of the pool's own VM has none: it ends together with the pool.
+    // End of the job's lease; the maximum for a job without one.
     Time leaseUntil = Time::max();
     // Predicted run time of one task of each step on an ordinary server, by index of the step.
     std::vector<Duration> predicted {};
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -198,12 +198,16 @@
     // that it lapses and the tasks can be started on other servers.
     const bool extendsLease = server.ownership == Ownership::Held && !server.runs().empty()
             && server.unansweredPolls < pollsBeforeLapse;
+    const Time limit = leaseLimit(server);
+    if (extendsLease && limit < now + options_.lease)
+        logEvent("lease-shortened", {},
+                 fmt::format("server={} limit_us={}", server.info().id, (limit - now).count()));
     OrderPoll poll;
     poll.server = server.info().id;
     poll.address = server.info().address;
     poll.token = server.token;
     poll.ackedThrough = server.ackedThrough();
-    poll.leaseUntilMs = extendsLease ? server.leaseForPoll(now, leaseLimit(server)) : 0;
+    poll.leaseUntilMs = extendsLease ? server.leaseForPoll(now, limit) : 0;
     poll.wait = server.pollWait(now);
     poll.timeout = poll.wait + options_.answerTimeout;
     server.setPollAck(poll.ackedThrough);
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -52,7 +52,7 @@
 
 } // namespace
 
-void Router::submit(uint64_t number, JobOffer offer, Time now)
+void Router::submit(uint64_t number, JobOffer offer, Time connectedAt, Time now)
 {
     const auto open = std::find_if(requests_.begin(), requests_.end(), [&](const auto &entry) {
         return entry.second.offer.job.id == offer.job.id;
@@ -66,6 +66,7 @@
     request.offer = std::move(offer);
     request.offer.ticket = {vms_.self().name, vms_.self().incarnation, number};
     request.arrived = now;
+    request.connectedAt = connectedAt;
     requests_.emplace(number, std::move(request));
     waiting_.push_back(number);
     offerWaiting(now);
@@ -106,7 +107,7 @@
         if (request.isGivenUp)
             continue;
         for (const Part &part : request.parts) {
-            if (!part.isOffered || part.vm.empty() || part.vm == vms_.self().name)
+            if (!part.isOffered || part.vm.empty())
                 continue;
             std::vector<uint64_t> &numbers = renewals[part.vm].requests;
             if (numbers.empty() || numbers.back() != number)
@@ -121,12 +122,14 @@
 // Returns the latest time at which the caller is known to have been connected.
 Time Router::connectedAt(const Request &request) const
 {
-    return std::max(request.arrived - request.offer.elapsed, handledThrough_);
+    return std::max(request.connectedAt, handledThrough_);
 }
 
 // Returns a lease that has ended already if the VM is unknown.
 JobLease Router::leaseAt(const std::string &vm, Time connectedAt) const
 {
+    if (vm == vms_.self().name)
+        return {vms_.self().incarnation, connectedAt + options_.resubmission.jobLease()};
     const VmTable::Row *row = vms_.find(vm);
     if (!row)
         return {};
@@ -281,8 +284,7 @@
     Request &request = requests_.at(number);
     Part &part = request.parts[index];
     JobOffer offer = makePartOffer(request, index, now);
-    if (pool.vm != vms_.self().name)
-        offer.lease = leaseAt(pool.vm, connectedAt(request));
+    offer.lease = leaseAt(pool.vm, connectedAt(request));
     accountForOffer(*pool.load, offer.job);
     part.vm = pool.vm;
     part.isOffered = true;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -60,7 +60,7 @@
     }
     void submit(uint32_t count)
     {
-        router.submit(1, makeOffer(count), now);
+        router.submit(1, makeOffer(count), now, now);
         collect();
     }
     void answer(const SendOffer &offer, JobResult result)
@@ -260,7 +260,7 @@
     BOOST_REQUIRE_EQUAL(offers.size(), 1U);
     BOOST_TEST((offers[0].offer.elapsed == milliseconds(300)));
     answer(offers[0], JobResult::Completed);
-    router.submit(2, makeOffer(4), now);
+    router.submit(2, makeOffer(4), now, now);
     router.withdraw(2, now);
     BOOST_TEST(router.openCount() == 0U);
 }
@@ -382,7 +382,7 @@
         VmReport report;
         report.vm = {"far", "dc2", "10.0.0.2:7000", 7};
         report.sentAt = now + ahead - delay;
-        report.loads.push_back({"work", 10, 8 * taskMilliCores, 0, 300});
+        report.loads.push_back({"work", 10, uint64_t {8} * taskMilliCores, 0, 300});
         table.addReport(report, now);
     };
     reportAfter(milliseconds(20));
@@ -410,9 +410,9 @@
     BOOST_REQUIRE_EQUAL(renewals.count("far"), 1U);
     const LeaseRenewal &renewal = renewals.at("far");
     BOOST_TEST(renewal.requests == std::vector<uint64_t> {1}, boost::test_tools::per_element());
-    const Duration clockOffset = table.find("far")->clockOffset;
     const Time handled = now - std::chrono::seconds(2);
-    BOOST_TEST((renewal.lease.until == handled + clockOffset + ResubmissionLimits {}.jobLease()));
+    const Time poolClock = VmTable::clockOf(*table.find("far"), handled);
+    BOOST_TEST((renewal.lease.until == poolClock + ResubmissionLimits {}.jobLease()));
     router.withdraw(1, now);
     BOOST_TEST(router.leaseRenewals().empty());
 }
@@ -423,8 +423,8 @@
 {
     report("near", "dc1", 8);
     report("far", "dc2", 30);
-    router.submit(1, makeOffer(1), now);
-    router.submit(2, makeOffer(1), now);
+    router.submit(1, makeOffer(1), now, now);
+    router.submit(2, makeOffer(1), now, now);
     router.withdraw(1, now);
     collect();
     BOOST_REQUIRE_EQUAL(offers.size(), 1U);
@@ -439,8 +439,8 @@
 BOOST_FIXTURE_TEST_CASE(another_job_with_an_open_id_is_refused, RouterFixture)
 {
     report("near", "dc1", 8);
-    router.submit(1, makeOffer(1), now);
-    router.submit(2, makeOffer(3), now);
+    router.submit(1, makeOffer(1), now, now);
+    router.submit(2, makeOffer(3), now, now);
     collect();
     BOOST_TEST(offers.size() == 1U);
     BOOST_REQUIRE_EQUAL(responses.size(), 1U);
@@ -452,8 +452,8 @@
 BOOST_FIXTURE_TEST_CASE(job_is_withdrawn_when_its_last_caller_has_gone, RouterFixture)
 {
     report("near", "dc1", 8);
-    router.submit(1, makeOffer(1), now);
-    router.submit(2, makeOffer(1), now);
+    router.submit(1, makeOffer(1), now, now);
+    router.submit(2, makeOffer(1), now, now);
     router.withdraw(2, now);
     router.withdraw(1, now);
     collect();
