--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -1,7 +1,10 @@
 // A node runs jobs for callers on one VM. It connects the router, the pool and the group membership
 // with the peers, and with backend servers and the store through ports that an adapter implements.
+//
+// NodeLogic makes the decisions of a node without I/O. Node runs it on sockets and I/O threads.
 #pragma once
 
+#include "lovage/contacts.h"
 #include "lovage/keeper.h"
 #include "lovage/net.h"
 #include "lovage/routing.h"
@@ -11,10 +14,19 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lovage {
 
+namespace node {
+class HeldShards;
+class JobMetrics;
+class Peers;
+class StoredJobs;
+struct PeerHandlers;
+} // namespace node
+
 struct NodeSettings
 {
     std::string name;
@@ -32,6 +44,9 @@
     Duration lease = std::chrono::milliseconds(1000);
     // Maximum time that a backend server takes to stop a task.
     Duration stopTime = std::chrono::milliseconds(50);
+    // A caller that got no answer submits its job again after this time at the earliest, through
+    // any VM.
+    Duration resubmitDelay = std::chrono::milliseconds(1300);
     // Shortest lease of a member of a group in the store.
     Duration groupLease = std::chrono::milliseconds(1000);
     // Time after SIGTERM at which the process is killed.
@@ -93,6 +108,25 @@
     virtual void announce() = 0;
 };
 
+// The source of the current time.
+class Clock
+{
+public:
+    virtual ~Clock() = default;
+    virtual Time now() const = 0;
+};
+
+// Sends messages to peers. Neither function calls back into the node before it returns.
+class PeerPort
+{
+public:
+    virtual ~PeerPort() = default;
+    // Sends a datagram, which may be lost, duplicated or reordered.
+    virtual void sendDatagram(const Endpoint &to, const std::string &bytes) = 0;
+    // Sends a frame with the guarantees of FrameClient.
+    virtual void sendFrame(const Endpoint &to, std::string frame) = 0;
+};
+
 // Interfaces that an adapter implements. They must outlive the node.
 struct NodePorts
 {
@@ -102,13 +136,135 @@
     JournalPort &journal;
 };
 
+struct RequestTiming
+{
+    Duration deadline {}; // time for which the caller waits, counted from its request
+    Duration waited {};   // HttpRequest::waited
+};
+
+using JobCallback = std::function<void(const JobAnswer &)>;
+// An error tells whether the job may have been stored or cancelled nevertheless.
+using StoredJobCallback = std::function<void(const Result<KeeperAnswer> &)>;
+
+// The decisions of a node. Performs no I/O: time, messages and events of peers pass through the
+// given interfaces, which must outlive the object. Single-threaded. Functions that Node has as well
+// are described there.
+class NodeLogic
+{
+public:
+    NodeLogic(NodeSettings settings, const NodePorts &ports, PeerPort &peers, const Clock &clock,
+              Metrics &metrics);
+    ~NodeLogic();
+    NodeLogic(const NodeLogic &) = delete;
+    NodeLogic &operator=(const NodeLogic &) = delete;
+
+    void start();
+    // Performs the periodic work. Callers call it first after start(), then repeatedly, each time
+    // after tickInterval().
+    void tick();
+    Duration tickInterval() const;
+
+    // Handles a datagram or a frame of a peer.
+    void onPeerBytes(std::string_view bytes);
+    // Handles the loss of the connection on which frames were sent to a peer.
+    void onFramesLost(const FrameClient::Lost &lost);
+
+    void setConfiguration(Configuration configuration);
+    void setServers(const std::vector<ServerInfo> &servers);
+    void setPeers(const std::vector<VmInfo> &peers);
+    uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                    JobCallback respond);
+    void withdraw(uint64_t number);
+    void storeJob(JobSpec job, const Queue &queue, Duration deadline, StoredJobCallback respond);
+    void queryJob(const std::string &job, Duration deadline, StoredJobCallback respond);
+    void cancelJob(const std::string &job, Duration deadline, StoredJobCallback respond);
+    uint32_t pendingJobs(const std::string &queue) const;
+    void setStoredJobsExist(bool exist);
+    bool needsServerList() const;
+    bool isReady() const;
+    const Configuration *configuration() const;
+    const VmInfo &self() const { return self_; }
+    void drain();
+    bool isDrained() const;
+
+private:
+    struct Caller
+    {
+        JobCallback respond;
+        Time arrivedAt;
+        size_t tasks = 0;
+    };
+
+    node::PeerHandlers peerHandlers();
+    void onMessage(VmMessage message);
+    void onOfferUnsent(const std::string &vm, const JobOffer &offer);
+    void onBatchUnsent(const std::string &vm, const TaskBatch &batch);
+    void onVmLost(const std::string &vm, std::string_view cause);
+    template<class Message>
+    void onPeerMessage(Message message);
+    void onPeerMessage(VmReport report);
+    void onPeerMessage(OfferMessage message);
+    void onPeerMessage(AnswerMessage message);
+    void onPeerMessage(const WithdrawMessage &message);
+    void onPeerMessage(const IntroductionMessage &message);
+    void onPeerMessage(const ConfigurationRequest &message);
+    void onPeerMessage(ConfigurationMessage message);
+    void requestConfiguration(const std::string &vm);
+
+    Duration staleRequestLimit() const { return settings_.resubmitDelay / 2; }
+    void refuseStaleRequest(const std::string &job, const RequestTiming &timing,
+                            const JobCallback &respond);
+    void request(KeeperRequest request, Duration deadline, StoredJobCallback respond);
+    VmReport report() const;
+    // State without the VMs that run jobs of this VM or whose jobs run here.
+    ContactState localState() const;
+    ContactState contactState() const;
+    bool shouldHold(Time now) const;
+    bool wantsShards(Time now) const;
+    void removeSilentVms(Time now);
+    void detectPause(Time now);
+
+    void flush();
+    void writeLogEntries();
+    void execute(OrderStart order);
+    void execute(OrderStop order);
+    void execute(const OrderPoll &order);
+    void execute(JobAnswer answer);
+    void execute(const TaskOutcome &outcome);
+    void execute(SendOffer send);
+    void execute(const SendWithdraw &send);
+    void execute(const Respond &respond);
+
+    const Clock &clock_;
+    Time started_;
+    VmInfo self_;
+    ServerPort &servers_;
+    NodeSettings settings_;
+    VmTable vms_;
+    Router router_;
+    Pool pool_;
+    HolderOptions holderOptions_;
+    std::unique_ptr<node::Peers> peers_;
+    std::unique_ptr<node::HeldShards> heldShards_;
+    std::unique_ptr<node::StoredJobs> storedJobs_;
+    Configuration configuration_;
+    bool hasConfiguration_ = false;
+    std::unordered_map<uint64_t, Caller> callers_;
+    uint64_t nextNumber_ = 1;
+    bool isDraining_ = false;
+    Time drainingSince_ {};
+    bool isFlushing_ = false;
+    Time lastTick_ {};
+    Time nextConfigurationRequest_ {};
+    std::unique_ptr<node::JobMetrics> metrics_;
+};
+
 // Single-threaded: all calls and callbacks take place on thread 0 of the I/O threads.
 class Node
 {
 public:
-    using JobCallback = std::function<void(const JobAnswer &)>;
-    // An error tells whether the job may have been stored or cancelled nevertheless.
-    using StoredJobCallback = std::function<void(const Result<KeeperAnswer> &)>;
+    using JobCallback = lovage::JobCallback;
+    using StoredJobCallback = lovage::StoredJobCallback;
 
     static Result<std::unique_ptr<Node>> open(NodeSettings settings, IoThreads &threads,
                                               const NodePorts &ports, Metrics &metrics);
@@ -125,7 +281,12 @@
     void setPeers(const std::vector<VmInfo> &peers);
 
     // Runs a job for a caller that waits for the answer. Returns the number of the request.
-    uint64_t submit(JobSpec job, const Queue &queue, Duration deadline, JobCallback respond);
+    //
+    // A request that may have waited for half of the resubmit delay, or past its deadline, is
+    // refused: its caller may have left and submitted the job through another VM. The other half is
+    // for the time until a close of the connection is noticed and the job is withdrawn.
+    uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
+                    JobCallback respond);
     // Withdraws a request whose caller has closed its connection.
     void withdraw(uint64_t number);
 
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -54,7 +54,15 @@
 
 void Router::submit(uint64_t number, JobOffer offer, Time now)
 {
+    const auto open = std::find_if(requests_.begin(), requests_.end(), [&](const auto &entry) {
+        return entry.second.offer.job.id == offer.job.id;
+    });
+    if (open != requests_.end()) {
+        join(number, open->second, offer);
+        return;
+    }
     Request request;
+    request.callers.push_back(number);
     request.offer = std::move(offer);
     request.offer.ticket = {vms_.self().name, vms_.self().incarnation, number};
     request.arrived = now;
@@ -63,6 +71,21 @@
     offerWaiting(now);
 }
 
+void Router::join(uint64_t number, Request &open, const JobOffer &offer)
+{
+    const bool isSameJob = open.offer.job == offer.job;
+    logEntries_.push_back({"job-joined", offer.job.id,
+                           fmt::format("number={} open={} same={}", number,
+                                       open.offer.ticket.number, isSameJob)});
+    if (isSameJob) {
+        open.callers.push_back(number);
+        return;
+    }
+    const JobTicket ticket {vms_.self().name, vms_.self().incarnation, number};
+    actions_.emplace_back(
+            Respond {number, {ticket, JobResult::Refused, "id-in-use", options_.retryAfter}});
+}
+
 std::set<std::string> Router::offeredVms() const
 {
     std::set<std::string> vms;
@@ -75,6 +98,42 @@
     return vms;
 }
 
+// Leases of offers that were withdrawn are not renewed.
+std::map<std::string, LeaseRenewal> Router::leaseRenewals() const
+{
+    std::map<std::string, LeaseRenewal> renewals;
+    for (const auto &[number, request] : requests_) {
+        if (request.isGivenUp)
+            continue;
+        for (const Part &part : request.parts) {
+            if (!part.isOffered || part.vm.empty() || part.vm == vms_.self().name)
+                continue;
+            std::vector<uint64_t> &numbers = renewals[part.vm].requests;
+            if (numbers.empty() || numbers.back() != number)
+                numbers.push_back(number);
+        }
+    }
+    for (auto &[vm, renewal] : renewals)
+        renewal.lease = leaseAt(vm, handledThrough_);
+    return renewals;
+}
+
+// Returns the latest time at which the caller is known to have been connected.
+Time Router::connectedAt(const Request &request) const
+{
+    return std::max(request.arrived - request.offer.elapsed, handledThrough_);
+}
+
+// Returns a lease that has ended already if the VM is unknown.
+JobLease Router::leaseAt(const std::string &vm, Time connectedAt) const
+{
+    const VmTable::Row *row = vms_.find(vm);
+    if (!row)
+        return {};
+    return {row->report.vm.incarnation,
+            VmTable::clockOf(*row, connectedAt) + options_.resubmission.jobLease()};
+}
+
 void Router::offerWaiting(Time now)
 {
     for (const uint64_t number : std::exchange(waiting_, {})) {
@@ -105,13 +164,20 @@
 
 void Router::withdraw(uint64_t number, Time now)
 {
-    const auto found = requests_.find(number);
+    const auto found = std::find_if(requests_.begin(), requests_.end(), [&](const auto &entry) {
+        const std::vector<uint64_t> &callers = entry.second.callers;
+        return std::find(callers.begin(), callers.end(), number) != callers.end();
+    });
     if (found == requests_.end())
         return;
+    Request &request = found->second;
     logEntries_.push_back(
-            {"caller-gone", found->second.offer.job.id,
-             fmt::format("number={} after_us={}", number, (now - found->second.arrived).count())});
-    withdrawOpenParts(found->second);
+            {"caller-gone", request.offer.job.id,
+             fmt::format("number={} after_us={}", number, (now - request.arrived).count())});
+    std::erase(request.callers, number);
+    if (!request.callers.empty())
+        return;
+    withdrawOpenParts(request);
     requests_.erase(found);
 }
 
@@ -215,6 +281,8 @@
     Request &request = requests_.at(number);
     Part &part = request.parts[index];
     JobOffer offer = makePartOffer(request, index, now);
+    if (pool.vm != vms_.self().name)
+        offer.lease = leaseAt(pool.vm, connectedAt(request));
     accountForOffer(*pool.load, offer.job);
     part.vm = pool.vm;
     part.isOffered = true;
@@ -324,8 +392,9 @@
     logEntries_.push_back({"caller-answered", found->second.offer.job.id,
                            fmt::format("number={} result={} reason={}", number, toString(result),
                                        answer.reason)});
+    for (const uint64_t caller : found->second.callers)
+        actions_.emplace_back(Respond {caller, answer});
     requests_.erase(found);
-    actions_.emplace_back(Respond {number, std::move(answer)});
 }
 
 void Router::onAnswer(const std::string &vm, JobAnswer answer, Time now)
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -19,6 +19,15 @@
     duration = Duration(count);
 }
 
+template<class Archive>
+void timeField(Archive &archive, Time &time)
+{
+    constexpr Duration latest {INT64_MAX / 4}; // the limit of durationField()
+    Duration sinceEpoch = std::min(time.time_since_epoch(), latest);
+    durationField(archive, sinceEpoch);
+    time = Time(sinceEpoch);
+}
+
 template<class Archive>
 void flagField(Archive &archive, bool &flag)
 {
