Derive the limits of a job's lease from the time that servers take to stop

The allowance between the end of a job's lease and the end of its runs held 50 ms for the stop whatever stopTimeMs said. It follows the setting now, and settings that leave a lease of less than 500 ms are rejected with the others. The two bounds of Pool are named after what must have ended: runsEndBy() of a job, leaseEndsBy() of a server. With 1,300 and 50 ms all limits are as before.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -318,21 +318,25 @@
     // Shortest time after which a caller sends a job again, counted from the loss of its connection
     // or from the answer that the job may have run.
     Duration resubmitDelay = std::chrono::milliseconds(1300);
+    // Maximum time that a server takes to stop a task.
+    Duration stopTime = std::chrono::milliseconds(50);
 
     // Time by which every run of the job has ended, counted as above.
     constexpr Duration runLimit() const { return resubmitDelay - messageAllowance; }
     // Duration of the lease of a job, counted from the latest time at which the VM with the
     // caller's connection knew it to be open.
-    constexpr Duration jobLease() const { return runLimit() - stopAllowance; }
+    constexpr Duration jobLease() const { return runLimit() - stopAllowance(); }
+    // Maximum time from the end of a job's lease until its runs have ended.
+    constexpr Duration stopAllowance() const { return reactionAllowance + stopTime; }
 
     // Maximum time for which the answer to a caller, or the loss of its connection, and an order to
     // a server are delayed.
     static constexpr Duration messageAllowance = std::chrono::milliseconds(50);
-    // Maximum time from the end of a job's lease until its runs have ended: a tick of the pool, the
-    // order to stop, and the stop itself.
-    static constexpr Duration stopAllowance = std::chrono::milliseconds(250);
-    // A shorter delay leaves a lease that does not outlast the loss of two reports.
-    static constexpr std::chrono::milliseconds minResubmitDelay {800};
+    // Maximum time from the end of a job's lease until its runs are told to stop: a tick of the
+    // pool, and the order to the server.
+    static constexpr Duration reactionAllowance = std::chrono::milliseconds(200);
+    // A shorter lease does not outlast the loss of two reports.
+    static constexpr Duration minJobLease = std::chrono::milliseconds(500);
 
     auto operator<=>(const ResubmissionLimits &) const = default;
 };
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -27,11 +27,16 @@
 // get its refusals faster than they would get a timeout.
 constexpr Duration readyWithoutPoolAfter = std::chrono::seconds(3);
 
+ResubmissionLimits resubmissionLimits(const NodeSettings &settings)
+{
+    return {settings.resubmitDelay, settings.stopTime};
+}
+
 PoolOptions poolOptions(const NodeSettings &settings)
 {
     PoolOptions options;
     options.shardCount = settings.shardCount;
-    options.resubmission.resubmitDelay = settings.resubmitDelay;
+    options.resubmission = resubmissionLimits(settings);
     // A longer lease could not be granted to the runs of a job whose own lease ends earlier.
     options.lease = std::min(settings.lease, options.resubmission.jobLease());
     options.stopTime = settings.stopTime;
@@ -42,7 +47,7 @@
 RouterOptions routerOptions(const NodeSettings &settings)
 {
     RouterOptions options;
-    options.resubmission.resubmitDelay = settings.resubmitDelay;
+    options.resubmission = resubmissionLimits(settings);
     return options;
 }
 
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -12,7 +12,6 @@
 constexpr uint64_t maxShards = 1024;
 constexpr int64_t maxMillis = 3'600'000;
 constexpr double maxSeconds = 3600;
-constexpr int64_t minResubmitDelayMillis = ResubmissionLimits::minResubmitDelay.count();
 
 void readSeeds(ObjectReader &reader, NodeSettings &settings)
 {
@@ -57,7 +56,7 @@
     reader.readNumber("shardCount", settings.shardCount, 1, maxShards);
     reader.readMillis("leaseMs", settings.lease, 1, maxMillis);
     reader.readMillis("stopTimeMs", settings.stopTime, 1, maxMillis);
-    reader.readMillis("resubmitDelayMs", settings.resubmitDelay, minResubmitDelayMillis, maxMillis);
+    reader.readMillis("resubmitDelayMs", settings.resubmitDelay, 1, maxMillis);
     reader.readMillis("groupLeaseMs", settings.groupLease, 1, maxMillis);
     reader.readSeconds("stopLimitS", settings.stopLimit, 0, maxSeconds);
     reader.readSeconds("jobRetentionS", settings.jobRetention, 1, maxSeconds);
@@ -78,6 +77,9 @@
     ObjectReader reader(value, "", errors.errors);
     readSettings(reader, settings);
     reader.finish();
+    const ResubmissionLimits limits {settings.resubmitDelay, settings.stopTime};
+    if (limits.jobLease() < ResubmissionLimits::minJobLease)
+        errors.errors.push_back({"resubmitDelayMs", "at least 750 more than stopTimeMs"});
     if (!errors.errors.empty())
         return errors;
     return settings;
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -94,7 +94,7 @@
     void onNewIncarnation(Server &server, Time now);
     void onServerReplaced(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
-    Time leaseLimit(const Server &server) const;
+    Time leaseEndsBy(const Server &server) const;
     bool isPlaceable(const Server &server, Time now) const;
     void sendPoll(Server &server, Time now);
     void sendStop(Server &server, const std::string &task, pool::Run &run, Time now);
@@ -127,7 +127,7 @@
     void removeJob(JobNumber number, Time now);
     void stopRunsOf(JobNumber number, Time now);
     Time giveUpTime(const Job &job) const;
-    static Time runLimit(const Job &job);
+    Time runsEndBy(const Job &job) const;
     // Returns whether a job with this id is open for another request.
     bool isDuplicate(const JobOffer &offer) const;
     bool hasLeftoverRuns(const std::string &jobId) const;
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -224,11 +224,11 @@
 }
 
 // Returns the time by which the runs of the job must have ended if its lease is not renewed.
-Time Pool::Implementation::runLimit(const Job &job)
+Time Pool::Implementation::runsEndBy(const Job &job) const
 {
     if (job.leaseUntil == Time::max())
         return Time::max();
-    return job.leaseUntil + ResubmissionLimits::stopAllowance;
+    return job.leaseUntil + options_.resubmission.stopAllowance();
 }
 
 void Pool::Implementation::stopRunsOf(JobNumber number, Time now)
@@ -240,7 +240,7 @@
         for (auto &[task, run] : server.runs()) {
             if (run.job != number)
                 continue;
-            run.endBy = std::min(runLimit(job), now + options_.resubmission.runLimit());
+            run.endBy = std::min(runsEndBy(job), now + options_.resubmission.runLimit());
             if (run.state != RunState::Stopping)
                 sendStop(server, task, run, now);
         }
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -244,7 +244,7 @@
             || server.runs().contains(name) || !isAllowed(server, step, name))
             continue;
         // A server never shortens its lease, so the run might outlive the lease of its job.
-        if (server.leaseEnd() > runLimit(job))
+        if (server.leaseEnd() > runsEndBy(job))
             continue;
         Choice choice {&place, place.earliestStart(step.demand), {}};
         const bool isNow = choice.start <= now;
@@ -330,7 +330,7 @@
     start.checkpoint = std::move(checkpoint);
     start.token = server.token;
     server.add(task, std::move(run));
-    start.leaseUntilMs = server.leaseForStart(now, leaseLimit(server));
+    start.leaseUntilMs = server.leaseForStart(now, leaseEndsBy(server));
     actions_.emplace_back(std::move(start));
 }
 
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -28,6 +28,9 @@
 constexpr Duration silentServerBackoff = std::chrono::milliseconds(500);
 // Number of consecutive failed polls after which polls no longer extend the lease.
 constexpr uint32_t pollsBeforeLapse = 2;
+// A server takes new runs only while it can be granted at least this part of the full lease, so
+// that a poll or two may be lost.
+constexpr int minStartLeaseInverse = 2;
 
 } // namespace
 
@@ -169,14 +172,14 @@
 }
 
 // Returns the time by which the lease of the server must have lapsed.
-Time Pool::Implementation::leaseLimit(const Server &server) const
+Time Pool::Implementation::leaseEndsBy(const Server &server) const
 {
     Time limit = Time::max();
     for (const auto &[task, run] : server.runs()) {
         limit = std::min(limit, run.endBy);
         const auto job = jobs_.find(run.job);
         if (job != jobs_.end())
-            limit = std::min(limit, runLimit(job->second));
+            limit = std::min(limit, runsEndBy(job->second));
     }
     return limit;
 }
@@ -186,7 +189,7 @@
 bool Pool::Implementation::isPlaceable(const Server &server, Time now) const
 {
     return server.isOpen(now) && !server.hasForeignRuns()
-            && leaseLimit(server) >= now + options_.lease / 2;
+            && leaseEndsBy(server) >= now + options_.lease / minStartLeaseInverse;
 }
 
 void Pool::Implementation::sendPoll(Server &server, Time now)
@@ -198,7 +201,7 @@
     // that it lapses and the tasks can be started on other servers.
     const bool extendsLease = server.ownership == Ownership::Held && !server.runs().empty()
             && server.unansweredPolls < pollsBeforeLapse;
-    const Time limit = leaseLimit(server);
+    const Time limit = leaseEndsBy(server);
     if (extendsLease && limit < now + options_.lease)
         logEvent("lease-shortened", {},
                  fmt::format("server={} limit_us={}", server.info().id, (limit - now).count()));
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -174,6 +174,20 @@
     BOOST_TEST((settings.value().resubmitDelay == std::chrono::milliseconds(1400)));
 }
 
+// Guards against leases of jobs that are too short to be renewed in time.
+BOOST_AUTO_TEST_CASE(resubmit_delay_must_leave_time_for_a_lease)
+{
+    const std::string required =
+            R"("name": "a", "dataCentre": "z", "http": "10.0.0.1:1", "readiness": "10.0.0.1:2",)"
+            R"("peer": "10.0.0.1:3", "store": "10.0.0.2:4")";
+    const auto parse = [&](const std::string &more) {
+        return parseNodeSettings("{" + required + ", " + more + "}").has_value();
+    };
+    BOOST_TEST(parse(R"("resubmitDelayMs": 800, "stopTimeMs": 50)"));
+    BOOST_TEST(!parse(R"("resubmitDelayMs": 700, "stopTimeMs": 50)"));
+    BOOST_TEST(!parse(R"("resubmitDelayMs": 1300, "stopTimeMs": 600)"));
+}
+
 // Guards against peers that cannot reach a VM behind address translation.
 BOOST_AUTO_TEST_CASE(advertised_peer_address_is_optional)
 {
--- a/tests/pool_lease_test.cpp
+++ b/tests/pool_lease_test.cpp
@@ -79,7 +79,7 @@
     offer(makeLeasedOffer("job1", limits.jobLease()));
     runFor(limits.jobLease() - milliseconds(50));
     BOOST_TEST(isRunning("job1.0.0.0"));
-    runFor(milliseconds(50) + ResubmissionLimits::stopAllowance);
+    runFor(milliseconds(50) + ResubmissionLimits {}.stopAllowance());
     BOOST_TEST(!isRunning("job1.0.0.0"));
     BOOST_TEST((resultOf("job1") == JobResult::Abandoned));
     BOOST_TEST(pool.counters().leasesExpired == 1U);
@@ -116,7 +116,7 @@
     offer(makeLeasedOffer("job1", limits.jobLease()));
     runFor(limits.jobLease() - milliseconds(50));
     BOOST_TEST(isRunning("job1.0.0.0"));
-    pauseFor(milliseconds(50) + ResubmissionLimits::stopAllowance);
+    pauseFor(milliseconds(50) + ResubmissionLimits {}.stopAllowance());
     BOOST_TEST(!isRunning("job1.0.0.0"));
 }
 
@@ -141,6 +141,6 @@
     runFor(milliseconds(300)); // a poll has extended the lease of the server
     offer(makeLeasedOffer("job2", milliseconds(150)));
     runFor(milliseconds(5));
-    pauseFor(milliseconds(150) + ResubmissionLimits::stopAllowance);
+    pauseFor(milliseconds(150) + ResubmissionLimits {}.stopAllowance());
     BOOST_TEST(!isRunning("job2.0.0.0"));
 }
