Log what showed a restart of a server and why a run counts as over

Callers saw nothing of this change. Both lines are written for restarts and lost runs only, so their volume is bounded by the faults of servers.

--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -91,7 +91,9 @@
                                          Time now) const;
 
     void applyGrant(Server &server, Time now);
-    void onNewIncarnation(Server &server, Time now);
+    void logRunOver(const Server &server, const std::string &task, const pool::Run &run,
+                    std::string_view cause, Time now);
+    void onNewIncarnation(Server &server, uint64_t known, std::string_view source, Time now);
     void onServerReplaced(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
     Time leaseEndsBy(const Server &server) const;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -48,9 +48,10 @@
                      fmt::format("server={} leaving={}", info.id, info.isLeaving));
         if (!isNew && info.incarnation < server.info().incarnation)
             continue; // an outdated entry of an earlier incarnation
+        const uint64_t known = server.info().incarnation;
         server.update(info);
         if (isNewIncarnation && !isNew)
-            onNewIncarnation(server, now);
+            onNewIncarnation(server, known, "entry", now);
         if (isNew)
             applyGrant(server, now);
     }
@@ -86,19 +87,38 @@
     server.nextPollAt = now;
 }
 
+// Logs why a run counts as over although the server has not listed its end.
+void Pool::Implementation::logRunOver(const Server &server, const std::string &task, const Run &run,
+                                      std::string_view cause, Time now)
+{
+    const Duration sinceConfirmed =
+            run.confirmedAt == Time {} ? Duration(-1) : now - run.confirmedAt;
+    logEvent("run-over", {},
+             fmt::format("task={} run={} server={} cause={} ordered_us={} confirmed_us={}", task,
+                         run.number, server.info().id, cause, (now - run.orderedAt).count(),
+                         sinceConfirmed.count()));
+}
+
 // All runs of the previous incarnation have ended. An unanswered order may still be executed by the
 // new incarnation, which its answer or a poll will show. The new incarnation does not know the
 // stops that the previous one confirmed, so they are sent again.
-void Pool::Implementation::onNewIncarnation(Server &server, Time now)
+void Pool::Implementation::onNewIncarnation(Server &server, uint64_t known, std::string_view source,
+                                            Time now)
 {
-    logEvent("server-restarted", {}, fmt::format("server={}", server.info().id));
     std::vector<std::string> tasks;
     for (const auto &[task, run] : server.runs()) {
         if (run.confirmedAt != Time {} || run.job == pool::foreignJob)
             tasks.push_back(task);
     }
-    for (const std::string &task : tasks)
-        requeue(task, server.remove(task), now);
+    logEvent("server-restarted", {},
+             fmt::format("server={} known={} named={} source={} runs={} ended={}", server.info().id,
+                         known, server.info().incarnation, source, server.runs().size(),
+                         tasks.size()));
+    for (const std::string &task : tasks) {
+        const Run run = server.remove(task);
+        logRunOver(server, task, run, "restart", now);
+        requeue(task, run, now);
+    }
     server.resetIncarnationState();
     if (server.ownership != Ownership::None)
         server.ownership = Ownership::TakingOver;
@@ -114,7 +134,7 @@
 // the server list for seconds, orders to it are delayed increasingly.
 void Pool::Implementation::onServerReplaced(Server &server, Time now)
 {
-    onNewIncarnation(server, now);
+    onNewIncarnation(server, server.info().incarnation, "other-server", now);
     server.replacedDelay = std::clamp(server.replacedDelay * 2, reconnectDelay, maxReconnectDelay);
     server.nextPollAt = now + server.replacedDelay;
     for (auto &[task, run] : server.runs())
@@ -157,9 +177,10 @@
     if (!reading.incarnation || *reading.incarnation <= server.info().incarnation)
         return reading.incarnation.value_or(0) == server.info().incarnation || !reading.incarnation;
     ServerInfo info = server.info();
+    const uint64_t known = info.incarnation;
     info.incarnation = *reading.incarnation;
     server.update(std::move(info));
-    onNewIncarnation(server, now);
+    onNewIncarnation(server, known, "answer", now);
     return false;
 }
 
@@ -251,8 +272,7 @@
         for (const std::string &task : ended) {
             ++counters_.runsLost;
             const Run run = server.remove(task);
-            logEvent("run-lapsed", {},
-                     fmt::format("task={} run={} server={}", task, run.number, id));
+            logRunOver(server, task, run, "lapsed", now);
             requeue(task, run, now);
         }
     }
@@ -357,6 +377,7 @@
     }
     for (const std::string &task : gone) {
         const Run run = server.remove(task);
+        logRunOver(server, task, run, "not-listed", now);
         if (run.state == RunState::Running)
             ++counters_.runsLost;
         if (run.confirmedAt == Time {} && run.job != pool::foreignJob)
