Learn what runs on a restarted server from its lists alone

Callers of non-idempotent kinds saw two runs of one task at one time: 91 pairs on one deployment.

Cause: a server may restart under its id and execute a start that was sent before this is known. The answer to a start does not say which process executed it, but the pool took each confirmed start for one of the process that it knew. When an entry or a list then named the new incarnation, it started all confirmed runs elsewhere, also those that the new process was executing, and stopped these as foreign 20 to 30 ms later. One entry with a wrong incarnation did the same to all runs of a live server, and its lists were ignored from then on.

Change: only a list names the process whose runs it shows. A run counts as ended with its process if a list of that process has shown it; any other run stays until a list shows it or, sent after the start or the stop was confirmed, lacks it. A changed incarnation in an entry, or a clock that runs back, demands a list before new work is placed, and ends nothing. A stop that was sent before the incarnation was known confirms nothing for it. The type of the answers to starts and stops has room for the clock alone, so that no stand-in can tell more than a server does.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -73,7 +73,7 @@
 class ServerPort
 {
 public:
-    using OrderCallback = std::function<void(OrderResult, ServerReading)>;
+    using OrderCallback = std::function<void(OrderResult, ServerClock)>;
     using PollCallback = std::function<void(PollReply)>;
 
     virtual ~ServerPort() = default;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -25,7 +25,8 @@
     std::string address; // "ip:port"
     std::vector<std::string> labels;
     Demand capacity;
-    // Identifies the server process. Grows with each restart, which loses all state of the server.
+    // Incarnation of the server process as its entry names it; 0 if it names none. The entry may be
+    // outdated or of another writer, so only a list of runs shows which process is alive.
     uint64_t incarnation = 0;
     bool isLeaving = false; // whether the server accepts no new work
 
@@ -180,7 +181,6 @@
 {
     RunRef ref;
     std::string address;
-    uint64_t incarnation = 0;
     std::string payload;
     std::string checkpoint {}; // checkpoint to resume from; empty for none
     int64_t leaseUntilMs = 0;  // end of the lease on the server's clock
@@ -212,21 +212,19 @@
     Superseded, // this run or a later one of the task has already ended on the server
     Late,       // the lease had expired on the server's clock
     NoRoom,
-    Unhealthy,        // the server did not execute the order
-    OtherIncarnation, // another incarnation answered and did not execute the order
-    Invalid,          // the server does not accept the order at all
-    NotSent,          // no byte reached the server
-    Unknown,          // no answer; the order may have been executed or may be executed later
+    Unhealthy,   // the server did not execute the order
+    OtherServer, // another server answers at the address and did not execute the order
+    Invalid,     // the server does not accept the order at all
+    NotSent,     // no byte reached the server
+    Unknown,     // no answer; the order may have been executed or may be executed later
 };
 
 std::string_view toString(OrderResult result);
 
-// Clock and incarnation of a server, which it includes in every answer.
-struct ServerReading
-{
-    std::optional<int64_t> clockMs;
-    std::optional<uint64_t> incarnation;
-};
+// Reading of a server's steady clock in milliseconds, which begins anew with each incarnation;
+// nullopt if an answer carries none. The answers to starts and stops tell nothing else of the
+// server, so they do not show which incarnation has executed the order.
+using ServerClock = std::optional<int64_t>;
 
 enum class RunEnd { Succeeded, Failed, Stopped, Lapsed, Broken };
 
@@ -278,7 +276,8 @@
 {
     std::string server;
     OrderResult result = OrderResult::Unknown;
-    ServerReading reading;
+    ServerClock clock {};
+    std::optional<uint64_t> incarnation {}; // incarnation whose runs are listed
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
 };
@@ -444,10 +443,8 @@
     // end is acknowledged only after the lease of its server has lapsed.
     void confirmOutcome(const std::string &task, uint32_t run, bool isSuperseded, Time now);
 
-    void onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
-                         Time now);
-    void onStopAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
-                        Time now);
+    void onStartAnswered(const RunRef &ref, OrderResult result, ServerClock clock, Time now);
+    void onStopAnswered(const RunRef &ref, OrderResult result, ServerClock clock, Time now);
     void onPollAnswered(const PollReply &reply, Time now);
     void tick(Time now);
 
--- a/src/node/node_actions.cpp
+++ b/src/node/node_actions.cpp
@@ -57,8 +57,8 @@
 void NodeLogic::execute(OrderStart order)
 {
     RunRef ref = order.ref;
-    servers_.start(order, [this, ref](OrderResult result, const ServerReading &reading) {
-        pool_.onStartAnswered(ref, result, reading, clock_.now());
+    servers_.start(order, [this, ref](OrderResult result, ServerClock clock) {
+        pool_.onStartAnswered(ref, result, clock, clock_.now());
         flush();
     });
 }
@@ -66,8 +66,8 @@
 void NodeLogic::execute(OrderStop order)
 {
     RunRef ref = order.ref;
-    servers_.stop(order, [this, ref](OrderResult result, const ServerReading &reading) {
-        pool_.onStopAnswered(ref, result, reading, clock_.now());
+    servers_.stop(order, [this, ref](OrderResult result, ServerClock clock) {
+        pool_.onStopAnswered(ref, result, clock, clock_.now());
         flush();
     });
 }
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace lovage::pool {
 
@@ -49,7 +50,8 @@
 bool LeasedServer::isOpen(Time now) const
 {
     return ownership == Ownership::Held && !isReleasing && isRegistered && !info_.isLeaving
-            && clockMs_ && now >= closedUntil && now >= avoidUntil && !hasSupersededEnds();
+            && !isListRequired_ && clockMs_ && now >= closedUntil && now >= avoidUntil
+            && !hasSupersededEnds();
 }
 
 Run *LeasedServer::findRun(const RunRef &ref)
@@ -98,25 +100,57 @@
                        [](const auto &entry) { return entry.second.job == foreignJob; });
 }
 
-void LeasedServer::updateClock(const ServerReading &reading, Time now)
+bool LeasedServer::isNewIncarnation(const PollReply &list) const
 {
-    if (!reading.clockMs)
+    if (!incarnation_)
+        return false;
+    // A server that does not name its incarnation shows a restart by its clock alone.
+    if (!list.incarnation && *incarnation_ == 0)
+        return contradictsClock(list.clock, pollSentAt);
+    return list.incarnation.value_or(0) != *incarnation_;
+}
+
+void LeasedServer::beginIncarnation(uint64_t incarnation)
+{
+    resetIncarnationState();
+    incarnation_ = incarnation;
+    ++incarnationCount_;
+}
+
+void LeasedServer::requireList(Time now)
+{
+    isListRequired_ = true;
+    listRequiredAt_ = now;
+    nextPollAt = std::min(nextPollAt, now);
+}
+
+bool LeasedServer::contradictsClock(ServerClock clock, Time orderSentAt) const
+{
+    const auto earliest = clockMs(orderSentAt);
+    return clock && earliest && *clock < *earliest;
+}
+
+void LeasedServer::updateClock(ServerClock clock, Time now)
+{
+    if (!clock)
         return;
     // Answers may arrive out of order. A reading earlier than the current estimate is ignored,
     // since its answer was delayed for longer.
     const auto estimate = clockMs(now);
-    if (estimate && *reading.clockMs < *estimate)
+    if (estimate && *clock < *estimate)
         return;
-    clockMs_ = reading.clockMs;
+    clockMs_ = clock;
     clockReadAt_ = now;
 }
 
-std::optional<int64_t> LeasedServer::clockMs(Time now) const
+ServerClock LeasedServer::clockMs(Time time) const
 {
     if (!clockMs_)
         return std::nullopt;
-    const double elapsed = static_cast<double>(toMillis(now - clockReadAt_));
-    return *clockMs_ + static_cast<int64_t>(elapsed * (1 - options_.clockError));
+    const int64_t elapsed = toMillis(time - clockReadAt_);
+    // Before the reading, the clock was at most that time behind.
+    const double rate = elapsed < 0 ? 1 : 1 - options_.clockError;
+    return *clockMs_ + static_cast<int64_t>(std::floor(static_cast<double>(elapsed) * rate));
 }
 
 // Returns the time by which a lease granted now has ended and its runs have stopped, assuming the
@@ -161,7 +195,7 @@
 {
     if (isPollPending || ownership == Ownership::None || now < nextPollAt)
         return false;
-    if (ownership == Ownership::TakingOver)
+    if (ownership == Ownership::TakingOver || isListRequired_)
         return true;
     // While the server lists an end that is not acknowledged, it answers polls without waiting, so
     // the polls have to be spaced out.
@@ -174,7 +208,7 @@
 
 Duration LeasedServer::pollWait(Time now) const
 {
-    if (ownership == Ownership::TakingOver || runs_.empty())
+    if (ownership == Ownership::TakingOver || isListRequired_ || runs_.empty())
         return Duration::zero();
     Duration wait = options_.pollWait;
     for (const auto &[task, run] : runs_) {
@@ -231,6 +265,12 @@
     cancelledStarts_[task] = {run, now + maxOrderDelay};
 }
 
+bool LeasedServer::isCancelledStart(const RunRef &ref) const
+{
+    const auto found = cancelledStarts_.find(ref.task);
+    return found != cancelledStarts_.end() && found->second.run == ref.run;
+}
+
 void LeasedServer::restoreCancelledStarts(Time now)
 {
     pruneCancelledStarts(now);
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -41,12 +41,17 @@
     Demand demand;
     RunState state = RunState::Starting;
     Time orderedAt {};
-    Time confirmedAt {};         // time at which the run was known to run; zero: not known
+    Time confirmedAt {}; // time at which the start was known to be executed; zero: not yet
+    // Whether a list of the current incarnation has shown the run. Until then it is not known which
+    // incarnation executes it.
+    bool isListed = false;
     Duration expected {};        // predicted run time on this server
     bool isSlowRecorded = false; // whether the run counted against the speed of the server
     uint32_t percent = 0;        // percentage of its work that is done, as of the latest poll
     bool needsMove = false;      // whether the run would end too late on this server
     bool isStopPending = false;
+    Time stopSentAt {};
+    uint32_t stopSentTo = 0; // LeasedServer::incarnationCount() when the latest stop was sent
     Time stopConfirmedAt {}; // time at which the server confirmed the stop; zero: not yet
     Time nextStopAt {};
     std::optional<StoredOrigin> stored {};
@@ -94,9 +99,13 @@
     Run remove(const std::string &task);
     bool hasForeignRuns() const;
 
-    void updateClock(const ServerReading &reading, Time now);
-    // Returns a lower bound of the server's clock; nullopt before its first answer.
-    std::optional<int64_t> clockMs(Time now) const;
+    // Returns whether the reading, of an answer to an order that was sent at the given time, is of
+    // another incarnation than the known one.
+    bool contradictsClock(ServerClock clock, Time orderSentAt) const;
+    void updateClock(ServerClock clock, Time now);
+    // Returns a lower bound of the clock of the known incarnation at the given time; nullopt before
+    // its first answer.
+    std::optional<int64_t> clockMs(Time time) const;
     // Return the end of the lease to request with a start or a poll, on the server's clock. The
     // lease has certainly lapsed by `limit`; a poll requests none (0) if there is no time left
     // until then. At most one poll is pending at a time.
@@ -149,11 +158,26 @@
     void commitPollAck() { acknowledged_ = std::max(acknowledged_, pollAck_); }
     bool hasUnacknowledged() const { return ackedThrough() > acknowledged_; }
 
-    // Clears the state that belongs to the previous incarnation.
+    // Incarnation that the latest list named; nullopt before the first list.
+    std::optional<uint64_t> incarnation() const { return incarnation_; }
+    // Number of incarnations that were seen.
+    uint32_t incarnationCount() const { return incarnationCount_; }
+    // Returns whether a list is of another incarnation than the lists before it.
+    bool isNewIncarnation(const PollReply &list) const;
+    // Sets the incarnation and clears the state that belongs to the previous one.
+    void beginIncarnation(uint64_t incarnation);
+    // Clears the state that belongs to the incarnation.
     void resetIncarnationState();
+    // Demands a list of runs before new runs are ordered, because another incarnation may be alive
+    // than the known one.
+    void requireList(Time now);
+    // Notes the answer to a poll for a list.
+    void noteList(Time sentAt) { isListRequired_ = isListRequired_ && sentAt < listRequiredAt_; }
+    bool isListRequired() const { return isListRequired_; }
     // Records a start that was not answered and then stopped. The server refuses such a start if it
     // arrives late, but a new incarnation of the server does not.
     void recordCancelledStart(const std::string &task, uint32_t run, Time now);
+    bool isCancelledStart(const RunRef &ref) const;
     // Adds the recorded starts as runs to be stopped, because the new incarnation of the server
     // would execute them if they arrived late.
     void restoreCancelledStarts(Time now);
@@ -182,7 +206,11 @@
     const PoolOptions &options_;
     std::map<std::string, Run> runs_;
     Demand used_ {0, 0, 0};
-    std::optional<int64_t> clockMs_;
+    std::optional<uint64_t> incarnation_;
+    uint32_t incarnationCount_ = 0;
+    bool isListRequired_ = false;
+    Time listRequiredAt_ {};
+    ServerClock clockMs_;
     Time clockReadAt_ {};
     Time latestLeaseEnd(Time now, Duration lease) const;
     Duration leaseWithin(Time now, Time limit) const;
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -14,8 +14,8 @@
 std::string_view toString(OrderResult result)
 {
     constexpr std::array<std::string_view, 10> names = {
-            "done",      "fenced",     "superseded", "late",     "no-room",
-            "unhealthy", "other-life", "invalid",    "not-sent", "unknown"};
+            "done",      "fenced",       "superseded", "late",     "no-room",
+            "unhealthy", "other-server", "invalid",    "not-sent", "unknown"};
     return names.at(static_cast<size_t>(result));
 }
 
@@ -69,16 +69,14 @@
     implementation_->onPaused(pause, self, now);
 }
 
-void Pool::onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
-                           Time now)
+void Pool::onStartAnswered(const RunRef &ref, OrderResult result, ServerClock clock, Time now)
 {
-    implementation_->onStartAnswered(ref, result, reading, now);
+    implementation_->onStartAnswered(ref, result, clock, now);
 }
 
-void Pool::onStopAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
-                          Time now)
+void Pool::onStopAnswered(const RunRef &ref, OrderResult result, ServerClock clock, Time now)
 {
-    implementation_->onStopAnswered(ref, result, reading, now);
+    implementation_->onStopAnswered(ref, result, clock, now);
 }
 
 void Pool::onPollAnswered(const PollReply &reply, Time now)
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -24,10 +24,8 @@
     void retryStopsAndDropLapsedRuns(Time now);
 
     // Orders (pool_orders.cpp).
-    void onStartAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
-                         Time now);
-    void onStopAnswered(const RunRef &ref, OrderResult result, const ServerReading &reading,
-                        Time now);
+    void onStartAnswered(const RunRef &ref, OrderResult result, ServerClock clock, Time now);
+    void onStopAnswered(const RunRef &ref, OrderResult result, ServerClock clock, Time now);
 
     // Jobs (pool_jobs.cpp).
     void offer(JobOffer offer, Time now);
@@ -93,7 +91,8 @@
     void applyGrant(Server &server, Time now);
     void logRunOver(const Server &server, const std::string &task, const pool::Run &run,
                     std::string_view cause, Time now);
-    void onNewIncarnation(Server &server, uint64_t known, std::string_view source, Time now);
+    void onNewIncarnation(Server &server, const PollReply &list, Time now);
+    void endListedRuns(Server &server, std::string_view cause, Time now);
     void onServerReplaced(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
     Time leaseEndsBy(const Server &server) const;
@@ -102,7 +101,8 @@
     void sendStop(Server &server, const std::string &task, pool::Run &run, Time now);
     void onPollFailed(Server &server, OrderResult result, Time now);
     void reconcile(Server &server, const PollReply &reply, Time sentAt, Time now);
-    void stopForeignRun(Server &server, const RunningRow &row, Time now);
+    void onRunListed(Server &server, const RunningRow &row, pool::Run &run, Time now);
+    void stopForeignRun(Server &server, const std::string &task, uint32_t run, Time now);
     void onRunEnded(Server &server, const EndedRow &row, Time now);
     void checkProgress(Server &server, const RunningRow &row, pool::Run &run, Time now);
     void handleLateRun(Server &server, const RunningRow &row, const pool::Run &run, Job &job,
@@ -112,7 +112,7 @@
                  Time now);
     void onRunSucceeded(Server &server, const pool::Run &run, Time now);
     void onRunFailed(Server &server, const pool::Run &run, Time now);
-    bool checkIncarnation(Server &server, const ServerReading &reading, Time now);
+    void noteClock(Server &server, ServerClock clock, Time orderSentAt, Time now);
 
     // Puts the task of a run that is over back into the queue. For a stored job, reports the
     // outcome to its keeper instead.
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -18,8 +18,8 @@
 
 } // namespace
 
-void Pool::Implementation::onStartAnswered(const RunRef &ref, OrderResult result,
-                                           const ServerReading &reading, Time now)
+void Pool::Implementation::onStartAnswered(const RunRef &ref, OrderResult result, ServerClock clock,
+                                           Time now)
 {
     const auto found = servers_.find(ref.server);
     if (found == servers_.end())
@@ -29,23 +29,14 @@
         logEvent("start-answered", {},
                  fmt::format("task={} run={} server={} result={}", ref.task, ref.run, ref.server,
                              toString(result)));
-    if (result == OrderResult::OtherIncarnation) {
-        onServerReplaced(server, now);
-        if (server.findRun(ref))
-            requeue(ref.task, server.remove(ref.task), now);
-        return;
-    }
-    const bool isCurrentIncarnation = checkIncarnation(server, reading, now);
     Run *run = server.findRun(ref);
-    if (!isCurrentIncarnation && reading.incarnation.value_or(0) < server.info().incarnation) {
-        // If the order was executed, then by an incarnation that has ended.
-        if (run)
-            requeue(ref.task, server.remove(ref.task), now);
+    if (!run) {
+        if (result == OrderResult::Done && server.ownership != pool::Ownership::None
+            && server.isCancelledStart(ref))
+            stopForeignRun(server, ref.task, ref.run, now);
         return;
     }
-    server.updateClock(reading, now);
-    if (!run)
-        return;
+    noteClock(server, clock, run->orderedAt, now);
     if (result == OrderResult::Done) {
         server.onStartExecuted(run->orderedAt);
         run->confirmedAt = now;
@@ -60,6 +51,10 @@
         server.nextPollAt = now;
         return;
     }
+    if (run->isListed)
+        return; // the list is the surer evidence
+    if (result == OrderResult::OtherServer)
+        onServerReplaced(server, now);
     // The server has not started the run and will not do so without a new order.
     ++counters_.startsRejected;
     const Run ended = server.remove(ref.task);
@@ -91,8 +86,8 @@
     requeue(ref.task, ended, now);
 }
 
-void Pool::Implementation::onStopAnswered(const RunRef &ref, OrderResult result,
-                                          const ServerReading &reading, Time now)
+void Pool::Implementation::onStopAnswered(const RunRef &ref, OrderResult result, ServerClock clock,
+                                          Time now)
 {
     const auto found = servers_.find(ref.server);
     if (found == servers_.end())
@@ -105,20 +100,22 @@
         onServerLost(server, "fenced", now);
         return;
     }
-    if (result == OrderResult::OtherIncarnation) {
+    if (result == OrderResult::OtherServer) {
         onServerReplaced(server, now);
         return;
     }
     if (result == OrderResult::Unknown || result == OrderResult::NotSent
         || result == OrderResult::Unhealthy)
         return;
-    if (!checkIncarnation(server, reading, now))
+    server.nextPollAt = now;
+    if (!run)
         return;
-    server.updateClock(reading, now);
-    run = server.findRun(ref);
-    if (run && run->stopConfirmedAt == Time {})
+    noteClock(server, clock, run->stopSentAt, now);
+    // A stop that was sent before the incarnation was known may have met the previous one.
+    if (run->stopSentTo != server.incarnationCount())
+        run->nextStopAt = now;
+    else if (run->stopConfirmedAt == Time {})
         run->stopConfirmedAt = now;
-    server.nextPollAt = now;
 }
 
 } // namespace lovage
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -325,7 +325,6 @@
     OrderStart start;
     start.ref = {server.info().id, task, run.number};
     start.address = server.info().address;
-    start.incarnation = server.info().incarnation;
     start.payload = std::move(payload);
     start.checkpoint = std::move(checkpoint);
     start.token = server.token;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -42,16 +42,15 @@
         const auto [entry, isNew] = servers_.try_emplace(info.id, info, options_);
         Server &server = entry->second;
         server.isRegistered = true;
-        const bool isNewIncarnation = info.incarnation > server.info().incarnation;
         if (!isNew && server.info().isLeaving != info.isLeaving)
             logEvent("server-leaving", {},
                      fmt::format("server={} leaving={}", info.id, info.isLeaving));
-        if (!isNew && info.incarnation < server.info().incarnation)
-            continue; // an outdated entry of an earlier incarnation
-        const uint64_t known = server.info().incarnation;
+        // An entry does not end runs: it may be outdated or of another writer.
+        const bool isOtherProcess = info.incarnation != server.info().incarnation
+                && info.incarnation != server.incarnation();
         server.update(info);
-        if (isNewIncarnation && !isNew)
-            onNewIncarnation(server, known, "entry", now);
+        if (isOtherProcess && !isNew)
+            server.requireList(now);
         if (isNew)
             applyGrant(server, now);
     }
@@ -99,30 +98,35 @@
                          sinceConfirmed.count()));
 }
 
-// All runs of the previous incarnation have ended. An unanswered order may still be executed by the
-// new incarnation, which its answer or a poll will show. The new incarnation does not know the
-// stops that the previous one confirmed, so they are sent again.
-void Pool::Implementation::onNewIncarnation(Server &server, uint64_t known, std::string_view source,
-                                            Time now)
+// Starts the tasks again that a list of the current incarnation has shown as running, after this
+// incarnation has ended.
+void Pool::Implementation::endListedRuns(Server &server, std::string_view cause, Time now)
 {
     std::vector<std::string> tasks;
     for (const auto &[task, run] : server.runs()) {
-        if (run.confirmedAt != Time {} || run.job == pool::foreignJob)
+        if (run.isListed)
             tasks.push_back(task);
     }
-    logEvent("server-restarted", {},
-             fmt::format("server={} known={} named={} source={} runs={} ended={}", server.info().id,
-                         known, server.info().incarnation, source, server.runs().size(),
-                         tasks.size()));
     for (const std::string &task : tasks) {
         const Run run = server.remove(task);
-        logRunOver(server, task, run, "restart", now);
+        logRunOver(server, task, run, cause, now);
         requeue(task, run, now);
     }
-    server.resetIncarnationState();
-    if (server.ownership != Ownership::None)
-        server.ownership = Ownership::TakingOver;
-    server.nextPollAt = now;
+}
+
+// Handles a list of another incarnation than the lists before it. What those had shown as running
+// has ended. The start of any other run may have been executed by either incarnation, so the run
+// stays until a list shows it or lacks it. The new incarnation does not know the stops that the
+// previous one confirmed, so they are sent again.
+void Pool::Implementation::onNewIncarnation(Server &server, const PollReply &list, Time now)
+{
+    const size_t known = server.runs().size();
+    const uint64_t previous = server.incarnation().value_or(0);
+    endListedRuns(server, "restart", now);
+    logEvent("server-restarted", {},
+             fmt::format("server={} known={} named={} runs={} kept={}", server.info().id, previous,
+                         list.incarnation.value_or(0), known, server.runs().size()));
+    server.beginIncarnation(list.incarnation.value_or(0));
     server.restoreCancelledStarts(now);
     for (auto &[task, run] : server.runs()) {
         run.stopConfirmedAt = {};
@@ -134,7 +138,9 @@
 // the server list for seconds, orders to it are delayed increasingly.
 void Pool::Implementation::onServerReplaced(Server &server, Time now)
 {
-    onNewIncarnation(server, server.info().incarnation, "other-server", now);
+    endListedRuns(server, "other-server", now);
+    if (server.ownership != Ownership::None)
+        server.ownership = Ownership::TakingOver;
     server.replacedDelay = std::clamp(server.replacedDelay * 2, reconnectDelay, maxReconnectDelay);
     server.nextPollAt = now + server.replacedDelay;
     for (auto &[task, run] : server.runs())
@@ -172,16 +178,14 @@
     }
 }
 
-bool Pool::Implementation::checkIncarnation(Server &server, const ServerReading &reading, Time now)
+// Handles the clock of an answer to a start or a stop. A reading below the clock of the known
+// incarnation shows that another one has answered, but not which runs it executes.
+void Pool::Implementation::noteClock(Server &server, ServerClock clock, Time orderSentAt, Time now)
 {
-    if (!reading.incarnation || *reading.incarnation <= server.info().incarnation)
-        return reading.incarnation.value_or(0) == server.info().incarnation || !reading.incarnation;
-    ServerInfo info = server.info();
-    const uint64_t known = info.incarnation;
-    info.incarnation = *reading.incarnation;
-    server.update(std::move(info));
-    onNewIncarnation(server, known, "answer", now);
-    return false;
+    if (server.contradictsClock(clock, orderSentAt))
+        server.requireList(now);
+    else
+        server.updateClock(clock, now);
 }
 
 void Pool::Implementation::sendDuePolls(Time now)
@@ -245,6 +249,8 @@
         return;
     ++counters_.stops;
     run.isStopPending = true;
+    run.stopSentTo = server.incarnationCount();
+    run.stopSentAt = now;
     run.nextStopAt = now + stopRetryDelay;
     actions_.emplace_back(
             OrderStop {{server.info().id, task, run.number}, server.info().address, server.token});
@@ -292,16 +298,19 @@
         onPollFailed(server, reply.result, now);
         return;
     }
-    server.commitPollAck();
     server.unansweredPolls = 0;
     server.replacedDelay = {};
     server.resetDelay = {};
     server.commitPollLease();
     server.nextPollAt = now;
     server.closedUntil = {};
-    if (!checkIncarnation(server, reply.reading, now))
-        return;
-    server.updateClock(reply.reading, now);
+    if (server.isNewIncarnation(reply))
+        onNewIncarnation(server, reply, now);
+    else if (!server.incarnation())
+        server.beginIncarnation(reply.incarnation.value_or(0));
+    server.commitPollAck();
+    server.noteList(sentAt);
+    server.updateClock(reply.clock, now);
     for (const EndedRow &row : reply.ended)
         onRunEnded(server, row, now);
     reconcile(server, reply, sentAt, now);
@@ -327,7 +336,7 @@
     case OrderResult::Fenced:
         onServerLost(server, "fenced", now);
         return;
-    case OrderResult::OtherIncarnation:
+    case OrderResult::OtherServer:
         onServerReplaced(server, now);
         return;
     case OrderResult::Unknown:
@@ -345,7 +354,7 @@
 }
 
 // Compares the runs that this VM knows with those that the server lists. A missing run counts as
-// over only if the poll was sent after the run or its stop was confirmed.
+// over only if the poll was sent after its start or its stop was known to be executed.
 void Pool::Implementation::reconcile(Server &server, const PollReply &reply, Time sentAt, Time now)
 {
     std::map<std::string_view, const RunningRow *> listed;
@@ -355,19 +364,10 @@
     for (auto &[task, run] : server.runs()) {
         const auto row = listed.find(task);
         if (row != listed.end() && row->second->run == run.number) {
-            if (run.state == RunState::Unconfirmed) {
-                run.state = RunState::Running;
-                run.confirmedAt = now;
-                // A new incarnation may have executed the order at any time until now.
-                server.onStartExecuted(now);
-            }
-            if (!row->second->checkpoint.empty())
-                run.checkpoint = row->second->checkpoint;
-            if (run.state == RunState::Running)
-                checkProgress(server, *row->second, run, now);
+            onRunListed(server, *row->second, run, now);
             continue;
         }
-        const bool isGone = (run.state == RunState::Running && sentAt > run.confirmedAt)
+        const bool isGone = (run.confirmedAt != Time {} && sentAt > run.confirmedAt)
                 || (run.state == RunState::Stopping && run.stopConfirmedAt != Time {}
                     && sentAt > run.stopConfirmedAt);
         if (isGone)
@@ -387,23 +387,44 @@
     for (const RunningRow &row : reply.running) {
         const auto known = server.runs().find(row.task);
         if (known == server.runs().end() || known->second.number != row.run)
-            stopForeignRun(server, row, now);
+            stopForeignRun(server, row.task, row.run, now);
+    }
+}
+
+// Handles a run that a list shows, which proves that the current incarnation executes it.
+void Pool::Implementation::onRunListed(Server &server, const RunningRow &row, Run &run, Time now)
+{
+    if (!run.isListed) {
+        run.isListed = true;
+        // The incarnation may have begun after the order was sent, so its lease is not known.
+        server.onStartExecuted(now);
     }
+    if (run.confirmedAt == Time {})
+        run.confirmedAt = now;
+    if (run.state == RunState::Unconfirmed || run.state == RunState::Starting)
+        run.state = RunState::Running;
+    if (!row.checkpoint.empty())
+        run.checkpoint = row.checkpoint;
+    if (run.state == RunState::Running)
+        checkProgress(server, row, run, now);
 }
 
-// Stops a run that an earlier holder of the server started, since its job is not open in this pool.
-void Pool::Implementation::stopForeignRun(Server &server, const RunningRow &row, Time now)
+// Stops a run whose job is not open in this pool: an earlier holder of the server started it, or
+// this pool gave its start up before it was executed.
+void Pool::Implementation::stopForeignRun(Server &server, const std::string &task, uint32_t number,
+                                          Time now)
 {
-    if (server.runs().contains(row.task))
+    if (server.runs().contains(task))
         return;
     logEvent("run-foreign", {},
-             fmt::format("task={} run={} server={}", row.task, row.run, server.info().id));
+             fmt::format("task={} run={} server={}", task, number, server.info().id));
     Run run;
-    run.number = row.run;
+    run.number = number;
     run.orderedAt = now;
+    run.confirmedAt = now;
     run.endBy = now; // the caller of its job may have lost its connection long ago
-    server.add(row.task, run);
-    sendStop(server, row.task, server.runs().at(row.task), now);
+    server.add(task, run);
+    sendStop(server, task, server.runs().at(task), now);
 }
 
 void Pool::Implementation::onRunEnded(Server &server, const EndedRow &row, Time now)
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -216,7 +216,7 @@
     const RunKey key {row.task, row.run};
     outcomes_[key] = {{row.task, row.run, TaskOutcome::Kind::Ended, row.end, row.checkpoint},
                       server.info().id,
-                      server.info().incarnation,
+                      server.incarnation().value_or(0),
                       row.number};
     if (!run.stored)
         return;
@@ -270,7 +270,7 @@
                          found->second.server, found->second.end, isSuperseded));
     const auto server = servers_.find(found->second.server);
     if (server != servers_.end()
-        && server->second.info().incarnation == found->second.incarnation) {
+        && server->second.incarnation().value_or(0) == found->second.incarnation) {
         if (isSuperseded && found->second.end > 0)
             server->second.supersedeEnd(found->second.end);
         else
--- a/tests/fleet_servers.h
+++ b/tests/fleet_servers.h
@@ -30,7 +30,7 @@
 class FleetServers
 {
 public:
-    using StartCallback = std::function<void(OrderResult, ServerReading)>;
+    using StartCallback = std::function<void(OrderResult, ServerClock)>;
     using PollCallback = std::function<void(PollReply)>;
 
     FleetServers(VirtualTime &time, VirtualNetwork &network) : time_(time), network_(network)
@@ -179,12 +179,12 @@
                 network_.delay(from, host), [this, from, host, id, execute, done, call] {
                     Entry &entry = servers_.at(id);
                     const OrderResult result = execute(entry);
-                    const ServerReading reading = entry.server.clockReadingAt(entry.clock->now());
+                    const ServerClock clock = entry.server.clockAt(entry.clock->now());
                     if (!network_.isOpen(host, from))
                         return;
-                    time_.scheduleAfter(network_.delay(host, from), [call, done, result, reading] {
+                    time_.scheduleAfter(network_.delay(host, from), [call, done, result, clock] {
                         if (!std::exchange(call->isOver, true))
-                            done(result, reading);
+                            done(result, clock);
                     });
                 });
     }
@@ -263,7 +263,6 @@
         PollReply reply;
         reply.server = poll.order.server;
         reply.result = entry.server.checkOrder(poll.order.token);
-        reply.reading = entry.server.listReadingAt(entry.clock->now());
         if (reply.result == OrderResult::Done)
             entry.server.listRuns(reply, entry.clock->now());
         if (network_.isOpen(entry.host, poll.from))
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -253,7 +253,7 @@
     struct OrderAnswer
     {
         OrderResult result = OrderResult::Unknown;
-        ServerReading reading;
+        ServerClock clock {};
     };
 
     void schedule(Time time, std::function<void()> action)
@@ -286,14 +286,14 @@
         schedule(now + delivery.delay, [this, order] {
             auto &server = servers.at(order.ref.server);
             startAnswers_[order.ref] = server.isUp
-                    ? OrderAnswer {start(server, order), server.clockReadingAt(now)}
+                    ? OrderAnswer {start(server, order), server.clockAt(now)}
                     : OrderAnswer {OrderResult::NotSent, {}};
         });
         const Duration back = delivery.isAnswered ? delivery.delay * 2 : options_.answerTimeout;
         schedule(now + back, [this, order, delivery] {
             const OrderAnswer answer =
                     delivery.isAnswered ? startAnswers_[order.ref] : OrderAnswer {};
-            pool.onStartAnswered(order.ref, answer.result, answer.reading, now);
+            pool.onStartAnswered(order.ref, answer.result, answer.clock, now);
         });
     }
 
@@ -301,8 +301,7 @@
     static OrderResult checkOrder(SimulatedServer &server, const std::string &address,
                                   uint64_t token)
     {
-        return address == server.info.address ? server.checkOrder(token)
-                                              : OrderResult::OtherIncarnation;
+        return address == server.info.address ? server.checkOrder(token) : OrderResult::OtherServer;
     }
 
     OrderResult start(SimulatedServer &server, const OrderStart &order)
@@ -356,11 +355,11 @@
             auto &server = servers.at(order.ref.server);
             const OrderResult result = server.isUp ? stop(server, order) : OrderResult::NotSent;
             if (delivery.isAnswered)
-                *answer = {result, server.clockReadingAt(now)};
+                *answer = {result, server.clockAt(now)};
         });
         const Duration back = delivery.isAnswered ? delivery.delay * 2 : options_.answerTimeout;
         schedule(now + back, [this, order, answer] {
-            pool.onStopAnswered(order.ref, answer->result, answer->reading, now);
+            pool.onStopAnswered(order.ref, answer->result, answer->clock, now);
         });
     }
 
@@ -421,6 +420,7 @@
         const auto &server = servers.at(waiting.order.server);
         return !server.isUp || server.resetsConnections
                 || server.info.incarnation != waiting.incarnation
+                || server.info.address != waiting.order.address
                 || server.hasEndAfter(waiting.order.ackedThrough) || now >= waiting.until;
     }
 
@@ -430,10 +430,8 @@
         PollReply reply;
         reply.server = waiting.order.server;
         reply.result = OrderResult::NotSent;
-        if (server.isUp) {
+        if (server.isUp)
             reply.result = checkOrder(server, waiting.order.address, waiting.order.token);
-            reply.reading = server.listReadingAt(now);
-        }
         if (reply.result == OrderResult::Done)
             server.listRuns(reply, now);
         if (!waiting.delivery.isAnswered) {
--- a/tests/simulated_server.h
+++ b/tests/simulated_server.h
@@ -87,16 +87,13 @@
     OrderResult checkOrder(uint64_t orderToken)
     {
         if (isReplaced)
-            return OrderResult::OtherIncarnation;
+            return OrderResult::OtherServer;
         if (orderToken < token)
             return OrderResult::Fenced;
         token = orderToken;
         return OrderResult::Done;
     }
-    // Reading of an answer to a start or a stop.
-    ServerReading clockReadingAt(Time now) const { return {clockMs(now), std::nullopt}; }
-    // Reading of a list of runs.
-    ServerReading listReadingAt(Time now) const { return {clockMs(now), info.incarnation}; }
+    ServerClock clockAt(Time now) const { return clockMs(now); }
     // Extends the lease to a time on the server's clock. A longer lease is cut to the maximum.
     void extendLease(int64_t untilMs, Time now)
     {
@@ -125,6 +122,8 @@
     }
     void listRuns(PollReply &reply, Time now) const
     {
+        reply.clock = clockAt(now);
+        reply.incarnation = info.incarnation;
         for (const auto &[task, run] : running)
             reply.running.push_back({task, run.run, run.percentAt(now), run.checkpoint});
         reply.ended.assign(ended.begin(),
