End the runs of a replaced server only if they were started at its address

Callers would see two runs of one task at one time after one odd entry: another writer names a wrong address for a live server, the server that answers there rejects the orders as meant for another one, and the pool took this for the end of the live server's process and started its runs elsewhere.

Cause: an order that another server rejects shows that no process of the named server is at that address, and nothing about other addresses or about orders that were sent later. The pool ended all confirmed runs, also on the answer to a start or a stop.

Change: each run keeps the address to which its start was sent. Only a poll that another server rejects ends runs, and only those that were executed at the same address before the poll was sent. A rejected start ends nothing but itself.

Evidence: entry_with_a_wrong_address_ends_no_run failed with 2 overlapping runs and passes; orders_to_a_replaced_server_are_bounded passes as before.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -41,7 +41,8 @@
     Demand demand;
     RunState state = RunState::Starting;
     Time orderedAt {};
-    Time confirmedAt {}; // time at which the start was known to be executed; zero: not yet
+    std::string address {}; // address to which the start was sent, or at which the run was found
+    Time confirmedAt {};    // time at which the start was known to be executed; zero: not yet
     // Whether a list of the current incarnation has shown the run. Until then it is not known which
     // incarnation executes it.
     bool isListed = false;
@@ -128,6 +129,7 @@
 
     bool isPollPending = false;
     Time pollSentAt {};
+    std::string pollAddress {}; // address to which the latest poll was sent
     Time nextPollAt {};
     uint32_t unansweredPolls = 0; // number of failed polls since the last answer to a poll
     Duration replacedDelay {}; // delay between orders while another server answers at the address
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -92,8 +92,10 @@
     void logRunOver(const Server &server, const std::string &task, const pool::Run &run,
                     std::string_view cause, Time now);
     void onNewIncarnation(Server &server, const PollReply &list, Time now);
-    void endListedRuns(Server &server, std::string_view cause, Time now);
-    void onServerReplaced(Server &server, Time now);
+    template<class Predicate>
+    void endRuns(Server &server, Predicate hasEnded, std::string_view cause, Time now);
+    void endReplacedRuns(Server &server, Time now);
+    void delayOrders(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
     Time leaseEndsBy(const Server &server) const;
     bool isPlaceable(const Server &server, Time now) const;
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -54,7 +54,7 @@
     if (run->isListed)
         return; // the list is the surer evidence
     if (result == OrderResult::OtherServer)
-        onServerReplaced(server, now);
+        delayOrders(server, now);
     // The server has not started the run and will not do so without a new order.
     ++counters_.startsRejected;
     const Run ended = server.remove(ref.task);
@@ -101,7 +101,7 @@
         return;
     }
     if (result == OrderResult::OtherServer) {
-        onServerReplaced(server, now);
+        delayOrders(server, now);
         return;
     }
     if (result == OrderResult::Unknown || result == OrderResult::NotSent
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -98,13 +98,14 @@
                          sinceConfirmed.count()));
 }
 
-// Starts the tasks again that a list of the current incarnation has shown as running, after this
-// incarnation has ended.
-void Pool::Implementation::endListedRuns(Server &server, std::string_view cause, Time now)
+// Starts the tasks of those runs again that have ended together with their process.
+template<class Predicate>
+void Pool::Implementation::endRuns(Server &server, Predicate hasEnded, std::string_view cause,
+                                   Time now)
 {
     std::vector<std::string> tasks;
     for (const auto &[task, run] : server.runs()) {
-        if (run.isListed)
+        if (hasEnded(run))
             tasks.push_back(task);
     }
     for (const std::string &task : tasks) {
@@ -122,7 +123,8 @@
 {
     const size_t known = server.runs().size();
     const uint64_t previous = server.incarnation().value_or(0);
-    endListedRuns(server, "restart", now);
+    endRuns(
+            server, [](const Run &run) { return run.isListed; }, "restart", now);
     logEvent("server-restarted", {},
              fmt::format("server={} known={} named={} runs={} kept={}", server.info().id, previous,
                          list.incarnation.value_or(0), known, server.runs().size()));
@@ -134,11 +136,21 @@
     }
 }
 
-// Another server answers at the address, so the process has ended. Because its entry may stay in
-// the server list for seconds, orders to it are delayed increasingly.
-void Pool::Implementation::onServerReplaced(Server &server, Time now)
+// Another server answers at the address to which the poll was sent, so the process that had
+// executed starts there has ended. The entry may name a wrong address, at which no run was started.
+void Pool::Implementation::endReplacedRuns(Server &server, Time now)
+{
+    const auto hasEnded = [&](const Run &run) {
+        return run.address == server.pollAddress && run.confirmedAt != Time {}
+        && run.confirmedAt < server.pollSentAt;
+    };
+    endRuns(server, hasEnded, "other-server", now);
+}
+
+// Delays orders increasingly while another server answers at the address. The entry may stay in the
+// server list for seconds after the server has left.
+void Pool::Implementation::delayOrders(Server &server, Time now)
 {
-    endListedRuns(server, "other-server", now);
     if (server.ownership != Ownership::None)
         server.ownership = Ownership::TakingOver;
     server.replacedDelay = std::clamp(server.replacedDelay * 2, reconnectDelay, maxReconnectDelay);
@@ -222,6 +234,7 @@
     ++counters_.polls;
     server.isPollPending = true;
     server.pollSentAt = now;
+    server.pollAddress = server.info().address;
     // A server whose answers are lost may still receive polls. Its lease is no longer extended, so
     // that it lapses and the tasks can be started on other servers.
     const bool extendsLease = server.ownership == Ownership::Held && !server.runs().empty()
@@ -337,7 +350,8 @@
         onServerLost(server, "fenced", now);
         return;
     case OrderResult::OtherServer:
-        onServerReplaced(server, now);
+        endReplacedRuns(server, now);
+        delayOrders(server, now);
         return;
     case OrderResult::Unknown:
         // A reset connection fails immediately and not after a timeout, so the next poll has to be
@@ -421,6 +435,7 @@
     Run run;
     run.number = number;
     run.orderedAt = now;
+    run.address = server.pollAddress;
     run.confirmedAt = now;
     run.endBy = now; // the caller of its job may have lost its connection long ago
     server.add(task, run);
