Keep the runs of a server whose entry is missing for a moment

Callers would see two runs of one task at one time, and lost answers, when the entry of a live server is missing for a moment: the store was down for longer than three heartbeats, or another writer left an entry that cannot be decoded.

Cause: a run on a server without an entry was dropped 15 s after its order, also if the server went on listing it. A run of 20 s was started again the moment that the entry vanished.

Change: this limit holds for starts that were never confirmed, and allows for the lease that a start gets when it is executed last. Confirmed runs end when they are listed as ended, when a list lacks them, or when the lease lapses, also those of earlier holders. A server with starts that were given up and may still be executed is remembered without an entry.

--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -271,6 +271,12 @@
     return found != cancelledStarts_.end() && found->second.run == ref.run;
 }
 
+bool LeasedServer::hasCancelledStarts(Time now) const
+{
+    return std::any_of(cancelledStarts_.begin(), cancelledStarts_.end(),
+                       [&](const auto &entry) { return now <= entry.second.until; });
+}
+
 void LeasedServer::restoreCancelledStarts(Time now)
 {
     pruneCancelledStarts(now);
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -124,6 +124,8 @@
     void commitPollLease() { committedPollLeaseEnd_ = pollLeaseEnd_; }
     // Returns the latest time at which the lease, as far as it was requested, has lapsed.
     Time leaseEnd() const { return std::max(startLeaseEnd_, pollLeaseEnd_); }
+    // Returns the longest time for which runs may go on after an order has extended the lease.
+    Duration longestLease() const { return latestLeaseEnd(Time {}, options_.lease) - Time {}; }
     // Returns whether the lease has lapsed, so that everything started under it has ended.
     bool hasLapsed(Time now) const { return now > leaseEnd(); }
 
@@ -180,6 +182,7 @@
     // arrives late, but a new incarnation of the server does not.
     void recordCancelledStart(const std::string &task, uint32_t run, Time now);
     bool isCancelledStart(const RunRef &ref) const;
+    bool hasCancelledStarts(Time now) const;
     // Adds the recorded starts as runs to be stopped, because the new incarnation of the server
     // would execute them if they arrived late.
     void restoreCancelledStarts(Time now);
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -56,7 +56,8 @@
     }
     std::erase_if(servers_, [&](const auto &entry) {
         const Server &server = entry.second;
-        return !server.isRegistered && server.runs().empty() && !server.isPollPending;
+        return !server.isRegistered && server.runs().empty() && !server.isPollPending
+                && !server.hasCancelledStarts(now);
     });
     isPlacementDue_ = true;
 }
@@ -269,18 +270,16 @@
             OrderStop {{server.info().id, task, run.number}, server.info().address, server.token});
 }
 
-// Repeats unanswered stops, and drops runs that must have ended because their lease has lapsed or
-// because their server has left and their order can no longer be executed.
+// Repeats unanswered stops, and drops runs that must have ended because their lease has lapsed, or
+// because their server has left and a start that was never confirmed can no longer be executed.
 void Pool::Implementation::retryStopsAndDropLapsedRuns(Time now)
 {
     for (auto &[id, server] : servers_) {
         std::vector<std::string> ended;
         for (auto &[task, run] : server.runs()) {
-            const bool isConfirmed = run.confirmedAt != Time {} || run.job == pool::foreignJob;
-            const bool isOrderExpired =
-                    !server.isRegistered && now > run.orderedAt + pool::maxOrderDelay;
-            if ((isConfirmed && server.hasLapsed(now) && run.job != pool::foreignJob)
-                || isOrderExpired) {
+            const bool isOrderExpired = !server.isRegistered && run.confirmedAt == Time {}
+                    && now > run.orderedAt + pool::maxOrderDelay + server.longestLease();
+            if ((run.confirmedAt != Time {} && server.hasLapsed(now)) || isOrderExpired) {
                 ended.push_back(task);
                 continue;
             }
@@ -402,6 +401,8 @@
         const auto known = server.runs().find(row.task);
         if (known == server.runs().end() || known->second.number != row.run)
             stopForeignRun(server, row.task, row.run, now);
+        if (Run *run = server.findRun({server.info().id, row.task, row.run}))
+            run->isListed = true;
     }
 }
 
@@ -439,6 +440,7 @@
     run.confirmedAt = now;
     run.endBy = now; // the caller of its job may have lost its connection long ago
     server.add(task, run);
+    server.onStartExecuted(now);
     sendStop(server, task, server.runs().at(task), now);
 }
 
