Count the lease of a run by the incarnation that executes it

Callers would see two runs of one task at one time when a server restarts, executes starts before this is known, and is then silent for a second.

Cause: the pool counted the lapse of a run by the leases that it had asked for on the clock of the process that it knew. A new process begins its clock anew, so the same requests are far ahead there and are cut to the longest lease, counted from their execution, which may be seconds late.

Change: a lapse by the leases that were asked for ends only runs that the known process executes: a list has shown them, or the clock in the answer to their start is further than any later process can have come, because clocks begin anew. A run of an unknown process has lapsed when no order that extends a lease can be executed any more. A lease of a new process counts as the longest one from its first list on, and as extended by orders to the previous process that were not answered.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -280,6 +280,8 @@
     std::optional<uint64_t> incarnation {}; // incarnation whose runs are listed
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
+    // Whether `ended` holds all ends that are not acknowledged. Servers list a limited number.
+    bool areEndsComplete = true;
 };
 
 // Right to place jobs on the servers of a shard. Servers are divided into shards by their id, and
@@ -344,8 +346,11 @@
 {
     ResubmissionLimits resubmission;
     uint32_t shardCount = 24;
-    // Duration of the requested leases, which is the longest that servers grant.
+    // Duration of the requested leases.
     Duration lease = std::chrono::milliseconds(1000);
+    // Longest lease that servers grant. A request for a longer one is cut to it, for example if the
+    // requested end refers to the clock of an incarnation that has ended.
+    Duration maxLease = std::chrono::milliseconds(1000);
     // Maximum relative drift of a server's steady clock.
     double clockError = 0.02;
     // Maximum time that a server takes to stop a task.
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -39,6 +39,7 @@
     options.resubmission = resubmissionLimits(settings);
     // A longer lease could not be granted to the runs of a job whose own lease ends earlier.
     options.lease = std::min(settings.lease, options.resubmission.jobLease());
+    options.maxLease = settings.lease;
     options.stopTime = settings.stopTime;
     options.pollWait = options.lease / 4;
     return options;
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -110,11 +110,15 @@
     return list.incarnation.value_or(0) != *incarnation_;
 }
 
-void LeasedServer::beginIncarnation(uint64_t incarnation)
+void LeasedServer::beginIncarnation(uint64_t incarnation, Time now)
 {
     resetIncarnationState();
     incarnation_ = incarnation;
     ++incarnationCount_;
+    incarnationKnownAt_ = now;
+    startLeaseEnd_ = now + longestLease();
+    if (unansweredLeaseSentAt_ != Time {})
+        lateLeaseEnd_ = unansweredLeaseSentAt_ + maxOrderDelay + longestLease();
 }
 
 void LeasedServer::requireList(Time now)
@@ -130,10 +134,17 @@
     return clock && earliest && *clock < *earliest;
 }
 
-void LeasedServer::updateClock(ServerClock clock, Time now)
+bool LeasedServer::provesIncarnation(ServerClock clock, Time now) const
+{
+    return clock && clockMs_ && *clock > toMillis(now - aliveAt_) + 1;
+}
+
+void LeasedServer::updateClock(ServerClock clock, Time orderSentAt, Time now)
 {
     if (!clock)
         return;
+    if (!clockMs_ || provesIncarnation(clock, now))
+        aliveAt_ = std::max(aliveAt_, orderSentAt);
     // Answers may arrive out of order. A reading earlier than the current estimate is ignored,
     // since its answer was delayed for longer.
     const auto estimate = clockMs(now);
@@ -177,6 +188,7 @@
 int64_t LeasedServer::leaseForStart(Time now, Time limit)
 {
     const Duration lease = leaseWithin(now, limit);
+    leaseSentAt_ = now;
     startLeaseEnd_ = std::max(startLeaseEnd_, latestLeaseEnd(now, lease));
     return leaseUntilMs(now, lease);
 }
@@ -187,10 +199,25 @@
     committedPollLeaseEnd_ = pollLeaseEnd_;
     if (toMillis(lease) == 0)
         return 0;
+    leaseSentAt_ = now;
     pollLeaseEnd_ = std::max(pollLeaseEnd_, latestLeaseEnd(now, lease));
     return leaseUntilMs(now, lease);
 }
 
+bool LeasedServer::hasLapsed(const Run &run, Time now) const
+{
+    if (run.isListed || run.isClockKnown)
+        return now > std::max(leaseEnd(), lateLeaseEnd_);
+    return now > leaseSentAt_ + maxOrderDelay + longestLease();
+}
+
+void LeasedServer::onOrderUnanswered(Time sentAt)
+{
+    unansweredLeaseSentAt_ = std::max(unansweredLeaseSentAt_, sentAt);
+    if (sentAt <= incarnationKnownAt_)
+        lateLeaseEnd_ = std::max(lateLeaseEnd_, sentAt + maxOrderDelay + longestLease());
+}
+
 bool LeasedServer::isPollDue(Time now) const
 {
     if (isPollPending || ownership == Ownership::None || now < nextPollAt)
@@ -247,6 +274,8 @@
     supersededEnds_.clear();
     lapseAt_ = {};
     clockMs_.reset();
+    aliveAt_ = {};
+    lateLeaseEnd_ = {};
     startLeaseEnd_ = {};
     pollLeaseEnd_ = {};
     committedPollLeaseEnd_ = {};
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -46,6 +46,8 @@
     // Whether a list of the current incarnation has shown the run. Until then it is not known which
     // incarnation executes it.
     bool isListed = false;
+    // Whether the clock in the answer to the start is one that no later incarnation can show.
+    bool isClockKnown = false;
     Duration expected {};        // predicted run time on this server
     bool isSlowRecorded = false; // whether the run counted against the speed of the server
     uint32_t percent = 0;        // percentage of its work that is done, as of the latest poll
@@ -103,7 +105,11 @@
     // Returns whether the reading, of an answer to an order that was sent at the given time, is of
     // another incarnation than the known one.
     bool contradictsClock(ServerClock clock, Time orderSentAt) const;
-    void updateClock(ServerClock clock, Time now);
+    // Returns whether no incarnation that began after the known one was last heard of can show the
+    // reading: its clock would be behind.
+    bool provesIncarnation(ServerClock clock, Time now) const;
+    // Takes the reading of an answer to an order that was sent at the given time.
+    void updateClock(ServerClock clock, Time orderSentAt, Time now);
     // Returns a lower bound of the clock of the known incarnation at the given time; nullopt before
     // its first answer.
     std::optional<int64_t> clockMs(Time time) const;
@@ -112,11 +118,12 @@
     // until then. At most one poll is pending at a time.
     int64_t leaseForStart(Time now, Time limit);
     int64_t leaseForPoll(Time now, Time limit);
-    // Extends the known end of the lease after an order to start was executed. The executing
-    // incarnation may have begun after the order was sent, so that its lease is not known yet.
-    void onStartExecuted(Time orderedAt)
+    // Extends the known end of the lease after a list has shown a run. Unless the run was ordered
+    // from the incarnation that lists it, its lease is not known and may be the longest one.
+    void onRunListed(Time orderedAt, Time now)
     {
-        startLeaseEnd_ = std::max(startLeaseEnd_, latestLeaseEnd(orderedAt, options_.lease));
+        if (orderedAt <= incarnationKnownAt_)
+            startLeaseEnd_ = std::max(startLeaseEnd_, now + longestLease());
     }
     // Takes back the lease of a poll that did not reach the server.
     void rollBackPollLease() { pollLeaseEnd_ = committedPollLeaseEnd_; }
@@ -125,9 +132,11 @@
     // Returns the latest time at which the lease, as far as it was requested, has lapsed.
     Time leaseEnd() const { return std::max(startLeaseEnd_, pollLeaseEnd_); }
     // Returns the longest time for which runs may go on after an order has extended the lease.
-    Duration longestLease() const { return latestLeaseEnd(Time {}, options_.lease) - Time {}; }
-    // Returns whether the lease has lapsed, so that everything started under it has ended.
-    bool hasLapsed(Time now) const { return now > leaseEnd(); }
+    Duration longestLease() const { return latestLeaseEnd(Time {}, options_.maxLease) - Time {}; }
+    // Returns whether the run must have ended because the lease of its incarnation has lapsed.
+    bool hasLapsed(const Run &run, Time now) const;
+    // Records that an order that was sent at the given time may be executed late.
+    void onOrderUnanswered(Time sentAt);
 
     bool isPollPending = false;
     Time pollSentAt {};
@@ -169,14 +178,14 @@
     // Returns whether a list is of another incarnation than the lists before it.
     bool isNewIncarnation(const PollReply &list) const;
     // Sets the incarnation and clears the state that belongs to the previous one.
-    void beginIncarnation(uint64_t incarnation);
+    void beginIncarnation(uint64_t incarnation, Time now);
     // Clears the state that belongs to the incarnation.
     void resetIncarnationState();
     // Demands a list of runs before new runs are ordered, because another incarnation may be alive
     // than the known one.
     void requireList(Time now);
     // Notes the answer to a poll for a list.
-    void noteList(Time sentAt) { isListRequired_ = isListRequired_ && sentAt < listRequiredAt_; }
+    void onListed(Time sentAt) { isListRequired_ = isListRequired_ && sentAt < listRequiredAt_; }
     bool isListRequired() const { return isListRequired_; }
     // Records a start that was not answered and then stopped. The server refuses such a start if it
     // arrives late, but a new incarnation of the server does not.
@@ -215,6 +224,8 @@
     uint32_t incarnationCount_ = 0;
     bool isListRequired_ = false;
     Time listRequiredAt_ {};
+    Time incarnationKnownAt_ {}; // time of the first list of the incarnation
+    Time aliveAt_ {};            // latest time at which the incarnation was certainly alive
     ServerClock clockMs_;
     Time clockReadAt_ {};
     Time latestLeaseEnd(Time now, Duration lease) const;
@@ -226,6 +237,13 @@
     Time startLeaseEnd_ {};
     Time pollLeaseEnd_ {};
     Time committedPollLeaseEnd_ {};
+    // Times at which the latest order that extends the lease was sent, and the latest such order
+    // without an answer. Orders may be executed until maxOrderDelay later, by an incarnation on
+    // whose clock their lease has another end.
+    Time leaseSentAt_ {};
+    Time unansweredLeaseSentAt_ {};
+    // Latest end of a lease that a late order of before the incarnation may have extended.
+    Time lateLeaseEnd_ {};
     uint64_t seenThrough_ = 0;
     uint64_t acknowledged_ = 0;
     uint64_t pollAck_ = 0;
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -36,9 +36,10 @@
             stopForeignRun(server, ref.task, ref.run, now);
         return;
     }
+    run->isClockKnown =
+            server.provesIncarnation(clock, now) && !server.contradictsClock(clock, run->orderedAt);
     noteClock(server, clock, run->orderedAt, now);
     if (result == OrderResult::Done) {
-        server.onStartExecuted(run->orderedAt);
         run->confirmedAt = now;
         if (run->state != RunState::Stopping)
             run->state = RunState::Running;
@@ -46,6 +47,7 @@
     }
     if (result == OrderResult::Unknown) {
         ++counters_.startsUnanswered;
+        server.onOrderUnanswered(run->orderedAt);
         if (run->state == RunState::Starting)
             run->state = RunState::Unconfirmed;
         server.nextPollAt = now;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -129,7 +129,7 @@
     logEvent("server-restarted", {},
              fmt::format("server={} known={} named={} runs={} kept={}", server.info().id, previous,
                          list.incarnation.value_or(0), known, server.runs().size()));
-    server.beginIncarnation(list.incarnation.value_or(0));
+    server.beginIncarnation(list.incarnation.value_or(0), now);
     server.restoreCancelledStarts(now);
     for (auto &[task, run] : server.runs()) {
         run.stopConfirmedAt = {};
@@ -198,7 +198,7 @@
     if (server.contradictsClock(clock, orderSentAt))
         server.requireList(now);
     else
-        server.updateClock(clock, now);
+        server.updateClock(clock, orderSentAt, now);
 }
 
 void Pool::Implementation::sendDuePolls(Time now)
@@ -279,7 +279,7 @@
         for (auto &[task, run] : server.runs()) {
             const bool isOrderExpired = !server.isRegistered && run.confirmedAt == Time {}
                     && now > run.orderedAt + pool::maxOrderDelay + server.longestLease();
-            if ((run.confirmedAt != Time {} && server.hasLapsed(now)) || isOrderExpired) {
+            if ((run.confirmedAt != Time {} && server.hasLapsed(run, now)) || isOrderExpired) {
                 ended.push_back(task);
                 continue;
             }
@@ -319,10 +319,10 @@
     if (server.isNewIncarnation(reply))
         onNewIncarnation(server, reply, now);
     else if (!server.incarnation())
-        server.beginIncarnation(reply.incarnation.value_or(0));
+        server.beginIncarnation(reply.incarnation.value_or(0), now);
     server.commitPollAck();
-    server.noteList(sentAt);
-    server.updateClock(reply.clock, now);
+    server.onListed(sentAt);
+    server.updateClock(reply.clock, sentAt, now);
     for (const EndedRow &row : reply.ended)
         onRunEnded(server, row, now);
     reconcile(server, reply, sentAt, now);
@@ -356,6 +356,7 @@
         // A reset connection fails immediately and not after a timeout, so the next poll has to be
         // delayed explicitly.
         ++counters_.pollsUnanswered;
+        server.onOrderUnanswered(server.pollSentAt);
         server.resetDelay = std::clamp(server.resetDelay * 2, reconnectDelay, maxResetDelay);
         server.nextPollAt = std::max(now, server.pollSentAt + server.resetDelay);
         break;
@@ -401,8 +402,9 @@
         const auto known = server.runs().find(row.task);
         if (known == server.runs().end() || known->second.number != row.run)
             stopForeignRun(server, row.task, row.run, now);
-        if (Run *run = server.findRun({server.info().id, row.task, row.run}))
-            run->isListed = true;
+        Run *run = server.findRun({server.info().id, row.task, row.run});
+        if (run && !std::exchange(run->isListed, true))
+            server.onRunListed(Time {}, now);
     }
 }
 
@@ -411,8 +413,7 @@
 {
     if (!run.isListed) {
         run.isListed = true;
-        // The incarnation may have begun after the order was sent, so its lease is not known.
-        server.onStartExecuted(now);
+        server.onRunListed(run.orderedAt, now);
     }
     if (run.confirmedAt == Time {})
         run.confirmedAt = now;
@@ -440,7 +441,6 @@
     run.confirmedAt = now;
     run.endBy = now; // the caller of its job may have lost its connection long ago
     server.add(task, run);
-    server.onStartExecuted(now);
     sendStop(server, task, server.runs().at(task), now);
 }
 
