Wait for all ends of a server before a run counts as over

Callers of stored jobs would see a task run again after its success: a server lists at most 500 ends at a time, and while a keeper does not confirm outcomes, the end of a later run may not be among them.

Cause: a run that was neither listed as running nor as ended counted as lost.

Change: PollReply tells whether the list of ends is complete. A missing run counts as over only if it is.

The adapter has to set the field for servers with a bound.

--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -368,7 +368,8 @@
 }
 
 // Compares the runs that this VM knows with those that the server lists. A missing run counts as
-// over only if the poll was sent after its start or its stop was known to be executed.
+// over only if the poll was sent after its start or its stop was known to be executed, and if the
+// server has no further ends to list, since that of the run may be among them.
 void Pool::Implementation::reconcile(Server &server, const PollReply &reply, Time sentAt, Time now)
 {
     std::map<std::string_view, const RunningRow *> listed;
@@ -381,10 +382,10 @@
             onRunListed(server, *row->second, run, now);
             continue;
         }
-        const bool isGone = (run.confirmedAt != Time {} && sentAt > run.confirmedAt)
+        const bool isOver = (run.confirmedAt != Time {} && sentAt > run.confirmedAt)
                 || (run.state == RunState::Stopping && run.stopConfirmedAt != Time {}
                     && sentAt > run.stopConfirmedAt);
-        if (isGone)
+        if (isOver && reply.areEndsComplete)
             gone.push_back(task);
         else if (run.state == RunState::Unconfirmed && sentAt > run.orderedAt)
             sendStop(server, task, run, now);
--- a/tests/simulated_server.h
+++ b/tests/simulated_server.h
@@ -126,9 +126,9 @@
         reply.incarnation = info.incarnation;
         for (const auto &[task, run] : running)
             reply.running.push_back({task, run.run, run.percentAt(now), run.checkpoint});
-        reply.ended.assign(ended.begin(),
-                           ended.begin()
-                                   + static_cast<long>(std::min(ended.size(), maxListedEnds)));
+        const auto count = static_cast<long>(std::min(ended.size(), maxListedEnds));
+        reply.ended.assign(ended.begin(), ended.begin() + count);
+        reply.areEndsComplete = ended.size() < maxListedEnds;
     }
     // Replaces the process by a new incarnation without any state.
     void restart(Time now)
