Acknowledge ends to a server only when there are new ones to acknowledge

Callers of stored jobs would see a task run again after its success, or a job that does not end, when a server restarts while acknowledgements are sent.

Cause: every poll repeated the number up to which ends were acknowledged. A new process numbers its ends from 1 and forgets those up to the number of the previous process, although nobody has read them. The run then counted as lost.

Change: a poll names a number only if it acknowledges an end for the first time, and none after a poll that was not answered or while a new process is suspected. What is left: a restart between the sending and the arrival of one such poll, if a run also begins and ends in that time.

Evidence: acknowledgement_for_the_previous_process_deletes_no_end failed (0 of 2 ends were seen, 2 runs reported as lost) and passes.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -150,10 +150,13 @@
 
     // Records that the server listed the end of a run. Returns false if it was seen before.
     bool recordEnd(uint64_t number);
-    // Returns the highest number up to which all ends may be acknowledged.
-    uint64_t ackedThrough() const
+    // Returns the number up to which the next poll acknowledges ends; 0 if it acknowledges none. An
+    // incarnation forgets ends up to this number even if it is meant for the previous one. A poll
+    // after one that was not answered is the most likely to meet a new incarnation, so it
+    // acknowledges nothing.
+    uint64_t ackForPoll() const
     {
-        return heldEnds_.empty() ? seenThrough_ : *heldEnds_.begin() - 1;
+        return hasUnacknowledged() && unansweredPolls == 0 && !isListRequired_ ? ackedThrough() : 0;
     }
     // Delays the acknowledgement of an end until releaseEnd(), because its job's keeper has not
     // stored it yet.
@@ -228,6 +231,11 @@
     Time aliveAt_ {};            // latest time at which the incarnation was certainly alive
     ServerClock clockMs_;
     Time clockReadAt_ {};
+    // Returns the highest number up to which all ends may be acknowledged.
+    uint64_t ackedThrough() const
+    {
+        return heldEnds_.empty() ? seenThrough_ : *heldEnds_.begin() - 1;
+    }
     Time latestLeaseEnd(Time now, Duration lease) const;
     Duration leaseWithin(Time now, Time limit) const;
     int64_t leaseUntilMs(Time now, Duration lease) const;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -248,7 +248,7 @@
     poll.server = server.info().id;
     poll.address = server.info().address;
     poll.token = server.token;
-    poll.ackedThrough = server.ackedThrough();
+    poll.ackedThrough = server.ackForPoll();
     poll.leaseUntilMs = extendsLease ? server.leaseForPoll(now, limit) : 0;
     poll.wait = server.pollWait(now);
     poll.timeout = poll.wait + options_.answerTimeout;
