Report a run of a stored job as not started only if the server said so

Cause: every run that was not confirmed was reported as not started, also one whose start was never answered and that was stopped afterwards. A new process of the server does not know the stop and may execute the start late.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -52,6 +52,7 @@
     bool isSlowRecorded = false; // whether the run counted against the speed of the server
     uint32_t percent = 0;        // percentage of its work that is done, as of the latest poll
     bool needsMove = false;      // whether the run would end too late on this server
+    bool isRefused = false; // whether the server has answered that it does not execute the start
     bool isStopPending = false;
     Time stopSentAt {};
     uint32_t stopSentTo = 0; // LeasedServer::incarnationCount() when the latest stop was sent
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -403,9 +403,9 @@
 void Pool::Implementation::requeue(const std::string &task, const Run &run, Time now)
 {
     if (run.stored) {
-        const bool isStarted = run.confirmedAt != Time {};
+        // An order without an answer may be executed late, also by a new process of the server.
         queueOutcome({task, run.number,
-                      isStarted ? TaskOutcome::Kind::Lost : TaskOutcome::Kind::NotStarted,
+                      run.isRefused ? TaskOutcome::Kind::NotStarted : TaskOutcome::Kind::Lost,
                       RunEnd::Lapsed, run.checkpoint},
                      now);
         return;
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -57,6 +57,7 @@
         return; // the list is the surer evidence
     if (result == OrderResult::OtherServer)
         delayOrders(server, now);
+    run->isRefused = true;
     // The server has not started the run and will not do so without a new order.
     ++counters_.startsRejected;
     const Run ended = server.remove(ref.task);
