Take only documented refusals of servers for refusals

A start that met a 404, 500, 502 or 504, a 409 without a known reason, or an error page of another program counted as not executed, so the task was started elsewhere at once, possibly beside the first run. A stop that met any of these counted as confirmed: the next list without the run ended it, although a start that arrived later would still have run.

The protocol lets a server answer a start with 200, 409 (fence, old, late, room, ticket), 400, 421, 429 or 503, a stop and a poll with 200, 409 (fence) or 421, and has it name its clock in each body.

--- /dev/null
+++ b/tests/executor_client_test.cpp
@@ -0,0 +1,191 @@
+// Tests of the client of the platform's executors: what it takes from each response to an order.
+#define BOOST_TEST_MODULE executor_client
+#include "executors.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+
+using namespace lovage;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string statusBody = R"({"clock_ms":482113})";
+const std::string runningRow = R"(["0000000000000001.0.0.0",2,"",41])";
+const std::string endedRow = R"([58,"0000000000000001.0.0.1",1,"done",""])";
+
+std::string conflict(const std::string &reason)
+{
+    return R"({"clock_ms":482113,"reason":")" + reason + "\"}";
+}
+
+std::string lists(const std::string &running, const std::string &ended)
+{
+    return R"({"clock_ms":482113,"born":1700000000000,"running":[)" + running + R"(],"finished":[)"
+            + ended + "]}";
+}
+
+// A server that gives one response to all requests, and a client of it.
+class ScriptedExecutor
+{
+public:
+    ScriptedExecutor()
+    {
+        server_ =
+                std::move(HttpServer::listen(threads_, {"127.0.0.1", 0}, {},
+                                             [this](const HttpRequest &, HttpServer::Reply reply) {
+                                                 reply(response_);
+                                             })
+                                  .value());
+    }
+    ~ScriptedExecutor() { threads_.stop(); }
+
+    OrderResult start(int status, const std::string &body)
+    {
+        respondWith(status, body);
+        OrderStart order;
+        order.ref = {"i-1", "0000000000000001.0.0.0", 1};
+        order.address = address();
+        return resultOf([&](auto done) { client_.start(order, done); });
+    }
+    OrderResult stop(int status, const std::string &body)
+    {
+        respondWith(status, body);
+        const OrderStop order {{"i-1", "0000000000000001.0.0.0", 1}, address(), 1};
+        return resultOf([&](auto done) { client_.stop(order, done); });
+    }
+    PollReply poll(int status, const std::string &body)
+    {
+        respondWith(status, body);
+        OrderPoll order;
+        order.server = "i-1";
+        order.address = address();
+        order.timeout = 5s;
+        std::promise<PollReply> reply;
+        client_.poll(order, [&](PollReply answer) { reply.set_value(std::move(answer)); });
+        return reply.get_future().get();
+    }
+
+private:
+    std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
+
+    void respondWith(int status, const std::string &body)
+    {
+        response_ = {};
+        response_.status = status;
+        response_.body = body;
+    }
+
+    template<class Send>
+    OrderResult resultOf(Send send)
+    {
+        std::promise<OrderResult> result;
+        send([&](OrderResult answer, const ServerReading &reading) {
+            reading_ = reading;
+            result.set_value(answer);
+        });
+        return result.get_future().get();
+    }
+
+    IoThreads threads_ {1};
+    HttpResponse response_;
+    ServerReading reading_;
+    std::unique_ptr<HttpServer> server_;
+    platform::ExecutorClient client_ {threads_, 5s};
+};
+
+bool isUnknown(OrderResult result)
+{
+    return result == OrderResult::Unknown;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(documented_responses_are_decoded, ScriptedExecutor)
+{
+    BOOST_TEST((start(200, statusBody) == OrderResult::Done));
+    BOOST_TEST((start(200, "") == OrderResult::Done));
+    BOOST_TEST((start(409, conflict("fence")) == OrderResult::Fenced));
+    BOOST_TEST((start(409, conflict("old")) == OrderResult::Superseded));
+    BOOST_TEST((start(409, conflict("late")) == OrderResult::Late));
+    BOOST_TEST((start(409, conflict("room")) == OrderResult::NoRoom));
+    BOOST_TEST((start(409, conflict("ticket")) == OrderResult::Invalid));
+    BOOST_TEST((start(400, statusBody) == OrderResult::Invalid));
+    for (const int status : {429, 503}) {
+        BOOST_TEST((start(status, statusBody) == OrderResult::Unhealthy));
+        BOOST_TEST((start(status, "") == OrderResult::Unhealthy));
+    }
+    BOOST_TEST((start(421, statusBody) == OrderResult::OtherIncarnation));
+    BOOST_TEST((stop(200, statusBody) == OrderResult::Done));
+    BOOST_TEST((stop(409, conflict("fence")) == OrderResult::Fenced));
+    BOOST_TEST((stop(421, "") == OrderResult::OtherIncarnation));
+    BOOST_TEST((poll(409, conflict("fence")).result == OrderResult::Fenced));
+    BOOST_TEST((poll(421, statusBody).result == OrderResult::OtherIncarnation));
+
+    const PollReply reply = poll(200, lists(runningRow, endedRow));
+    BOOST_TEST((reply.result == OrderResult::Done));
+    BOOST_TEST((reply.reading.clockMs == 482113));
+    BOOST_TEST((reply.reading.incarnation == 1700000000000U));
+    BOOST_TEST((reply.running == std::vector {RunningRow {"0000000000000001.0.0.0", 2, 41, ""}}));
+    BOOST_TEST(
+            (reply.ended
+             == std::vector {EndedRow {58, "0000000000000001.0.0.1", 1, RunEnd::Succeeded, ""}}));
+}
+
+// Guards against a task that starts elsewhere while it runs: a response that the protocol does not
+// name would count as a refusal of the start.
+BOOST_FIXTURE_TEST_CASE(undocumented_response_to_a_start_is_no_refusal, ScriptedExecutor)
+{
+    for (const int status : {201, 202, 302, 404, 408, 418, 500, 502, 504}) {
+        BOOST_TEST(isUnknown(start(status, statusBody)), status);
+        BOOST_TEST(isUnknown(start(status, "")), status);
+    }
+    BOOST_TEST(isUnknown(start(409, statusBody)));
+    BOOST_TEST(isUnknown(start(409, "")));
+    BOOST_TEST(isUnknown(start(409, conflict("other"))));
+    BOOST_TEST(isUnknown(start(409, R"({"clock_ms":482113,"reason":7})")));
+}
+
+// Guards against a run that is taken for stopped because a failed stop counts as executed. A start
+// that arrives late would then still run.
+BOOST_FIXTURE_TEST_CASE(undocumented_response_to_a_stop_confirms_nothing, ScriptedExecutor)
+{
+    for (const int status : {202, 302, 400, 404, 429, 500, 502, 503, 504})
+        BOOST_TEST(isUnknown(stop(status, statusBody)), status);
+    for (const char *reason : {"old", "late", "room", "other", ""})
+        BOOST_TEST(isUnknown(stop(409, conflict(reason))), reason);
+}
+
+// Guards against responses of other origin, such as the error page of a proxy, that count as those
+// of the executor.
+BOOST_FIXTURE_TEST_CASE(body_without_a_clock_decides_nothing, ScriptedExecutor)
+{
+    const std::string deep = R"({"clock_ms":1,"a":)" + std::string(100000, '[');
+    const std::vector<std::string> bodies {"<html>",
+                                           R"({"clock_ms":4821)",
+                                           "[]",
+                                           "null",
+                                           "{}",
+                                           R"({"clock_ms":"482113","reason":"old"})",
+                                           R"({"clock_ms":-1,"reason":"old"})",
+                                           R"({"clock_ms":18446744073709551615,"reason":"old"})",
+                                           R"({"clock_ms":1e300,"reason":"old"})",
+                                           deep};
+    for (const std::string &body : bodies) {
+        for (const int status : {200, 400, 409, 421, 429, 503}) {
+            const std::string shown = std::to_string(status) + " " + body.substr(0, 40);
+            BOOST_TEST(isUnknown(start(status, body)), shown);
+            BOOST_TEST(isUnknown(stop(status, body)), shown);
+            BOOST_TEST(isUnknown(poll(status, body).result), shown);
+        }
+    }
+}
+
+// Guards against a body beyond the limit of the client that counts as a refusal.
+BOOST_FIXTURE_TEST_CASE(oversized_response_decides_nothing, ScriptedExecutor)
+{
+    const std::string body = R"({"clock_ms":1,"reason":"old","more":")"
+            + std::string(HttpClientOptions().maxResponseBytes, 'x') + "\"}";
+    BOOST_TEST(isUnknown(start(409, body)));
+}
