--- a/tests/executor_client_test.cpp
+++ b/tests/executor_client_test.cpp
@@ -189,3 +189,63 @@
             + std::string(HttpClientOptions().maxResponseBytes, 'x') + "\"}";
     BOOST_TEST(isUnknown(start(409, body)));
 }
+
+// Guards against a task that starts elsewhere while it runs: a list with a row that cannot be
+// decoded would count as one that lacks the run.
+BOOST_FIXTURE_TEST_CASE(list_with_a_malformed_row_is_unusable, ScriptedExecutor)
+{
+    for (const char *row :
+         {"7", "{}", "[]", R"(["t",2,""])", R"([3,2,"",41])", R"(["t","2","",41])",
+          R"(["t",-1,"",41])", R"(["t",4294967296,"",41])", R"(["t",2.5,"",41])",
+          R"(["t",18446744073709551615,"",41])", R"(["t",2,7,41])", R"(["t",2,"","41"])"}) {
+        const PollReply reply = poll(200, lists(runningRow + "," + row, endedRow));
+        BOOST_TEST(isUnknown(reply.result), row);
+        BOOST_TEST((reply.running.empty() && reply.ended.empty()), row);
+    }
+    for (const char *row :
+         {"7", "[]", R"([59,"t",1,"done"])", R"([59,7,1,"done",""])", R"([59,"t","1","done",""])",
+          R"([59,"t",-1,"done",""])", R"([59,"t",4294967296,"done",""])",
+          R"([59,"t",1,"vanished",""])", R"([59,"t",1,"",""])", R"([59,"t",1,7,""])",
+          R"([-1,"t",1,"done",""])", R"([0,"t",1,"done",""])", R"([59.5,"t",1,"done",""])",
+          R"([18446744073709551615,"t",1,"done",""])", R"([59,"t",1,"done",7])"})
+        BOOST_TEST(isUnknown(poll(200, lists(runningRow, endedRow + "," + row)).result), row);
+}
+
+// Guards against a list of another incarnation, or a part of a list, that counts as the whole.
+BOOST_FIXTURE_TEST_CASE(incomplete_list_is_unusable, ScriptedExecutor)
+{
+    BOOST_TEST(isUnknown(poll(200, "").result));
+    BOOST_TEST(isUnknown(poll(200, statusBody).result));
+    const std::string start = R"({"clock_ms":482113,"born":1700000000000)";
+    BOOST_TEST(isUnknown(poll(200, start + R"(,"running":[]})").result));
+    BOOST_TEST(isUnknown(poll(200, start + R"(,"finished":[]})").result));
+    BOOST_TEST(isUnknown(poll(200, start + R"(,"running":{},"finished":[]})").result));
+    BOOST_TEST(isUnknown(poll(200, start + R"(,"running":[],"finished":null})").result));
+    BOOST_TEST(isUnknown(poll(200, R"({"clock_ms":1,"running":[],"finished":[]})").result));
+    BOOST_TEST(
+            isUnknown(poll(200, R"({"clock_ms":1,"born":"x","running":[],"finished":[]})").result));
+    BOOST_TEST(isUnknown(poll(200, lists(runningRow, endedRow).substr(0, 90)).result));
+    for (const int status : {202, 302, 400, 404, 429, 500, 503})
+        BOOST_TEST(isUnknown(poll(status, lists(runningRow, endedRow)).result), status);
+    BOOST_TEST(isUnknown(poll(409, conflict("late")).result));
+}
+
+// Guards against undefined conversions of a progress that is out of range.
+BOOST_FIXTURE_TEST_CASE(progress_is_limited_to_its_range, ScriptedExecutor)
+{
+    const std::vector<std::pair<std::string, uint32_t>> values {
+            {"-1", 0}, {"41.7", 41}, {"1e300", 100}, {"18446744073709551615", 100}};
+    for (const auto &[text, percent] : values) {
+        const PollReply reply = poll(200, lists(R"(["t",2,"",)" + text + "]", ""));
+        BOOST_REQUIRE(reply.running.size() == 1);
+        BOOST_TEST(reply.running.front().percent == percent, text);
+    }
+}
+
+// Guards against an end that is acknowledged unread because a later one came before it in the list.
+BOOST_FIXTURE_TEST_CASE(ends_are_ordered_by_number, ScriptedExecutor)
+{
+    const PollReply reply = poll(200, lists("", R"([9,"t",1,"done",""],[8,"u",1,"failed",""])"));
+    BOOST_REQUIRE(reply.ended.size() == 2);
+    BOOST_TEST(reply.ended.front().number == 8U);
+}
