--- a/tests/executor_client_test.cpp
+++ b/tests/executor_client_test.cpp
@@ -66,6 +66,8 @@
         client_.poll(order, [&](PollReply answer) { reply.set_value(std::move(answer)); });
         return reply.get_future().get();
     }
+    // Reading of the latest answer to a start or stop.
+    const ServerReading &reading() const { return reading_; }
 
 private:
     std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
@@ -190,6 +192,19 @@
     BOOST_TEST(isUnknown(start(409, body)));
 }
 
+// Guards against a confirmation that is credited to an incarnation which did not give it: only
+// entries and lists of runs name the incarnation by the protocol.
+BOOST_FIXTURE_TEST_CASE(answers_to_starts_and_stops_name_no_incarnation, ScriptedExecutor)
+{
+    const std::string body = R"({"clock_ms":482113,"born":1700000000000})";
+    BOOST_TEST((start(200, body) == OrderResult::Done));
+    BOOST_TEST((reading().clockMs == 482113));
+    BOOST_TEST(!reading().incarnation.has_value());
+    BOOST_TEST((stop(200, body) == OrderResult::Done));
+    BOOST_TEST((reading().clockMs == 482113));
+    BOOST_TEST(!reading().incarnation.has_value());
+}
+
 // Guards against a task that starts elsewhere while it runs: a list with a row that cannot be
 // decoded would count as one that lacks the run.
 BOOST_FIXTURE_TEST_CASE(list_with_a_malformed_row_is_unusable, ScriptedExecutor)
