Tell the pool when a server has more ends than it listed

A server lists at most 500 ends at a time. A run whose end is beyond them is in neither list, and the pool takes it for over without an outcome: a task that has succeeded would start again. PollReply now says whether the list of ends is complete; the pool does not use it yet.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -281,6 +281,9 @@
     ServerReading reading;
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
+    // Whether `ended` has every end that is not acknowledged. Servers list a limited number at a
+    // time, so a run that is in neither list may have ended all the same.
+    bool areEndsComplete = true;
 };
 
 // Right to place jobs on the servers of a shard. Servers are divided into shards by their id, and
--- a/tests/executor_client_test.cpp
+++ b/tests/executor_client_test.cpp
@@ -264,3 +264,17 @@
     BOOST_REQUIRE(reply.ended.size() == 2);
     BOOST_TEST(reply.ended.front().number == 8U);
 }
+
+// Guards against a task that starts again after it has succeeded: its end is beyond those that the
+// executor lists at a time, so the run is in neither list.
+BOOST_FIXTURE_TEST_CASE(list_of_ends_may_be_cut, ScriptedExecutor)
+{
+    std::string rows = R"([1,"t",1,"done",""])";
+    for (int number = 2; number < 500; ++number)
+        rows += ",[" + std::to_string(number) + R"(,"t",1,"done",""])";
+    BOOST_TEST(poll(200, lists("", rows)).areEndsComplete);
+    const PollReply reply = poll(200, lists("", rows + R"(,[500,"t",1,"done",""])"));
+    BOOST_TEST((reply.result == OrderResult::Done));
+    BOOST_TEST(reply.ended.size() == 500U);
+    BOOST_TEST(!reply.areEndsComplete);
+}
