Never read the answer to one HTTP request as that to the next one

Bytes behind a response stayed in the buffer of its connection, and the next request on the connection took them for its answer: a server's refusal of one start could be read as that of another one, which was being executed. An interim response (100, 102) counted as the final one, so the final one was left over in the same way. The check for unread bytes before a connection is reused sees the socket alone.

A connection with bytes left over, or one that has switched protocols, is now closed after its response, and interim responses are skipped.

A second response that arrives between the check and the next request still cannot be told apart in HTTP/1.1.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -24,6 +24,9 @@
 
 namespace {
 
+// Status of a response after which the connection no longer carries HTTP.
+constexpr unsigned switchingProtocols = 101;
+
 // One request from send() to its callback.
 struct Exchange
 {
@@ -47,6 +50,12 @@
     return message;
 }
 
+// Returns whether another response to the same request follows.
+bool isInterim(unsigned status)
+{
+    return status >= 100 && status < 200 && status != switchingProtocols;
+}
+
 HttpResponse toResponse(http::response<http::string_body> message)
 {
     HttpResponse response;
@@ -88,6 +97,7 @@
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
+    static bool isReusable(const Connection &connection);
     void startQueued();
     ConnectionPtr acquireIdle();
     void connect(const ConnectionPtr &connection);
@@ -217,10 +227,13 @@
     http::async_read(
             connection->stream, connection->buffer, *connection->parser,
             [self = shared_from_this(), connection](error_code error, size_t) {
+                if (!error && isInterim(connection->parser->get().result_int())) {
+                    self->read(connection);
+                    return;
+                }
                 if (!error) {
-                    auto message = connection->parser->release();
-                    const bool reuse = message.keep_alive();
-                    self->finish(connection, toResponse(std::move(message)), reuse);
+                    const bool reuse = isReusable(*connection);
+                    self->finish(connection, toResponse(connection->parser->release()), reuse);
                     return;
                 }
                 ErrorCode code = ErrorCode::PeerUnreachable;
@@ -237,6 +250,14 @@
             });
 }
 
+// Returns whether the next request may use the connection of a response that was read. Bytes behind
+// the response belong to no request and would be read as the answer to the next one.
+bool EndpointPool::isReusable(const Connection &connection)
+{
+    return connection.parser->keep_alive() && connection.buffer.size() == 0
+            && connection.parser->get().result_int() != switchingProtocols;
+}
+
 void EndpointPool::finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse)
 {
     Exchange exchange = std::move(*connection->exchange);
