End an HTTP request at its timeout while it is connecting

The client promises an answer at the latest after the timeout, but an attempt to connect lasted for 500 ms whatever the timeout was. A start or poll with a timeout of 100 ms to a server that drops connections kept its run unanswered for five times as long. The attempt now ends with the request. The verdict stays "not run", because no byte is sent before the connection is open.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -9,6 +9,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <deque>
 #include <future>
@@ -179,7 +180,8 @@
                false);
         return;
     }
-    connection->stream.expires_after(options_.connectTimeout);
+    connection->stream.expires_at(
+            std::min(SteadyClock::now() + options_.connectTimeout, connection->exchange->deadline));
     connection->stream.async_connect(
             to.value(), [self = shared_from_this(), connection](error_code error) {
                 if (error) {
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -288,3 +288,26 @@
     BOOST_TEST(client.get(server.endpoint(), "/3").value().body == "/3");
     BOOST_TEST(received == 2);
 }
+
+// Guards against an answer long after the timeout while the server accepts no connection.
+BOOST_AUTO_TEST_CASE(connecting_takes_no_longer_than_the_timeout)
+{
+    asio::io_context context;
+    tcp::acceptor acceptor(context, tcp::v4());
+    acceptor.bind({asio::ip::make_address("127.0.0.1"), 0});
+    acceptor.listen(0);
+    // Fills the backlog, so that the kernel drops further attempts to connect.
+    std::vector<tcp::socket> waiting;
+    for (int i = 0; i < 3; ++i) {
+        waiting.emplace_back(context);
+        waiting.back().async_connect(acceptor.local_endpoint(), [](boost::system::error_code) {});
+    }
+    context.poll();
+    HttpClientOptions options;
+    options.connectTimeout = 3s;
+    Client client(options);
+    const auto start = std::chrono::steady_clock::now();
+    const auto result = client.get({"127.0.0.1", acceptor.local_endpoint().port()}, "/", 100ms);
+    BOOST_TEST(hasVerdict(result, Verdict::NotRun));
+    BOOST_TEST((std::chrono::steady_clock::now() - start < 1500ms));
+}
