Keep queued HTTP requests going when a callback throws

The event loop survives an exception in a callback, but the HTTP client started the next queued request after the callback in the same handler, so the queue stood still until another request came. One that threw for an expired request also lost the answers to the others that had expired, and the timer that ends requests in the queue was not set again. Each callback is now the last step of its handler.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -105,6 +105,7 @@
     void write(const ConnectionPtr &connection);
     void read(const ConnectionPtr &connection);
     void finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse);
+    Error queueTimeout() const;
     void failExpired();
 
     asio::io_context &context_;
@@ -199,10 +200,7 @@
 void EndpointPool::write(const ConnectionPtr &connection)
 {
     if (connection->exchange->deadline <= SteadyClock::now()) {
-        finish(connection,
-               notRun(ErrorCode::Timeout,
-                      fmt::format("no free connection to {} in time", toString(endpoint_))),
-               true);
+        finish(connection, queueTimeout(), true);
         return;
     }
     connection->message = toMessage(endpoint_, std::move(connection->exchange->request));
@@ -272,8 +270,16 @@
         connection->stream.close();
         --connectionCount_;
     }
+    // The next request is started from the event loop, because the callback may throw.
+    if (!queue_.empty())
+        asio::post(context_, [self = shared_from_this()] { self->startQueued(); });
     exchange.callback(std::move(result));
-    startQueued();
+}
+
+Error EndpointPool::queueTimeout() const
+{
+    return notRun(ErrorCode::Timeout,
+                  fmt::format("no free connection to {} in time", toString(endpoint_)));
 }
 
 void EndpointPool::failExpired()
@@ -288,10 +294,11 @@
             remaining.push_back(std::move(exchange));
     }
     queue_ = std::move(remaining);
+    // Each callback is a handler of its own, because it may throw.
     for (Exchange &exchange : expired)
-        exchange.callback(
-                notRun(ErrorCode::Timeout,
-                       fmt::format("no free connection to {} in time", toString(endpoint_))));
+        asio::post(context_, [callback = std::move(exchange.callback), error = queueTimeout()] {
+            callback(error);
+        });
 }
 
 // Fails queued requests past their deadline and closes connections past the idle timeout.
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -311,3 +311,36 @@
     BOOST_TEST(hasVerdict(result, Verdict::NotRun));
     BOOST_TEST((std::chrono::steady_clock::now() - start < 1500ms));
 }
+
+// Guards against requests that are never answered after the callback of another one has thrown.
+BOOST_AUTO_TEST_CASE(exception_in_a_callback_leaves_other_requests_alone)
+{
+    HttpClientOptions options;
+    options.maxConnectionsPerEndpoint = 1;
+    Client client(options);
+    ScriptedServer server([](tcp::socket &socket, int) {
+        for (;;) {
+            const std::string target = readTarget(socket);
+            std::this_thread::sleep_for(target == "/slow" ? 200ms : 0ms);
+            send(socket, response(target));
+        }
+    });
+    const auto sendAndThrow = [&](const std::string &target, Duration timeout) {
+        client.client.send(
+                server.endpoint(), {"GET", target, {}, {}}, timeout,
+                [](const Result<HttpResponse> &) { throw std::runtime_error("unexpected"); });
+    };
+    sendAndThrow("/1", testTimeout);
+    auto queued = client.begin(server.endpoint(), "/2");
+    BOOST_REQUIRE((queued.wait_for(testTimeout / 2) == std::future_status::ready));
+    BOOST_TEST(queued.get().value().body == "/2");
+
+    auto slow = client.begin(server.endpoint(), "/slow");
+    sendAndThrow("/3", 30ms);
+    auto expired = client.begin(server.endpoint(), "/4", 30ms);
+    auto expiredLater = client.begin(server.endpoint(), "/5", 120ms);
+    BOOST_REQUIRE((expired.wait_for(testTimeout / 2) == std::future_status::ready));
+    BOOST_TEST(hasVerdict(expired.get(), Verdict::NotRun));
+    BOOST_REQUIRE((expiredLater.wait_for(testTimeout / 2) == std::future_status::ready));
+    BOOST_TEST(slow.get().has_value());
+}
