Make the stand-in of executors as strict as the protocol

The fake executor of the tests over sockets knew no leases, no capacity, no fencing and no run numbers, stopped runs at once, ran by the clock of the tests, and named its incarnation in each answer. Faults in these points could not show. It now enforces all of them, lets a stop take 50 ms, has a clock that starts at 0 with its process and is 2% slow, lists at most 500 ends at a time, can restart under its id and can execute orders without answering them. Its runs are recorded, so tests can count overlaps.

--- a/tests/executor_client_test.cpp
+++ b/tests/executor_client_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the client of the platform's executors: what it takes from each response to an order.
 #define BOOST_TEST_MODULE executor_client
+#include "support/platform_standin.h"
+
 #include "executors.h"
 
 #include <boost/test/unit_test.hpp>
@@ -278,3 +280,76 @@
     BOOST_TEST(reply.ended.size() == 500U);
     BOOST_TEST(!reply.areEndsComplete);
 }
+
+// Guards against a stand-in that is kinder to its callers than the protocol allows.
+BOOST_AUTO_TEST_CASE(standin_keeps_the_bounds_of_the_protocol)
+{
+    IoThreads threads {1};
+    test::FakeExecutor executor(threads, "i-1", 10s);
+    platform::ExecutorClient client(threads, 5s);
+    const auto address = toString(executor.endpoint());
+    const auto order = [&](auto send) {
+        std::promise<std::pair<OrderResult, ServerReading>> result;
+        send([&](OrderResult answer, const ServerReading &reading) {
+            result.set_value({answer, reading});
+        });
+        return result.get_future().get();
+    };
+    const auto start = [&](const std::string &task, uint32_t run, int64_t leaseUntilMs,
+                           uint64_t token, const std::string &server = "i-1") {
+        OrderStart start;
+        start.ref = {server, task, run};
+        start.address = address;
+        start.leaseUntilMs = leaseUntilMs;
+        start.token = token;
+        return order([&](auto done) { client.start(start, done); }).first;
+    };
+    const auto stop = [&](const std::string &task, uint32_t run) {
+        const OrderStop stop {{"i-1", task, run}, address, 7};
+        return order([&](auto done) { client.stop(stop, done); }).first;
+    };
+    const auto poll = [&](uint64_t ackedThrough, int64_t leaseUntilMs, Duration wait) {
+        OrderPoll poll {"i-1", address, 7, ackedThrough, leaseUntilMs, wait, 5s};
+        std::promise<PollReply> reply;
+        client.poll(poll, [&](PollReply answer) { reply.set_value(std::move(answer)); });
+        return reply.get_future().get();
+    };
+    constexpr int64_t far = 1'000'000;
+    BOOST_TEST((start("t", 1, far, 7, "i-2") == OrderResult::OtherIncarnation));
+    BOOST_TEST((start("t", 1, 0, 7) == OrderResult::Late));
+    BOOST_TEST((start("t", 1, far, 7) == OrderResult::Done));
+    BOOST_TEST((start("t", 1, far, 7) == OrderResult::Done));
+    BOOST_TEST((start("t", 1, far, 6) == OrderResult::Fenced));
+    BOOST_TEST((start("u", 3, far, 7) == OrderResult::Done));
+    BOOST_TEST((start("u", 2, far, 7) == OrderResult::Superseded));
+    BOOST_TEST((start("v", 1, far, 7) == OrderResult::Done));
+    BOOST_TEST((start("w", 1, far, 7) == OrderResult::NoRoom));
+    BOOST_TEST((stop("x", 4) == OrderResult::Done));
+    BOOST_TEST((start("x", 4, far, 7) == OrderResult::Superseded));
+    const PollReply first = poll(0, 0, 0ms);
+    BOOST_TEST(first.running.size() == 3U);
+    BOOST_TEST((*first.reading.clockMs < 60'000)); // counts from the start of the process
+
+    // A run that is stopped keeps its room and is listed until it has ended.
+    BOOST_TEST((stop("t", 1) == OrderResult::Done));
+    BOOST_TEST((start("w", 1, far, 7) == OrderResult::NoRoom));
+    const PollReply stopped = poll(0, 0, 1s);
+    BOOST_REQUIRE(stopped.ended.size() == 1);
+    BOOST_TEST((stopped.ended.front() == EndedRow {1, "t", 1, RunEnd::Stopped, ""}));
+    BOOST_TEST((start("t", 1, far, 7) == OrderResult::Superseded));
+
+    // The lease is cut to its maximum, so both runs end without a further poll that extends it.
+    PollReply lapsed = poll(1, 0, 2s);
+    if (lapsed.ended.size() < 2)
+        lapsed = poll(1, 0, 2s);
+    BOOST_REQUIRE(lapsed.ended.size() == 2);
+    BOOST_TEST((lapsed.ended.front().end == RunEnd::Lapsed));
+    BOOST_TEST((poll(3, 0, 0ms).ended.empty()));
+
+    executor.restart();
+    const PollReply restarted = poll(0, 0, 0ms);
+    BOOST_TEST((restarted.running.empty() && restarted.ended.empty()));
+    BOOST_TEST((*restarted.reading.incarnation > *first.reading.incarnation));
+    BOOST_TEST((*restarted.reading.clockMs < *stopped.reading.clockMs));
+    threads.stop();
+}
--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -178,6 +178,25 @@
         return count;
     }
 
+    // Returns the number of pairs of runs of one task at one time.
+    size_t overlaps()
+    {
+        std::vector<FakeExecutor::Interval> runs = executor1.intervals();
+        const auto more = executor2.intervals();
+        runs.insert(runs.end(), more.begin(), more.end());
+        size_t count = 0;
+        for (size_t i = 0; i < runs.size(); ++i) {
+            for (size_t k = i + 1; k < runs.size(); ++k) {
+                const bool isLaterFirst = runs[k].start < runs[i].start;
+                const auto &first = runs[isLaterFirst ? k : i];
+                const auto &second = runs[isLaterFirst ? i : k];
+                const Time end = first.end.value_or(Time::max());
+                count += first.task == second.task && second.start < end ? 1 : 0;
+            }
+        }
+        return count;
+    }
+
     IoThreads platformThreads {1};
     FakeStore store {platformThreads};
     FakeExecutor executor1 {platformThreads, "e1", milliseconds(60)};
@@ -374,3 +393,44 @@
         BOOST_TEST(startsOf("00000000000000c" + suffix) == 0U);
     }
 }
+
+// Guards against a second run of a task at one time after the answers of a server were lost: what
+// it was told to start runs until it is stopped or its lease has lapsed.
+BOOST_FIXTURE_TEST_CASE(orders_without_an_answer_start_nothing_twice_at_one_time, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000a1") == 200);
+    // Longer than the answer to a start is waited for, so that a task that is started elsewhere too
+    // early overlaps.
+    executor1.setTaskTime(milliseconds(900));
+    executor2.setTaskTime(milliseconds(900));
+    executor1.loseAnswers(true);
+    const std::string body =
+            R"({"spec":"p","steps":[{"count":4,"cpu":10000,"mem_mb":1,"estimate_ms":900}]})";
+    BOOST_TEST(vm1->send("POST", "/a/00000000000000a2", body).value().status == 200);
+    std::this_thread::sleep_for(milliseconds(1500));
+    executor1.loseAnswers(false);
+    std::string state;
+    for (int i = 0; i < 200 && state != R"({"state":"completed"})"; ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        state = vm1->send("GET", "/a/00000000000000a2").value().body;
+    }
+    BOOST_TEST(state == R"({"state":"completed"})");
+    BOOST_TEST(startsOf("00000000000000a2") >= 4U);
+    BOOST_TEST(overlaps() == 0U);
+}
+
+// Guards against work that a server refuses, or that is lost with it, because the VM knows the
+// clock, the fencing token or the end numbers of its earlier process.
+BOOST_FIXTURE_TEST_CASE(restarted_servers_are_used_again, Deployment)
+{
+    BOOST_TEST(submitUntilServed(*vm1, "00000000000000a1") == 200);
+    std::this_thread::sleep_for(milliseconds(300));
+    executor1.restart();
+    executor2.restart();
+    store.put("keyed.servers", "e1", executor1.entry("s", "z"));
+    store.put("keyed.servers", "e2", executor2.entry("s", "z"));
+    std::this_thread::sleep_for(milliseconds(100));
+    for (int i = 2; i < 6; ++i)
+        BOOST_TEST(submitUntilServed(*vm1, "00000000000000a" + std::to_string(i)) == 200);
+    BOOST_TEST(overlaps() == 0U);
+}
