--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -280,7 +280,8 @@
     std::optional<uint64_t> incarnation {}; // incarnation whose runs are listed
     std::vector<RunningRow> running;
     std::vector<EndedRow> ended;
-    // Whether `ended` holds all ends that are not acknowledged. Servers list a limited number.
+    // Whether `ended` has every end that is not acknowledged. Servers list a limited number at a
+    // time, so a run that is in neither list may have ended all the same.
     bool areEndsComplete = true;
 };
 
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -9,6 +9,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <deque>
 #include <future>
@@ -24,6 +25,9 @@
 
 namespace {
 
+// Status of a response after which the connection no longer carries HTTP.
+constexpr unsigned switchingProtocols = 101;
+
 // One request from send() to its callback.
 struct Exchange
 {
@@ -47,6 +51,12 @@
     return message;
 }
 
+// Returns whether another response to the same request follows.
+bool isInterim(unsigned status)
+{
+    return status >= 100 && status < 200 && status != switchingProtocols;
+}
+
 HttpResponse toResponse(http::response<http::string_body> message)
 {
     HttpResponse response;
@@ -88,12 +98,14 @@
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
+    static bool isReusable(const Connection &connection);
     void startQueued();
     ConnectionPtr acquireIdle();
     void connect(const ConnectionPtr &connection);
     void write(const ConnectionPtr &connection);
     void read(const ConnectionPtr &connection);
     void finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse);
+    Error queueTimeout() const;
     void failExpired();
 
     asio::io_context &context_;
@@ -169,7 +181,8 @@
                false);
         return;
     }
-    connection->stream.expires_after(options_.connectTimeout);
+    connection->stream.expires_at(
+            std::min(SteadyClock::now() + options_.connectTimeout, connection->exchange->deadline));
     connection->stream.async_connect(
             to.value(), [self = shared_from_this(), connection](error_code error) {
                 if (error) {
@@ -187,10 +200,7 @@
 void EndpointPool::write(const ConnectionPtr &connection)
 {
     if (connection->exchange->deadline <= SteadyClock::now()) {
-        finish(connection,
-               notRun(ErrorCode::Timeout,
-                      fmt::format("no free connection to {} in time", toString(endpoint_))),
-               true);
+        finish(connection, queueTimeout(), true);
         return;
     }
     connection->message = toMessage(endpoint_, std::move(connection->exchange->request));
@@ -217,10 +227,13 @@
     http::async_read(
             connection->stream, connection->buffer, *connection->parser,
             [self = shared_from_this(), connection](error_code error, size_t) {
+                if (!error && isInterim(connection->parser->get().result_int())) {
+                    self->read(connection);
+                    return;
+                }
                 if (!error) {
-                    auto message = connection->parser->release();
-                    const bool reuse = message.keep_alive();
-                    self->finish(connection, toResponse(std::move(message)), reuse);
+                    const bool reuse = isReusable(*connection);
+                    self->finish(connection, toResponse(connection->parser->release()), reuse);
                     return;
                 }
                 ErrorCode code = ErrorCode::PeerUnreachable;
@@ -237,6 +250,14 @@
             });
 }
 
+// Returns whether the next request may use the connection of a response that was read. Bytes behind
+// the response belong to no request and would be read as the answer to the next one.
+bool EndpointPool::isReusable(const Connection &connection)
+{
+    return connection.parser->keep_alive() && connection.buffer.size() == 0
+            && connection.parser->get().result_int() != switchingProtocols;
+}
+
 void EndpointPool::finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse)
 {
     Exchange exchange = std::move(*connection->exchange);
@@ -249,8 +270,16 @@
         connection->stream.close();
         --connectionCount_;
     }
+    // The next request is started from the event loop, because the callback may throw.
+    if (!queue_.empty())
+        asio::post(context_, [self = shared_from_this()] { self->startQueued(); });
     exchange.callback(std::move(result));
-    startQueued();
+}
+
+Error EndpointPool::queueTimeout() const
+{
+    return notRun(ErrorCode::Timeout,
+                  fmt::format("no free connection to {} in time", toString(endpoint_)));
 }
 
 void EndpointPool::failExpired()
@@ -265,10 +294,11 @@
             remaining.push_back(std::move(exchange));
     }
     queue_ = std::move(remaining);
+    // Each callback is a handler of its own, because it may throw.
     for (Exchange &exchange : expired)
-        exchange.callback(
-                notRun(ErrorCode::Timeout,
-                       fmt::format("no free connection to {} in time", toString(endpoint_))));
+        asio::post(context_, [callback = std::move(exchange.callback), error = queueTimeout()] {
+            callback(error);
+        });
 }
 
 // Fails queued requests past their deadline and closes connections past the idle timeout.
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -314,6 +314,11 @@
         onPollFailed(server, reply.result, now);
         return;
     }
+    if (!reply.incarnation && server.incarnation().value_or(0) != 0) {
+        // The server has named its incarnation before, so this is not a list of its runs.
+        onPollFailed(server, OrderResult::Unknown, now);
+        return;
+    }
     server.unansweredPolls = 0;
     server.replacedDelay = {};
     server.resetDelay = {};
--- a/tests/pool_restart_test.cpp
+++ b/tests/pool_restart_test.cpp
@@ -266,3 +266,21 @@
         BOOST_TEST(world.overlappingRuns == 0U);
     }
 }
+
+// Guards against runs that are started again because of a list that names no incarnation, although
+// its server has named one before.
+BOOST_FIXTURE_TEST_CASE(list_without_an_incarnation_ends_no_run, TwoServers)
+{
+    runTimeOf = [](const std::string &) { return Duration(milliseconds(400)); };
+    offer(makeOffer("job1", 2, 14000, milliseconds(400)));
+    runFor(milliseconds(100));
+    for (const char *id : {"a", "b"}) {
+        PollReply list;
+        list.server = id;
+        list.result = OrderResult::Done;
+        pool.onPollAnswered(list, now);
+    }
+    runFor(seconds(1));
+    BOOST_TEST((resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(starts == 2U);
+}
