--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -210,3 +210,22 @@
     for (const std::string &key : keys)
         BOOST_TEST(read.contains(key));
 }
+
+// Guards against a change that is never seen: a page that cannot be read must not end the reading
+// of the list, since reading then goes on behind the changes on the missing pages.
+BOOST_FIXTURE_TEST_CASE(failed_page_hides_no_change, Follower)
+{
+    for (const char *key : {"a", "b", "c"})
+        store.put(key, "AAAA");
+    store.setPageSize(2);
+    start();
+    BOOST_REQUIRE(awaitValues([](const Values &values) { return values.size() == 3; }).size()
+                  == 3U);
+    store.failLaterPages(1);
+    store.put("c", "AAEC");
+    store.compact();
+    const std::string changed("\0\1\2", 3);
+    const Values read =
+            awaitValues([&](const Values &values) { return values.at("c") == changed; });
+    BOOST_TEST((read.at("c") == changed));
+}
