--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -229,3 +229,30 @@
             awaitValues([&](const Values &values) { return values.at("c") == changed; });
     BOOST_TEST((read.at("c") == changed));
 }
+
+// Guards against reading without a pause when the pages of the list make no progress, and against
+// taking a part of the list for all of it.
+BOOST_FIXTURE_TEST_CASE(pages_without_progress_are_read_again_after_a_pause, Follower)
+{
+    for (const char *key : {"a", "b", "c"})
+        store.put(key, "AAAA");
+    store.setPageSize(2);
+    store.repeatFirstPage(true);
+    start();
+    std::this_thread::sleep_for(milliseconds(500));
+    BOOST_TEST(store.pagesRead() <= 10U);
+    BOOST_TEST(awaitValues([](const Values &values) { return !values.empty(); }).empty());
+    store.repeatFirstPage(false);
+    BOOST_TEST(awaitValues([](const Values &values) { return values.size() == 3; }).size() == 3U);
+}
+
+// Guards against an item that cannot be decoded and hides the items behind it.
+BOOST_FIXTURE_TEST_CASE(page_of_undecodable_items_does_not_end_the_list, Follower)
+{
+    store.put("a", "no base64!");
+    store.put("b", "AAAA");
+    store.setPageSize(1);
+    start();
+    BOOST_TEST(
+            awaitValues([](const Values &values) { return values.contains("b"); }).contains("b"));
+}
