Leave out entries of other writers that describe no server

An entry with a field of another type, port 0, an empty or very long name or a start time that is no whole number, lies far in the future or is negative was taken for a server. A start time that is too high hides the running process from the pool for as long as the pool lives; a name of many kilobytes goes into every report of the VM, which then no longer fits into a datagram; an id with a line break goes into a header.

Nesting, numbers beyond 32 bits for the capacity, ports above 65535, other states and bytes that are no UTF-8 were left out before; the test shows both kinds.

The start times in server_list_detects_changes_without_decoding_all_entries are now times of the test's clock; what it checks is unchanged.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -214,41 +214,123 @@
     BOOST_TEST(settings.error().errors.size() >= 6U);
 }
 
+namespace {
+
+constexpr uint64_t startMs = 1'700'000'000'000;
+
+// Entry of a server whose process started at startMs plus `age`.
+std::string listedEntry(const std::string &dataCentre, uint64_t age, uint64_t beat,
+                        const std::string &state = "ready")
+{
+    return R"({"service":"work","address":"10.0.0.1:80","zone":")" + dataCentre + R"(","state":")"
+            + state + R"(","capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)" + R"("born":)"
+            + std::to_string(startMs + age) + R"(,"seq":)" + std::to_string(beat) + "}";
+}
+
+// A list of data centre dc1 with one server, whose entry the tests change.
+struct OneServer
+{
+    std::optional<ServerInfo> update(const std::string &text)
+    {
+        entries["own"] = text;
+        now += std::chrono::milliseconds(400);
+        if (auto updated = list.update(entries, now))
+            servers = std::move(*updated);
+        return servers.empty() ? std::nullopt : std::optional(servers.front());
+    }
+
+    ServerList list {"dc1"};
+    std::map<std::string, std::string> entries;
+    std::vector<ServerInfo> servers;
+    Time now = fromUnixMillis(startMs + 60'000);
+};
+
+// Entries of other writers that name no server to use.
+const std::vector<std::string> &unusableEntries()
+{
+    static const std::string good = listedEntry("dc1", 5, 2);
+    static const std::vector<std::string> entries {
+            "",
+            "{",
+            "null",
+            "[]",
+            "\xff\xfe no text",
+            std::string(100'000, '['),
+            replaced(good, "{\"service\"",
+                     R"({"deep":)" + std::string(5000, '[') + std::string(5000, ']')
+                             + R"(,"service")"),
+            replaced(good, "16000", "1e400"),
+            replaced(good, "16000", "-1"),
+            replaced(good, "16000", "99999999999999999999999999"),
+            replaced(good, "16000", "4294967296"),
+            replaced(good, "10.0.0.1:80", "10.0.0.1:65536"),
+            replaced(good, "10.0.0.1:80", "10.0.0.1:0"),
+            replaced(good, "10.0.0.1:80", "10.0.0.1:-1"),
+            replaced(good, "10.0.0.1:80", "10.0.0.1:99999999999999999999"),
+            replaced(good, "10.0.0.1:80", "host.example:80"),
+            replaced(good, "\"ready\"", "\"odd\""),
+            replaced(good, "\"ready\"", "null"),
+            replaced(good, "\"work\"", "\"\""),
+            replaced(good, "\"work\"", "\"" + std::string(100'000, 'x') + "\""),
+            replaced(good, "\"capacity\":{", "\"labels\":7,\"capacity\":{"),
+            replaced(good, "\"capacity\":{", "\"labels\":[\"a\",7],\"capacity\":{"),
+            replaced(good, "\"capacity\":{", "\"slots\":\"8\",\"capacity\":{"),
+            replaced(good, "\"capacity\":{", "\"version\":8,\"capacity\":{"),
+            replaced(good, "\"born\":1700000000005", "\"born\":\"1700000000005\""),
+            replaced(good, "\"born\":1700000000005", "\"born\":null"),
+            replaced(good, "\"born\":1700000000005", "\"born\":-1"),
+            replaced(good, "\"born\":1700000000005", "\"born\":1700000000005.5"),
+            replaced(good, "\"born\":1700000000005", "\"born\":9e15"),
+            replaced(good, "\"born\":1700000000005", "\"born\":9000000000000000"),
+            replaced(good, "\"born\":1700000000005", "\"born\":18446744073709551615"),
+            replaced(good, "\"born\":1700000000005", "\"born\":1e300"),
+    };
+    return entries;
+}
+
+} // namespace
+
 // Guards against decoding the entries of all servers at every heartbeat, and against missing a
 // change because of that: a drain, a new process under the same id, a removal or an unreadable
 // entry.
 BOOST_AUTO_TEST_CASE(server_list_detects_changes_without_decoding_all_entries)
 {
-    const auto entry = [](const std::string &dataCentre, uint64_t born, uint64_t beat,
-                          const std::string &state = "ready") {
-        return R"({"service":"work","address":"10.0.0.1:80","zone":")" + dataCentre
-                + R"(","state":")" + state + R"(","capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)"
-                + R"("born":)" + std::to_string(born) + R"(,"seq":)" + std::to_string(beat) + "}";
-    };
     platform::ServerList list("dc1");
-    Time now = fromUnixMillis(1'700'000'000'000);
+    Time now = fromUnixMillis(startMs + 60'000);
     std::map<std::string, std::string> entries;
     for (int i = 0; i < 10; ++i)
-        entries["own" + std::to_string(i)] = entry("dc1", 5, 1);
+        entries["own" + std::to_string(i)] = listedEntry("dc1", 5, 1);
     for (int i = 0; i < 90; ++i)
-        entries["other" + std::to_string(i)] = entry("dc2", 5, 1);
+        entries["other" + std::to_string(i)] = listedEntry("dc2", 5, 1);
     BOOST_REQUIRE_EQUAL(list.update(entries, now).value().size(), 10U);
     BOOST_TEST(list.decodedCount() == 100U);
     for (auto &[id, text] : entries)
-        text = entry(id.starts_with("own") ? "dc1" : "dc2", 5, 2);
+        text = listedEntry(id.starts_with("own") ? "dc1" : "dc2", 5, 2);
     BOOST_TEST(!list.update(entries, now).has_value());
     BOOST_TEST(list.decodedCount() == 110U);
 
-    entries["own0"] = entry("dc1", 5, 3, "draining");
+    entries["own0"] = listedEntry("dc1", 5, 3, "draining");
     BOOST_TEST(list.update(entries, now).value().front().isLeaving);
-    entries["own1"] = entry("dc1", 6, 1);
-    BOOST_TEST(list.update(entries, now).value().at(1).incarnation == 6U);
+    entries["own1"] = listedEntry("dc1", 6, 1);
+    BOOST_TEST(list.update(entries, now).value().at(1).incarnation == startMs + 6);
     entries["own2"] = "{";
     BOOST_TEST(list.update(entries, now).value().size() == 9U);
     entries.erase("own3");
     BOOST_TEST(list.update(entries, now).value().size() == 8U);
     // A server that has moved to this data centre is found after the interval for remote entries.
-    entries["other0"] = entry("dc1", 7, 1);
+    entries["other0"] = listedEntry("dc1", 7, 1);
     now += std::chrono::seconds(11);
     BOOST_TEST(list.update(entries, now).value().size() == 9U);
 }
+
+// Guards against entries of other writers that are taken for servers, or that end the process.
+BOOST_AUTO_TEST_CASE(entries_of_other_writers_name_no_server)
+{
+    for (const std::string &text : unusableEntries()) {
+        OneServer server;
+        BOOST_TEST(!server.update(text).has_value(), text.substr(0, 200));
+    }
+    for (const std::string &id : {std::string(), std::string("a b"), std::string("a\r\nX: y"),
+                                  std::string("\xff"), std::string(256, 'a')})
+        BOOST_TEST(!decodeServer(id, listedEntry("dc1", 5, 1)).has_value());
+}
