Log and count the entries of servers that are left out

An entry that could not be decoded left no trace, so operators could not find the other writer.

The counter lovage_left_out_records_total is on the metrics page, by topic.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -399,7 +399,7 @@
         return server.list.takeLeftOut();
     };
     BOOST_TEST(report(listedEntry("dc1", 5, 1)).empty());
-    const std::vector<LeftOutEntry> noJson {{"own", "unusable JSON", 1}};
+    const std::vector<LeftOutRecord> noJson {{"own", "unusable JSON", 1}};
     BOOST_TEST((report("{") == noJson));
     BOOST_TEST(report("{").empty());
     BOOST_TEST(report("[]").size() == 1U);
@@ -407,3 +407,21 @@
     BOOST_TEST(report(listedEntry("dc2", 5, 1)).size() == 1U);
     BOOST_TEST(report(listedEntry("dc1", 5, 2)).empty());
 }
+
+// Guards against records that are left out without a count, and against keys of other writers that
+// break the lines of the log.
+BOOST_AUTO_TEST_CASE(left_out_records_are_counted_by_topic)
+{
+    Metrics metrics;
+    LeftOutRecords records(metrics, "keyed.servers");
+    records.report({});
+    BOOST_TEST(metrics.prometheusText().find(
+                       R"(lovage_left_out_records_total{topic="keyed.servers"} 0)")
+               != std::string::npos);
+    records.report({{"a", "unusable JSON", 1}, {"b\n", "unusable state", 2}});
+    BOOST_TEST(metrics.prometheusText().find(
+                       R"(lovage_left_out_records_total{topic="keyed.servers"} 2)")
+               != std::string::npos);
+    BOOST_TEST(printable("a\r\n\xff\"") == "a\\x0d\\x0a\\xff\"");
+    BOOST_TEST(printable(std::string(255, 'a')).size() < 80U);
+}
