--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the decoding of configurations, server entries, VM entries and job submissions.
 #define BOOST_TEST_MODULE platform_records
+#include "member_list.h"
 #include "records.h"
 #include "server_list.h"
 
@@ -425,3 +426,42 @@
     BOOST_TEST(printable("a\r\n\xff\"") == "a\\x0d\\x0a\\xff\"");
     BOOST_TEST(printable(std::string(255, 'a')).size() < 80U);
 }
+
+// Guards against a record of another writer that hides the address of a VM, or that is taken for
+// one.
+BOOST_AUTO_TEST_CASE(records_of_other_writers_name_no_vm)
+{
+    const Time now = fromUnixMillis(startMs);
+    const auto startMicros = static_cast<uint64_t>(now.time_since_epoch().count());
+    const VmInfo vm {"vm1", "dc1", "10.0.0.1:7000", startMicros, 250};
+    const std::string good = encodeMember(vm);
+    MemberList list({"stored-jobs"});
+    std::map<std::string, std::string> records {
+            {"stored-jobs", "1"}, {"vm1", good},
+            {"vm2", good}, // describes another VM
+            {"vm3", "{"},         {"vm4", std::string(100'000, '[')},
+            {"vm5", "\xff"},      {"", replaced(good, "vm1", "")},
+    };
+    for (const auto &[from, to] : std::vector<std::pair<std::string, std::string>> {
+                 {"10.0.0.1:7000", "10.0.0.1:0"},
+                 {"10.0.0.1:7000", "10.0.0.1:70000"},
+                 {"10.0.0.1:7000", "nowhere"},
+                 {"dc1", std::string(100'000, 'x')},
+                 {std::to_string(startMicros), "18446744073709551615"},
+                 {std::to_string(startMicros), "8000000000000000"},
+                 {std::to_string(startMicros), "-1"},
+                 {std::to_string(startMicros), "1.5"},
+                 {std::to_string(startMicros), "\"1\""},
+                 {":250", ":4294967296"},
+                 {":250", ":\"250\""}}) {
+        const std::string name = "odd" + std::to_string(records.size());
+        records[name] = replaced(replaced(good, "vm1", name), from, to);
+    }
+    BOOST_TEST((list.update(records, now) == std::vector<VmInfo> {vm}));
+    BOOST_TEST(list.takeLeftOut().size() == records.size() - 2);
+    BOOST_TEST((list.update(records, now) == std::vector<VmInfo> {vm}));
+    BOOST_TEST(list.takeLeftOut().empty());
+    records["vm3"] = "}";
+    list.update(records, now);
+    BOOST_TEST(list.takeLeftOut().size() == 1U);
+}
