Bound the numbers of configurations and jobs

Numbers above 32 bits were cut ( attempts became 0, a step after step came after step 0, as many repetitions became none), times overflowed where microseconds are computed from milliseconds, and a large or negative stretch factor overflowed where it is multiplied.

Numbers of a route are limited to their range: the operator's configuration is better followed with a limit than not. A job with a number out of range, or with an occurrence due after the year 2286, is refused as malformed, so it never runs.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -465,3 +465,56 @@
     list.update(records, now);
     BOOST_TEST(list.takeLeftOut().size() == 1U);
 }
+
+// Guards against numbers of a configuration that are cut to other values, or that overflow where
+// times are computed from them.
+BOOST_AUTO_TEST_CASE(numbers_of_a_route_stay_in_range)
+{
+    const std::string document =
+            R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/","timeout_ms":1500,)"
+            R"("slo_ms":60,"priority":2,"service":"s","attempts":3,"stretch_factor":1.6}]})";
+    const auto queueWith = [&](const std::string &from, const std::string &to) {
+        return decodeConfiguration(replaced(document, from, to)).value().queues.front();
+    };
+    constexpr Duration year = std::chrono::hours(24 * 365);
+    for (const char *huge : {"9000000000000000", "18446744073709551615", "1e17", "1e300"}) {
+        const std::string value = std::string(":") + huge;
+        BOOST_TEST((queueWith(":60", value).objectiveSlack == year));
+        BOOST_TEST((queueWith(":1500", value).timeout == year));
+        BOOST_TEST(queueWith(":3", value).attempts == UINT32_MAX);
+        BOOST_TEST(queueWith(":2", value).priority == UINT32_MAX);
+        BOOST_TEST(queueWith(":1.6", value).stretchFactor <= 1000);
+    }
+    BOOST_TEST(queueWith(":3", ":4294967296").attempts == UINT32_MAX);
+    BOOST_TEST(queueWith(":1.6", ":-1").stretchFactor >= 0);
+    BOOST_TEST(!decodeConfiguration(replaced(document, ":7", ":1e17")).has_value());
+    BOOST_TEST(!decodeConfiguration(replaced(document, ":7", ":-7")).has_value());
+}
+
+// Guards against numbers of a job that are cut to valid ones, or that overflow where due times are
+// computed from them.
+BOOST_AUTO_TEST_CASE(jobs_with_numbers_out_of_range_are_refused)
+{
+    const auto repeatedJob = [](const std::string &fields) {
+        return decodeJob("0123456789abcdef",
+                         R"({"spec":"p","steps":[{"count":1,"cpu":1}],)" + fields + "}");
+    };
+    BOOST_TEST(repeatedJob(R"("repeat_count":3,"start_at_ms":1700000000000,"interval_ms":500)")
+                       .has_value());
+    for (const char *fields :
+         {R"("repeat_count":4294967296)", R"("repeat_count":-1)", R"("repeat_count":"3")",
+          R"("repeat_count":3,"start_at_ms":9000000000000000)",
+          R"("repeat_count":3,"start_at_ms":18446744073709551615)",
+          R"("repeat_count":3,"interval_ms":9000000000000000)",
+          R"("repeat_count":3,"interval_ms":18446744073709551615)",
+          R"("repeat_count":4294967295,"interval_ms":1000000000000)"})
+        BOOST_TEST(!repeatedJob(fields).has_value(), fields);
+    const auto dependent = [](const std::string &after) {
+        return decodeJob("0123456789abcdef",
+                         R"({"spec":"p","steps":[{"count":1,"cpu":1},{"count":1,"after":[)" + after
+                                 + "]}]}");
+    };
+    BOOST_TEST(dependent("0").has_value());
+    for (const char *after : {"4294967296", "18446744073709551615", "0.5", "-4294967296"})
+        BOOST_TEST(!dependent(after).has_value());
+}
