Take no partition number out of range from the store, and no key without a value

The row of a membership with a negative number or one above 32 bits was cut to another partition, which the VM would have held without owning it. A key that the list of newest records names without a value seemed to exist, with an empty value, until it changed.

--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -256,3 +256,29 @@
     BOOST_TEST(
             awaitValues([](const Values &values) { return values.contains("b"); }).contains("b"));
 }
+
+// Guards against a key that is listed with an empty value and so seems to exist until it changes:
+// records without a value delete their key.
+BOOST_FIXTURE_TEST_CASE(key_without_a_value_does_not_exist, Follower)
+{
+    store.put("a", "");
+    store.put("b", "AAAA");
+    start();
+    const Values read = awaitValues([](const Values &values) { return !values.empty(); });
+    BOOST_TEST(read.contains("b"));
+    BOOST_TEST(!read.contains("a"));
+}
+
+// Guards against partition numbers that are cut to those of other partitions.
+BOOST_AUTO_TEST_CASE(membership_with_a_partition_out_of_range_is_refused)
+{
+    const auto decode = [](const std::string &partition) {
+        return platform::decodeMembership(
+                fmt::format(R"({{"generation":3,"parts":[["shards",{},0]]}})", partition));
+    };
+    BOOST_REQUIRE(decode("5").has_value());
+    BOOST_TEST(decode("5").value().shards == std::vector<uint32_t> {5});
+    for (const char *partition :
+         {"-1", "4294967296", "18446744073709551615", "5.5", "\"5\"", "null"})
+        BOOST_TEST(!decode(partition).has_value(), partition);
+}
