--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -1,7 +1,6 @@
 // Binary encoding of the messages between VMs.
 #include "serialize.h"
 
-#include <cereal/types/optional.hpp>
 #include <fmt/format.h>
 
 #include <array>
@@ -33,12 +32,12 @@
 {
     archive(offer.ticket, offer.job, offer.firstIndex, offer.queue, offer.service, offer.priority,
             offer.attempts);
-    archive(offer.stretchFactor);
+    limitedField(archive, offer.stretchFactor, maxStretchFactor);
     durationField(archive, offer.objectiveSlack);
     flagField(archive, offer.isLastOffer);
     durationField(archive, offer.elapsed);
     durationField(archive, offer.deadline);
-    archive(offer.lease);
+    optionalField(archive, offer.lease);
 }
 
 template<class Archive>
@@ -67,7 +66,10 @@
 template<class Archive>
 void serialize(Archive &archive, ServiceLoad &load)
 {
-    archive(load.service, load.servers, load.freeMilliCores, load.queuedWork, load.rate);
+    archive(load.service, load.servers, load.freeMilliCores);
+    constexpr double maxCoreSeconds = 1e12;
+    limitedField(archive, load.queuedWork, maxCoreSeconds);
+    limitedField(archive, load.rate, maxCoreSeconds);
 }
 
 template<class Archive>
@@ -108,7 +110,7 @@
     archive(nextReportMicros);
     report.nextReportWithin = Duration(nextReportMicros);
     timeField(archive, report.sentAt);
-    archive(report.renewal);
+    optionalField(archive, report.renewal);
     archive(report.configurationVersion, report.knownServers, report.loads, report.holders,
             report.lostVms, report.claims, report.backlog);
 }
@@ -140,8 +142,9 @@
 template<class Archive>
 void serialize(Archive &archive, Queue &queue)
 {
-    archive(queue.name, queue.host, queue.pathPrefix, queue.service, queue.priority, queue.attempts,
-            queue.stretchFactor);
+    archive(queue.name, queue.host, queue.pathPrefix, queue.service, queue.priority,
+            queue.attempts);
+    limitedField(archive, queue.stretchFactor, maxStretchFactor);
     durationField(archive, queue.objectiveSlack);
     durationField(archive, queue.timeout);
     flagField(archive, queue.hasAdvisor);
