Read the clock of a server from answers to orders to its known process only

Callers would see two runs of one task, or a server that takes no work for a moment after each start: three ways in which the clock of a restarted server went wrong, found in review.

- An answer of the previous process that is read after the first list of the new one set the clock to that of the previous process for good: smaller readings were ignored, also those of lists.
Lists now set the clock, and answers to starts and stops count only if these were sent to the known process.
- The estimate of the clock before a reading was rounded towards zero and so up to 1 ms too high: answers within a millisecond of a list looked like a restart, and the server was closed until the next list.
- The time at which the process was certainly alive did not advance with its lists, so that a young server with a slow clock was never proven and its runs waited 16 s after a crash.

--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -139,11 +139,20 @@
     return clock && clockMs_ && *clock > toMillis(now - aliveAt_) + 1;
 }
 
+void LeasedServer::setClock(ServerClock clock, Time listSentAt, Time now)
+{
+    aliveAt_ = std::max(aliveAt_, listSentAt);
+    if (!clock)
+        return;
+    clockMs_ = clock;
+    clockReadAt_ = now;
+}
+
 void LeasedServer::updateClock(ServerClock clock, Time orderSentAt, Time now)
 {
     if (!clock)
         return;
-    if (!clockMs_ || provesIncarnation(clock, now))
+    if (provesIncarnation(clock, now))
         aliveAt_ = std::max(aliveAt_, orderSentAt);
     // Answers may arrive out of order. A reading earlier than the current estimate is ignored,
     // since its answer was delayed for longer.
@@ -158,7 +167,8 @@
 {
     if (!clockMs_)
         return std::nullopt;
-    const int64_t elapsed = toMillis(time - clockReadAt_);
+    const int64_t elapsed =
+            std::chrono::floor<std::chrono::milliseconds>(time - clockReadAt_).count();
     // Before the reading, the clock was at most that time behind.
     const double rate = elapsed < 0 ? 1 : 1 - options_.clockError;
     return *clockMs_ + static_cast<int64_t>(std::floor(static_cast<double>(elapsed) * rate));
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -41,6 +41,7 @@
     Demand demand;
     RunState state = RunState::Starting;
     Time orderedAt {};
+    uint32_t orderedTo = 0; // LeasedServer::incarnationCount() when the start was sent
     std::string address {}; // address to which the start was sent, or at which the run was found
     Time confirmedAt {};    // time at which the start was known to be executed; zero: not yet
     // Whether a list of the current incarnation has shown the run. Until then it is not known which
@@ -109,7 +110,10 @@
     // Returns whether no incarnation that began after the known one was last heard of can show the
     // reading: its clock would be behind.
     bool provesIncarnation(ServerClock clock, Time now) const;
-    // Takes the reading of an answer to an order that was sent at the given time.
+    // Takes the reading of a list, which names its incarnation.
+    void setClock(ServerClock clock, Time listSentAt, Time now);
+    // Takes the reading of an answer to a start or a stop. The order was sent at the given time, to
+    // an incarnation that is still the known one.
     void updateClock(ServerClock clock, Time orderSentAt, Time now);
     // Returns a lower bound of the clock of the known incarnation at the given time; nullopt before
     // its first answer.
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -40,9 +40,11 @@
             stopForeignRun(server, ref.task, ref.run, now);
         return;
     }
-    run->isClockKnown =
-            server.provesIncarnation(clock, now) && !server.contradictsClock(clock, run->orderedAt);
-    noteClock(server, clock, run->orderedAt, now);
+    if (run->orderedTo == server.incarnationCount()) {
+        run->isClockKnown = server.provesIncarnation(clock, now)
+                && !server.contradictsClock(clock, run->orderedAt);
+        noteClock(server, clock, run->orderedAt, now);
+    }
     if (result == OrderResult::Done) {
         run->confirmedAt = now;
         if (run->state != RunState::Stopping)
@@ -120,11 +122,13 @@
     server.nextPollAt = now;
     if (!run)
         return;
-    noteClock(server, clock, run->stopSentAt, now);
-    // A stop that was sent before the incarnation was known may have met the previous one.
-    if (run->stopSentTo != server.incarnationCount())
+    if (run->stopSentTo != server.incarnationCount()) {
+        // The stop may have met the previous incarnation.
         run->nextStopAt = now;
-    else if (run->stopConfirmedAt == Time {})
+        return;
+    }
+    noteClock(server, clock, run->stopSentAt, now);
+    if (run->stopConfirmedAt == Time {})
         run->stopConfirmedAt = now;
 }
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -322,6 +322,7 @@
 {
     ++counters_.starts;
     run.orderedAt = now;
+    run.orderedTo = server.incarnationCount();
     run.address = server.info().address;
     OrderStart start;
     start.ref = {server.info().id, task, run.number};
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -195,8 +195,8 @@
     }
 }
 
-// Handles the clock of an answer to a start or a stop. A reading below the clock of the known
-// incarnation shows that another one has answered, but not which runs it executes.
+// Handles the clock of an answer to a start or a stop that was sent to the known incarnation. A
+// reading below its clock shows that another one has answered, but not which runs it executes.
 void Pool::Implementation::noteClock(Server &server, ServerClock clock, Time orderSentAt, Time now)
 {
     if (server.contradictsClock(clock, orderSentAt))
@@ -331,7 +331,7 @@
         server.beginIncarnation(reply.incarnation.value_or(0), now);
     server.commitPollAck();
     server.onListed(sentAt);
-    server.updateClock(reply.clock, sentAt, now);
+    server.setClock(reply.clock, sentAt, now);
     for (const EndedRow &row : reply.ended)
         onRunEnded(server, row, now);
     reconcile(server, reply, sentAt, now);
