Start no task again while a list shows an earlier run of it

Cause: only the server with a run of the task was left out when the task was placed again.

Change: a task that has been ordered before waits until no server holds a run of it.

Evidence: task_waits_for_the_end_of_an_earlier_run_that_a_list_shows failed with 1 overlapping run and passes.

--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -135,6 +135,7 @@
     // Returns whether a job with this id is open for another request.
     bool isDuplicate(const JobOffer &offer) const;
     bool hasLeftoverRuns(const std::string &jobId) const;
+    bool hasRuns(const std::string &task) const;
     void logEvent(std::string event, const std::string &job, std::string details);
 
     // Share of a forecast wait that is added to it to allow for errors.
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -198,6 +198,13 @@
     return timetable;
 }
 
+// Returns whether a server may still run the task.
+bool Pool::Implementation::hasRuns(const std::string &task) const
+{
+    return std::any_of(servers_.begin(), servers_.end(),
+                       [&](const auto &entry) { return entry.second.runs().contains(task); });
+}
+
 // Starts the tasks that can start now and reserves capacity for the others.
 Pool::Implementation::PlacementResult
 Pool::Implementation::placeJob(Job &job, pool::Timetable &timetable, Time now)
@@ -206,6 +213,10 @@
     for (size_t i = 0; i < job.tasks.size() && job.queued > 0; ++i) {
         if (job.tasks[i].state != TaskState::Queued)
             continue;
+        if (job.tasks[i].lastRun > 0 && hasRuns(toString(job.nameOf(i)))) {
+            placed.isComplete = false;
+            continue;
+        }
         const auto choice = choosePlace(job, job.tasks[i], timetable, now);
         if (!choice) {
             placed.isComplete = false;
--- a/tests/pool_restart_test.cpp
+++ b/tests/pool_restart_test.cpp
@@ -284,3 +284,35 @@
     BOOST_TEST((resultOf("job1") == JobResult::Completed));
     BOOST_TEST(starts == 2U);
 }
+
+// Guards against a task that is started again while a list shows an earlier run of it: the start of
+// the earlier run was not answered, the task was started again on the same server, and a new
+// process executes the earlier start late.
+BOOST_AUTO_TEST_CASE(task_waits_for_the_end_of_an_earlier_run_that_a_list_shows)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.runTimeOf = [](const std::string &) { return Duration(milliseconds(800)); };
+    world.begin();
+    bool isFirst = true;
+    world.delivery = [&](const std::string &) {
+        OrderDelivery delivery;
+        if (std::exchange(isFirst, false))
+            delivery = {false, milliseconds(600)};
+        return delivery;
+    };
+    world.offer(PoolWorld::makeOffer("job1", 1, 14000, milliseconds(800)));
+    world.runFor(milliseconds(500)); // the second run goes on
+    BOOST_REQUIRE_EQUAL(world.runningCount(), 1U);
+    world.addServer("b", 32000);
+    world.registerServers();
+    world.grantAll(1);
+    world.runFor(milliseconds(90));
+    world.servers.at("a").restart(world.now);
+    world.isPollSent = [] { return false; };
+    world.runFor(milliseconds(30)); // the late start is executed
+    world.isPollSent = [] { return true; };
+    world.runFor(seconds(4));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+    BOOST_TEST(world.overlappingRuns == 0U);
+}
