--- a/tests/platform_path_test.cpp
+++ b/tests/platform_path_test.cpp
@@ -146,6 +146,7 @@
     {
         vm1->threads.stop();
         vm2->threads.stop();
+        platformThreads.stop();
     }
 
     static std::string job(uint32_t count)
