Refuse a job whose occurrences are due by the million at one time

The keeper of a repeated job opens every occurrence that is due.

Such a job is refused as having too many tasks, before it is stored. Up to 100,000 tasks may be due at the time of the submission, so a repeated submission of a job that has missed a few occurrences is still the same job.

--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -518,3 +518,27 @@
     for (const char *after : {"4294967296", "18446744073709551615", "0.5", "-4294967296"})
         BOOST_TEST(!dependent(after).has_value());
 }
+
+// Guards against a VM that runs out of memory, and against each next one that keeps the job: all
+// occurrences that are due are opened at one time.
+BOOST_AUTO_TEST_CASE(job_with_too_many_overdue_occurrences_is_refused)
+{
+    const Time now = fromUnixMillis(startMs);
+    const auto isAccepted = [&](uint64_t count, uint64_t firstDueMs, uint64_t intervalMs) {
+        return decodeJob("0123456789abcdef",
+                         R"({"spec":"p","steps":[{"count":2,"cpu":1}],"repeat_count":)"
+                                 + std::to_string(count) + R"(,"start_at_ms":)"
+                                 + std::to_string(firstDueMs) + R"(,"interval_ms":)"
+                                 + std::to_string(intervalMs) + "}",
+                         now)
+                .has_value();
+    };
+    BOOST_TEST(isAccepted(100, startMs - 5000, 50));
+    BOOST_TEST(isAccepted(UINT32_MAX, startMs - 5000, 1000));
+    BOOST_TEST(isAccepted(50'000, startMs, 0));
+    BOOST_TEST(!isAccepted(UINT32_MAX, startMs, 0));
+    BOOST_TEST(!isAccepted(UINT32_MAX, startMs + 1'000'000, 0));
+    BOOST_TEST(!isAccepted(UINT32_MAX, 0, 1));
+    BOOST_TEST(!isAccepted(UINT32_MAX, 0, 1000));
+    BOOST_TEST(!isAccepted(50'001, startMs, 0));
+}
