--- a/src/keeper/records.cpp
+++ b/src/keeper/records.cpp
@@ -18,13 +18,15 @@
 template<class Archive>
 void serialize(Archive &archive, JobAccepted &record)
 {
-    archive(record.timestampMs, record.epoch, record.job, record.queueParameters);
+    unixMillisField(archive, record.timestampMs);
+    archive(record.epoch, record.job, record.queueParameters);
 }
 
 template<class Archive>
 void serialize(Archive &archive, TaskEnded &record)
 {
-    archive(record.timestampMs, record.task, record.run);
+    unixMillisField(archive, record.timestampMs);
+    archive(record.task, record.run);
     enumField(archive, record.end, RunEnd::Broken);
     archive(record.checkpoint);
 }
@@ -32,7 +34,8 @@
 template<class Archive>
 void serialize(Archive &archive, JobCancelled &record)
 {
-    archive(record.timestampMs, record.job);
+    unixMillisField(archive, record.timestampMs);
+    archive(record.job);
 }
 
 std::string encodeRecord(const JournalRecord &record)
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -33,7 +33,7 @@
 {
     archive(offer.ticket, offer.job, offer.firstIndex, offer.queue, offer.service, offer.priority,
             offer.attempts);
-    archive(offer.stretchFactor);
+    limitedField(archive, offer.stretchFactor, maxStretchFactor);
     durationField(archive, offer.objectiveSlack);
     flagField(archive, offer.isLastOffer);
     durationField(archive, offer.elapsed);
@@ -67,7 +67,10 @@
 template<class Archive>
 void serialize(Archive &archive, ServiceLoad &load)
 {
-    archive(load.service, load.servers, load.freeMilliCores, load.queuedWork, load.rate);
+    archive(load.service, load.servers, load.freeMilliCores);
+    constexpr double maxCoreSeconds = 1e12;
+    limitedField(archive, load.queuedWork, maxCoreSeconds);
+    limitedField(archive, load.rate, maxCoreSeconds);
 }
 
 template<class Archive>
@@ -140,8 +143,9 @@
 template<class Archive>
 void serialize(Archive &archive, Queue &queue)
 {
-    archive(queue.name, queue.host, queue.pathPrefix, queue.service, queue.priority, queue.attempts,
-            queue.stretchFactor);
+    archive(queue.name, queue.host, queue.pathPrefix, queue.service, queue.priority,
+            queue.attempts);
+    limitedField(archive, queue.stretchFactor, maxStretchFactor);
     durationField(archive, queue.objectiveSlack);
     durationField(archive, queue.timeout);
     flagField(archive, queue.hasAdvisor);
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -28,6 +28,45 @@
     time = Time(sinceEpoch);
 }
 
+// Refuses a message or record that holds a value out of range. Applies to decoding only: the
+// encoder must not fail.
+template<class Archive>
+void require(const Archive &, bool isInRange)
+{
+    if (Archive::is_loading::value && !isInRange)
+        throw cereal::Exception("number out of range");
+}
+
+// A number from 0 to max. Such numbers are converted to times, where others would overflow.
+template<class Archive>
+void limitedField(Archive &archive, double &number, double max)
+{
+    archive(number);
+    require(archive, number >= 0 && number <= max);
+}
+
+// Largest factor by which a time may be stretched.
+constexpr double maxStretchFactor = 1000;
+
+// Time of a step as its caller declared it, in milliseconds of 32 bits. The sum over all steps of a
+// job, stretched by the largest factor, does not overflow.
+template<class Archive>
+void estimateField(Archive &archive, Duration &estimate)
+{
+    durationField(archive, estimate);
+    require(archive,
+            estimate >= Duration::zero() && estimate <= std::chrono::milliseconds(UINT32_MAX));
+}
+
+// Unix time in milliseconds, up to the year 2286.
+template<class Archive>
+void unixMillisField(Archive &archive, int64_t &millis)
+{
+    archive(millis);
+    constexpr int64_t latest = 10'000'000'000'000;
+    require(archive, millis >= 0 && millis <= latest);
+}
+
 template<class Archive>
 void flagField(Archive &archive, bool &flag)
 {
@@ -56,7 +95,7 @@
 void serialize(Archive &archive, Step &step)
 {
     archive(step.count, step.demand);
-    durationField(archive, step.estimate);
+    estimateField(archive, step.estimate);
     archive(step.after, step.requiredLabel, step.dataRack, step.maxPerServer);
     flagField(archive, step.sameRack);
     flagField(archive, step.isGang);
@@ -70,8 +109,13 @@
 {
     archive(job.id, job.payload, job.steps);
     flagField(archive, job.isStored);
-    archive(job.repeatCount, job.firstDueMs);
+    archive(job.repeatCount);
+    unixMillisField(archive, job.firstDueMs);
     durationField(archive, job.repeatInterval);
+    constexpr Duration longest {INT64_MAX / 4}; // the limit of durationField()
+    require(archive,
+            job.repeatInterval >= Duration::zero()
+                    && job.repeatInterval <= longest / std::max(job.repeatCount, 1U));
 }
 
 template<class Archive>
@@ -83,8 +127,8 @@
 template<class Archive>
 void serialize(Archive &archive, QueueParameters &parameters)
 {
-    archive(parameters.queue, parameters.service, parameters.priority, parameters.attempts,
-            parameters.stretchFactor);
+    archive(parameters.queue, parameters.service, parameters.priority, parameters.attempts);
+    limitedField(archive, parameters.stretchFactor, maxStretchFactor);
     durationField(archive, parameters.objectiveSlack);
 }
 
