Read the presence byte of optional fields as a byte

The codec of the messages between VMs read the byte that tells whether a lease or a renewal follows as a bool, by cereal's functions for std::optional.

The byte is read as a number, and a message with another value is refused. The format is unchanged.

message_with_a_presence_byte_out_of_range_is_refused before the change: a message with the byte 2 is accepted.

--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -1,7 +1,6 @@
 // Binary encoding of the messages between VMs.
 #include "serialize.h"
 
-#include <cereal/types/optional.hpp>
 #include <fmt/format.h>
 
 #include <array>
@@ -38,7 +37,7 @@
     flagField(archive, offer.isLastOffer);
     durationField(archive, offer.elapsed);
     durationField(archive, offer.deadline);
-    archive(offer.lease);
+    optionalField(archive, offer.lease);
 }
 
 template<class Archive>
@@ -111,7 +110,7 @@
     archive(nextReportMicros);
     report.nextReportWithin = Duration(nextReportMicros);
     timeField(archive, report.sentAt);
-    archive(report.renewal);
+    optionalField(archive, report.renewal);
     archive(report.configurationVersion, report.knownServers, report.loads, report.holders,
             report.lostVms, report.claims, report.backlog);
 }
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -6,6 +6,9 @@
 
 #include "lovage/routing.h"
 
+#include <algorithm>
+#include <optional>
+
 namespace lovage {
 
 template<class Archive>
@@ -75,6 +78,20 @@
     flag = byte != 0;
 }
 
+// A value that may be absent, which a byte before it tells. cereal's own functions read this byte
+// as a bool, which may hold no other value than 0 or 1.
+template<class Archive, class Value>
+void optionalField(Archive &archive, std::optional<Value> &value)
+{
+    uint8_t isAbsent = value ? 0 : 1;
+    archive(isAbsent);
+    require(archive, isAbsent <= 1);
+    if (Archive::is_loading::value)
+        value = isAbsent != 0 ? std::nullopt : std::optional<Value>(std::in_place);
+    if (value)
+        archive(*value);
+}
+
 template<class Archive, class Enum>
 void enumField(Archive &archive, Enum &value, Enum last)
 {
--- a/tests/vm_message_test.cpp
+++ b/tests/vm_message_test.cpp
@@ -88,3 +88,20 @@
         job.repeatInterval = std::chrono::hours(24 * 365);
     }));
 }
+
+// Guards against a byte that is read as a bool although it is neither 0 nor 1.
+BOOST_AUTO_TEST_CASE(message_with_a_presence_byte_out_of_range_is_refused)
+{
+    JobOffer offer;
+    std::string bytes = encodeMessage(OfferMessage {offer});
+    BOOST_REQUIRE(decodeMessage(bytes).has_value());
+    BOOST_REQUIRE(bytes.back() == 1); // the offer has no lease
+    bytes.back() = 2;
+    BOOST_TEST(!decodeMessage(bytes).has_value());
+    bytes.back() = 0; // the lease is missing
+    BOOST_TEST(!decodeMessage(bytes).has_value());
+    offer.lease = JobLease {5, Time(std::chrono::seconds(1))};
+    const auto decoded = decodeMessage(encodeMessage(OfferMessage {offer}));
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((std::get<OfferMessage>(decoded.value()).offer == offer));
+}
