--- a/tests/platform_daemon_test.cpp
+++ b/tests/platform_daemon_test.cpp
@@ -87,7 +87,8 @@
         const auto [http, readiness, peer] = freePorts();
         httpPort = http;
         readinessPort = readiness;
-        const std::string folder = std::filesystem::current_path() / "platform_daemon_test";
+        const std::string folder =
+                std::filesystem::path(LOVAGE_PLATFORM_DAEMON).parent_path() / "daemon_files";
         std::filesystem::create_directories(folder);
         const std::string path = folder + "/" + std::to_string(peer);
         daemon = std::make_unique<soak::Daemon>(
