Store the restart of a task before it is sent

Run numbers rise with the epoch, but the number of a run says nothing of later runs. One keeper does the same alone: it takes run 1 for lost, starts run 2, and the next keeper counts run 1.

Change: a keeper writes TasksRestarted (one record for a batch) and sends the batch once it is stored, unless the task was never started or it is known how the latest run has ended. A batch whose job was closed while its record was written is dropped. The log entry batch-sent now also shows resends.

Evidence: keeper_takeover_test.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -48,7 +48,19 @@
 
     auto operator<=>(const JobCancelled &) const = default;
 };
-using JournalRecord = std::variant<JobAccepted, TaskEnded, JobCancelled>;
+// Written before a keeper starts tasks of which an earlier run may have ended without a record.
+// Later keepers then know that the earlier run must not count.
+struct TasksRestarted
+{
+    std::string job;
+    uint32_t occurrence = 0;
+    uint32_t step = 0;
+    std::vector<uint32_t> indexes; // of the tasks in their step
+    uint32_t run = 0;              // number of the new run
+
+    auto operator<=>(const TasksRestarted &) const = default;
+};
+using JournalRecord = std::variant<JobAccepted, TaskEnded, JobCancelled, TasksRestarted>;
 
 std::string encodeRecord(const JournalRecord &record);
 Result<JournalRecord> decodeRecord(std::string_view bytes);
@@ -187,8 +199,8 @@
     bool placeJob(Partition &partition, const std::string &id, PoolsByService &pools, Time now);
     bool placeStep(Partition &partition, keeper::StoredJob &job, uint32_t occurrence, uint32_t step,
                    std::vector<PoolView> &pools, Time now);
-    void sendBatch(Partition &partition, keeper::StoredJob &job, const TaskName &first,
-                   const std::vector<uint32_t> &indexes, const std::string &vm, Time now);
+    void startTasks(Partition &partition, keeper::StoredJob &job, const TaskName &first,
+                    const std::vector<uint32_t> &indexes, const std::string &vm, Time now);
     uint64_t nextEpoch(uint32_t partition, uint64_t generation);
     void stopClosedJobs(Partition &partition, Time now);
 
@@ -200,15 +212,17 @@
         Time deadline;
     };
     void answerDeferredQueries(Time now);
-    // A batch that was sent. Its message may be lost on a connection that fails without an error,
-    // so it is resent until the outcomes of its tasks arrive. The pool ignores tasks that it
+    // A batch for the pool of a VM. Its message may be lost on a connection that fails without an
+    // error, so it is resent until the outcomes of its tasks arrive. The pool ignores tasks that it
     // already has.
-    struct SentBatch
+    struct BatchDelivery
     {
         std::string vm;
         TaskBatch batch;
         Duration resendInterval;
     };
+    void onRestartStored(Partition &partition, BatchDelivery delivery, Time now);
+    void sendBatch(BatchDelivery delivery, Time now);
     void resendBatches(Time now);
     Time startByFor(const std::string &vm, Time now) const;
 
@@ -217,7 +231,8 @@
     Time leaseUntil_ {};
     std::vector<ServiceLoad> ownLoads_;
     std::vector<DeferredQuery> deferredQueries_;
-    std::multimap<Time, SentBatch> sentBatches_; // sent batches, by the time of their next resend
+    // Batches that were sent, by the time of their next resend.
+    std::multimap<Time, BatchDelivery> sentBatches_;
     bool isPlacementDue_ = false;
     // Latest epoch with which this VM has held each partition, by number of the partition.
     std::map<uint32_t, uint64_t> lastEpochs_;
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -266,6 +266,9 @@
     }
     if (outcome.kind == TaskOutcome::Kind::Ended)
         job->hasStarted = true;
+    if (outcome.kind != TaskOutcome::Kind::Lost && outcome.run == task->lastRun
+        && task->ownRun == StoredTask::OwnRun::Open)
+        task->ownRun = StoredTask::OwnRun::Ended;
     if (!outcome.checkpoint.empty())
         task->checkpoint = outcome.checkpoint;
     if (task->isEndPending && outcome.run == task->pendingRun)
@@ -368,12 +371,16 @@
                 actions_.emplace_back(std::move(*answer));
             else if (auto *confirmation = std::get_if<Partition::Confirmation>(&reply))
                 actions_.emplace_back(SendConfirm {confirmation->vm, confirmation->confirm});
+            else if (auto *delivery = std::get_if<BatchDelivery>(&reply))
+                onRestartStored(*partition, std::move(*delivery), now);
         }
-        while (auto call = partition->nextCall(now))
-            actions_.push_back(std::move(*call));
     }
     if (isPlacementDue_)
         placeWaitingJobs(now);
+    for (auto &[number, partition] : partitions_) {
+        while (auto call = partition->nextCall(now))
+            actions_.push_back(std::move(*call));
+    }
     answerDeferredQueries(now);
     return std::exchange(actions_, {});
 }
--- a/src/keeper/partition.cpp
+++ b/src/keeper/partition.cpp
@@ -24,6 +24,8 @@
         return accepted->job.id;
     if (const auto *ended = std::get_if<TaskEnded>(&record))
         return ended->task.job;
+    if (const auto *restarted = std::get_if<TasksRestarted>(&record))
+        return restarted->job;
     return std::get<JobCancelled>(record).job;
 }
 
@@ -192,6 +194,12 @@
         job->apply(record);
 }
 
+void JobKeeper::Partition::applyRecord(const TasksRestarted &record, uint64_t)
+{
+    if (StoredJob *job = find(record.job))
+        job->apply(record);
+}
+
 StoredJob *JobKeeper::Partition::find(const std::string &job)
 {
     const auto found = jobs_.find(job);
--- a/src/keeper/partition.h
+++ b/src/keeper/partition.h
@@ -17,7 +17,7 @@
         std::string vm;
         ConfirmOutcome confirm;
     };
-    using Reply = std::variant<KeeperAnswer, Confirmation>;
+    using Reply = std::variant<KeeperAnswer, Confirmation, BatchDelivery>;
 
     enum class Stage {
         Opening, // the store may still accept writes of earlier keepers
@@ -87,6 +87,7 @@
     void applyRecord(const JobAccepted &record, uint64_t offset);
     void applyRecord(const TaskEnded &record, uint64_t offset);
     void applyRecord(const JobCancelled &record, uint64_t offset);
+    void applyRecord(const TasksRestarted &record, uint64_t offset);
     void beginServing(Duration takeoverDelay, Time now);
     void expire(const KeeperOptions &options, Time now);
     void runWakeups(Time now);
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -152,20 +152,21 @@
         ready.erase(ready.begin(), ready.begin() + static_cast<long>(count));
         const uint64_t used = uint64_t {spec.demand.milliCores} * count;
         pool.load->freeMilliCores -= std::min(used, pool.load->freeMilliCores);
-        sendBatch(partition, job, {job.spec().id, occurrence, step, 0}, chosen, pool.vm, now);
+        startTasks(partition, job, {job.spec().id, occurrence, step, 0}, chosen, pool.vm, now);
     }
     return ready.empty();
 }
 
-void JobKeeper::sendBatch(Partition &partition, StoredJob &job, const TaskName &first,
-                          const std::vector<uint32_t> &indexes, const std::string &vm, Time now)
+// Sends the tasks to the pool of a VM as one batch. If an earlier run of one of them may have ended
+// without the keeper's knowledge, the batch is sent once the restart is in the journal.
+void JobKeeper::startTasks(Partition &partition, StoredJob &job, const TaskName &first,
+                           const std::vector<uint32_t> &indexes, const std::string &vm, Time now)
 {
     TaskBatch batch;
     batch.keeper = {vms_.self().name, vms_.self().incarnation, partition.number(),
                     partition.epoch()};
     const VmTable::Row *row = vms_.find(vm);
     batch.poolIncarnation = row ? row->report.vm.incarnation : vms_.self().incarnation;
-    batch.startBy = startByFor(vm, now);
     batch.job = job.spec().id;
     batch.payload = job.spec().payload;
     batch.queue = job.queueParameters().queue;
@@ -176,8 +177,11 @@
     auto &tasks = job.occurrences().at(first.occurrence).steps[first.step].tasks;
     // All tasks of the batch get the same run number, as the members of a gang require.
     uint32_t run = 0;
-    for (const uint32_t index : indexes)
+    bool isRestart = false;
+    for (const uint32_t index : indexes) {
         run = std::max(run, job.nextRun(tasks[index], partition.epoch()));
+        isRestart |= job.mayHaveUnknownEnd(tasks[index], partition.epoch());
+    }
     std::string checkpoint;
     for (const uint32_t index : indexes) {
         StoredTask &task = tasks[index];
@@ -185,17 +189,41 @@
             task.checkpoint = checkpoint;
         checkpoint = task.checkpoint;
         task.lastRun = run;
+        task.ownRun = StoredTask::OwnRun::Open;
         task.pool = vm;
         task.presumedEndAt = Time::max();
         batch.tasks.push_back({index, run, task.checkpoint});
     }
     job.hasStarted = true;
-    addLogEntry("batch-sent", batch.job,
-                fmt::format("step={} occurrence={} tasks={} run={} vm={} partition={} epoch={}",
-                            first.step, first.occurrence, indexes.size(), run, vm,
-                            partition.number(), partition.epoch()));
-    sentBatches_.emplace(now + initialResendInterval, SentBatch {vm, batch, initialResendInterval});
-    actions_.emplace_back(SendBatch {vm, std::move(batch)});
+    BatchDelivery delivery {vm, std::move(batch), initialResendInterval};
+    if (!isRestart) {
+        sendBatch(std::move(delivery), now);
+        return;
+    }
+    addLogEntry("restart-placed", job.spec().id,
+                fmt::format("step={} occurrence={} tasks={} run={} vm={}", first.step,
+                            first.occurrence, indexes.size(), run, vm));
+    partition.write(TasksRestarted {job.spec().id, first.occurrence, first.step, indexes, run},
+                    std::move(delivery));
+}
+
+// Sends a batch whose restart is in the journal, unless the job was closed in the meantime.
+void JobKeeper::onRestartStored(Partition &partition, BatchDelivery delivery, Time now)
+{
+    StoredJob *job = partition.find(delivery.batch.job);
+    if (!job)
+        return;
+    if (!job->isClosed()) {
+        sendBatch(std::move(delivery), now);
+        return;
+    }
+    const TaskBatch &batch = delivery.batch;
+    for (const TaskStart &start : batch.tasks) {
+        StoredTask *task = job->find({batch.job, batch.occurrence, batch.stepNumber, start.index});
+        if (task && task->lastRun == start.run)
+            task->pool.clear();
+    }
+    partition.updateIndexes(batch.job, now);
 }
 
 // Returns the end of the validity of a batch on the clock of the VM. A batch to a VM that is not
@@ -208,29 +236,42 @@
     return row ? VmTable::clockOf(*row, now) + batchValidity : Time {};
 }
 
+// Sends the tasks of a batch that the pool is still to start, and schedules the next resend.
+void JobKeeper::sendBatch(BatchDelivery delivery, Time now)
+{
+    TaskBatch &batch = delivery.batch;
+    Partition *partition = partitionOf(batch.job);
+    StoredJob *job = partition ? partition->find(batch.job) : nullptr;
+    if (!job || job->isClosed() || partition->epoch() != batch.keeper.epoch)
+        return;
+    std::erase_if(batch.tasks, [&](const TaskStart &start) {
+        const StoredTask *task =
+                job->find({batch.job, batch.occurrence, batch.stepNumber, start.index});
+        return !task || task->isDone || task->pool != delivery.vm || task->lastRun != start.run
+                || task->isEndPending || task->presumedEndAt != Time::max();
+    });
+    if (batch.tasks.empty())
+        return;
+    batch.startBy = startByFor(delivery.vm, now);
+    if (isAuthoritative(*partition, now)) {
+        addLogEntry("batch-sent", batch.job,
+                    fmt::format("step={} occurrence={} tasks={} run={} vm={} partition={} epoch={}",
+                                batch.stepNumber, batch.occurrence, batch.tasks.size(),
+                                batch.tasks.front().run, delivery.vm, partition->number(),
+                                partition->epoch()));
+        actions_.emplace_back(SendBatch {delivery.vm, batch});
+    }
+    const Time next = now + delivery.resendInterval;
+    delivery.resendInterval = std::min(delivery.resendInterval * 2, maxResendInterval);
+    sentBatches_.emplace(next, std::move(delivery));
+}
+
 void JobKeeper::resendBatches(Time now)
 {
     while (!sentBatches_.empty() && sentBatches_.begin()->first <= now) {
-        SentBatch sent = std::move(sentBatches_.begin()->second);
+        BatchDelivery delivery = std::move(sentBatches_.begin()->second);
         sentBatches_.erase(sentBatches_.begin());
-        Partition *partition = partitionOf(sent.batch.job);
-        StoredJob *job = partition ? partition->find(sent.batch.job) : nullptr;
-        if (!job || job->isClosed() || partition->epoch() != sent.batch.keeper.epoch)
-            continue;
-        std::erase_if(sent.batch.tasks, [&](const TaskStart &start) {
-            const StoredTask *task = job->find(
-                    {sent.batch.job, sent.batch.occurrence, sent.batch.stepNumber, start.index});
-            return !task || task->isDone || task->pool != sent.vm || task->lastRun != start.run
-                    || task->isEndPending || task->presumedEndAt != Time::max();
-        });
-        if (sent.batch.tasks.empty())
-            continue;
-        sent.batch.startBy = startByFor(sent.vm, now);
-        if (isAuthoritative(*partition, now))
-            actions_.emplace_back(SendBatch {sent.vm, sent.batch});
-        sent.resendInterval = std::min(sent.resendInterval * 2, maxResendInterval);
-        const Time next = now + sent.resendInterval;
-        sentBatches_.emplace(next, std::move(sent));
+        sendBatch(std::move(delivery), now);
     }
 }
 
--- a/src/keeper/records.cpp
+++ b/src/keeper/records.cpp
@@ -35,6 +35,12 @@
     archive(record.timestampMs, record.job);
 }
 
+template<class Archive>
+void serialize(Archive &archive, TasksRestarted &record)
+{
+    archive(record.job, record.occurrence, record.step, record.indexes, record.run);
+}
+
 std::string encodeRecord(const JournalRecord &record)
 {
     std::ostringstream stream;
@@ -61,6 +67,8 @@
             record = TaskEnded {};
         else if (index == 2)
             record = JobCancelled {};
+        else if (index == 3)
+            record = TasksRestarted {};
         else
             return notRun(ErrorCode::DecodeFailed, fmt::format("unknown record type {}", index));
         std::visit([&](auto &alternative) { archive(alternative); }, record);
--- a/src/keeper/stored_job.cpp
+++ b/src/keeper/stored_job.cpp
@@ -73,8 +73,7 @@
 {
     hasStarted = true;
     const TaskName &name = record.task;
-    if (!occurrences_.contains(name.occurrence) && name.occurrence < spec().repeatCount)
-        occurrences_.emplace(name.occurrence, makeOccurrence());
+    openOccurrence(name.occurrence);
     StoredTask *task = find(name);
     if (!task || isClosed())
         return;
@@ -112,6 +111,24 @@
         close(JobState::Failed, record.timestampMs);
 }
 
+void StoredJob::apply(const TasksRestarted &record)
+{
+    hasStarted = true;
+    openOccurrence(record.occurrence);
+    for (const uint32_t index : record.indexes) {
+        StoredTask *task = find({record.job, record.occurrence, record.step, index});
+        if (task)
+            task->lastRun = std::max(task->lastRun, record.run);
+    }
+}
+
+// Adds an occurrence that is named in a record.
+void StoredJob::openOccurrence(uint32_t number)
+{
+    if (number < spec().repeatCount)
+        occurrences_.try_emplace(number, makeOccurrence());
+}
+
 // Reduces a completed occurrence to its run numbers to save memory, since a closed job remains
 // known for minutes.
 void StoredJob::completeOccurrence(Occurrence &occurrence)
@@ -253,6 +270,13 @@
     return std::max(task.lastRun, first) + 1;
 }
 
+bool StoredJob::mayHaveUnknownEnd(const StoredTask &task, uint64_t epoch) const
+{
+    if (task.ownRun == StoredTask::OwnRun::None)
+        return epoch > accepted_.epoch;
+    return task.ownRun == StoredTask::OwnRun::Open;
+}
+
 void StoredJob::recordRefusal(const std::string &vm, Time now)
 {
     refusedUntil_[vm] = now + refusalBackoff;
@@ -268,6 +292,7 @@
 {
     std::vector<JournalRecord> records {accepted_};
     for (const auto &[number, occurrence] : occurrences_) {
+        addRestartRecords(number, records);
         for (uint32_t step = 0; step < spec().steps.size(); ++step) {
             for (uint32_t index = 0; index < spec().steps[step].count; ++index) {
                 const TaskName name {spec().id, number, step, index};
@@ -294,4 +319,21 @@
     return records;
 }
 
+// Adds the numbers of the latest runs of the tasks that are not done.
+void StoredJob::addRestartRecords(uint32_t occurrence, std::vector<JournalRecord> &records) const
+{
+    const auto &steps = occurrences_.at(occurrence).steps;
+    for (uint32_t step = 0; step < steps.size(); ++step) {
+        std::map<uint32_t, std::vector<uint32_t>> indexesByRun;
+        for (uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+            const StoredTask &task = steps[step].tasks[index];
+            if (!task.isDone && task.lastRun > 0)
+                indexesByRun[task.lastRun].push_back(index);
+        }
+        for (auto &[run, indexes] : indexesByRun)
+            records.emplace_back(
+                    TasksRestarted {spec().id, occurrence, step, std::move(indexes), run});
+    }
+}
+
 } // namespace lovage::keeper
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -19,6 +19,13 @@
     std::string checkpoint {};
 
     // State known only to the current keeper.
+    // The latest run of the task that this keeper has started.
+    enum class OwnRun {
+        None,
+        Open,  // the run may still end, or has ended in a way that is not known
+        Ended, // it is known how the run has ended, or that it never started
+    };
+    OwnRun ownRun = OwnRun::None;
     std::string pool {}; // name of the VM that was asked to start the task; empty: not running
     // Time at which the run is taken to have ended, because the VM of its pool is lost; Time::max()
     // while that VM is not lost.
@@ -66,6 +73,7 @@
     // Applies the effects of a record.
     void apply(const TaskEnded &record);
     void apply(const JobCancelled &record);
+    void apply(const TasksRestarted &record);
 
     // Adds the occurrences that are due. Returns the time at which the next one is due, if any.
     std::optional<Time> openDueOccurrences(Time now);
@@ -93,6 +101,9 @@
     // Returns the number of the next run of a task. It is higher than that of any run started by an
     // earlier keeper, including runs that are not in the journal.
     uint32_t nextRun(const StoredTask &task, uint64_t epoch) const;
+    // Returns whether an earlier run of the task may end without the journal showing to later
+    // keepers that another run was started.
+    bool mayHaveUnknownEnd(const StoredTask &task, uint64_t epoch) const;
     // Returns records from which the current state can be restored without any earlier record.
     std::vector<JournalRecord> snapshotRecords() const;
     void onSnapshotWritten(uint64_t offset) { firstOffset_ = offset; }
@@ -112,6 +123,8 @@
     static void completeOccurrence(Occurrence &occurrence);
     void close(JobState state, int64_t timestampMs);
     Occurrence makeOccurrence() const;
+    void openOccurrence(uint32_t number);
+    void addRestartRecords(uint32_t occurrence, std::vector<JournalRecord> &records) const;
 
     JobAccepted accepted_;
     uint64_t firstOffset_;
--- /dev/null
+++ b/tests/keeper_takeover_test.cpp
@@ -0,0 +1,192 @@
+// Tests of keepers that replace each other while ends of runs are not reported: an end counts only
+// if no keeper has started a later run of its task.
+#define BOOST_TEST_MODULE keeper_takeover
+#include "keeper_world.h"
+
+using namespace lovage;
+using namespace lovage::test;
+
+namespace {
+
+constexpr Duration takeoverTime = milliseconds(1600); // KeeperOptions::takeoverDelay and some ticks
+constexpr Duration lostRunTime = milliseconds(2100); // KeeperOptions::lostRunTimeout and some ticks
+
+struct TakeoverFixture : KeeperSimulation
+{
+    TakeoverFixture()
+    {
+        takeOver();
+        run(milliseconds(20));
+    }
+
+    size_t recordCount() const
+    {
+        size_t count = 0;
+        for (const auto &[number, partition] : journal.partitions)
+            count += partition.records.size();
+        return count;
+    }
+};
+
+} // namespace
+
+// Guards against counting the success of a run although the previous keeper had started a later
+// run, the end of which no keeper has stored.
+BOOST_FIXTURE_TEST_CASE(success_does_not_count_after_a_start_by_the_previous_keeper,
+                        TakeoverFixture)
+{
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(200));
+    takeOver();
+    run(takeoverTime);
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 2U);
+    takeOver();
+    run(milliseconds(20));
+    withholdsOutcomes = false;
+    run(takeoverTime + milliseconds(500));
+    BOOST_TEST(startsAfterConfirmation == 0U);
+    BOOST_TEST(supersededEnds == 1U);
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
+
+// Guards against counting the success of a run that an earlier keeper took for lost and started
+// again.
+BOOST_FIXTURE_TEST_CASE(success_of_a_run_taken_for_lost_does_not_count_at_the_next_keeper,
+                        TakeoverFixture)
+{
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(200));
+    keeper->onVmLost("vm1", now);
+    run(lostRunTime);
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 2U);
+    takeOver();
+    run(milliseconds(20));
+    withholdsOutcomes = false;
+    run(takeoverTime + milliseconds(500));
+    BOOST_TEST(startsAfterConfirmation == 0U);
+    BOOST_TEST(supersededEnds == 1U);
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
+
+// Guards against forgetting, when the records of a job are written anew, that a task was started
+// again.
+BOOST_FIXTURE_TEST_CASE(restart_is_known_after_its_record_has_expired, TakeoverFixture)
+{
+    makeTask = [](const std::string &) {
+        return SimulatedTask {0, Time(std::chrono::seconds(1000)), RunEnd::Succeeded};
+    };
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(50));
+    takeOver();
+    run(std::chrono::seconds(200));
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 2U);
+    for (auto &[number, partition] : journal.partitions)
+        partition.first = std::min<size_t>(2, partition.records.size());
+    takeOver();
+    unconfirmedOutcomes = {{"job1.0.0.0", 1, TaskOutcome::Kind::Ended, RunEnd::Succeeded}};
+    withholdsOutcomes = false;
+    run(milliseconds(200));
+    BOOST_TEST(startsAfterConfirmation == 0U);
+    BOOST_TEST(supersededEnds == 1U);
+}
+
+// Guards against starting a task again before the restart is stored: the next keeper would not know
+// of the later run.
+BOOST_FIXTURE_TEST_CASE(task_is_started_again_once_the_restart_is_in_the_journal, TakeoverFixture)
+{
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(200));
+    takeOver();
+    run(milliseconds(100));
+    journal.isDown = true;
+    run(takeoverTime);
+    BOOST_TEST(starts.at("job1.0.0.0") == 1U);
+    journal.isDown = false;
+    run(milliseconds(300));
+    BOOST_TEST(starts.at("job1.0.0.0") == 2U);
+}
+
+// Guards against a task that is started although its job was cancelled while the restart was being
+// stored, and against stops without end for the run that was never sent.
+BOOST_FIXTURE_TEST_CASE(restart_of_a_cancelled_job_is_dropped, TakeoverFixture)
+{
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(200));
+    takeOver();
+    run(milliseconds(100));
+    journal.isDown = true;
+    cancel("job1");
+    run(takeoverTime);
+    journal.isDown = false;
+    run(milliseconds(500));
+    BOOST_TEST(starts.at("job1.0.0.0") == 1U);
+    const size_t stopsBefore = stopCount;
+    run(std::chrono::seconds(2));
+    BOOST_TEST(stopCount == stopsBefore);
+}
+
+// Guards against further records for each start: the journal takes several hundred appends per
+// second. A job whose tasks run once needs one record for itself and one for each end.
+BOOST_FIXTURE_TEST_CASE(only_restarts_need_further_records, TakeoverFixture)
+{
+    constexpr size_t jobs = 20;
+    constexpr size_t tasks = 5;
+    for (size_t i = 0; i < jobs; ++i)
+        store(makeJob("job" + std::to_string(i), {3, 2}));
+    run(std::chrono::seconds(1));
+    BOOST_TEST(recordCount() == jobs * (1 + tasks));
+    makeTask = [](const std::string &) {
+        return SimulatedTask {0, Time(std::chrono::seconds(5)), RunEnd::Succeeded};
+    };
+    store(makeJob("wide", {100}));
+    run(milliseconds(100));
+    const size_t before = recordCount();
+    takeOver();
+    run(takeoverTime);
+    BOOST_TEST(starts.at("wide.0.0.99") == 2U);
+    BOOST_TEST(recordCount() == before + 1);
+}
+
+// Replaces keepers, loses the VM of the pool for them and withholds outcomes for long times. Guards
+// against ends that count although a later run was started, by whichever keeper.
+BOOST_AUTO_TEST_CASE(random_takeovers_and_lost_pools_repeat_no_success)
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            TakeoverFixture simulation;
+            Random random(seed);
+            simulation.isAnswerDelivered = [&] { return random.unit() > 0.2; };
+            simulation.makeTask = [&](const std::string &) {
+                return SimulatedTask {0,
+                                      Time(milliseconds(20 + static_cast<int>(random.below(300)))),
+                                      random.unit() < 0.1 ? RunEnd::Failed : RunEnd::Succeeded};
+            };
+            for (int round = 0; round < 30; ++round) {
+                simulation.store(KeeperSimulation::makeJob("job" + std::to_string(round), {2, 1}),
+                                 100);
+                simulation.run(milliseconds(static_cast<int>(random.below(2000)) + 10));
+                simulation.withholdsOutcomes = random.unit() < 0.6;
+                if (random.unit() < 0.3)
+                    simulation.takeOver();
+                if (random.unit() < 0.3)
+                    simulation.loseServers();
+            }
+            simulation.withholdsOutcomes = false;
+            simulation.isAnswerDelivered = [] { return true; };
+            simulation.run(std::chrono::seconds(20));
+            for (const auto &[id, caller] : simulation.callers) {
+                if (simulation.isStored(id))
+                    BOOST_TEST((simulation.queryState(id) == JobState::Completed), id);
+            }
+            BOOST_TEST(simulation.startsAfterConfirmation == 0U);
+            BOOST_TEST(simulation.overlappingRuns == 0U);
+            BOOST_TEST(simulation.unconfirmedOutcomes.empty());
+        }
+    }
+}
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -460,7 +460,7 @@
     for (const JournalRecord &record : std::vector<JournalRecord> {
                  JobAccepted {5, 7, job, {"queue", "work", 2, 3, 1.6, milliseconds(60)}},
                  TaskEnded {6, {"job1", 1, 0, 1}, 4, RunEnd::Stopped, "half"},
-                 JobCancelled {7, "job1"}}) {
+                 JobCancelled {7, "job1"}, TasksRestarted {"job1", 1, 0, {0, 2}, 4097}}) {
         const std::string bytes = encodeRecord(record);
         const auto decoded = decodeRecord(bytes);
         BOOST_REQUIRE(decoded.has_value());
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -113,6 +113,7 @@
     uint64_t startsAfterConfirmation = 0;
     uint64_t supersededEnds = 0; // ends that may be acknowledged only after the lease
     uint64_t overlappingRuns = 0;
+    uint64_t stopCount = 0; // stops that the keeper has sent
 
     // Replaces the keeper by a new one that holds all partitions. The pool stops earlier runs.
     void takeOver()
@@ -130,6 +131,16 @@
         running.clear();
     }
 
+    // The keeper takes the VM of the pool for lost. All runs there lapse.
+    void loseServers()
+    {
+        for (const auto &[task, run] : running)
+            unconfirmedOutcomes.push_back(
+                    {task, run.run, TaskOutcome::Kind::Ended, RunEnd::Lapsed, run.checkpoint});
+        running.clear();
+        keeper->onVmLost("vm1", now);
+    }
+
     static JobSpec makeJob(const std::string &id, std::vector<uint32_t> counts)
     {
         JobSpec job;
@@ -272,6 +283,7 @@
     }
     void execute(const SendStopJob &send)
     {
+        ++stopCount;
         for (auto task = running.begin(); task != running.end();) {
             if (!task->first.starts_with(send.stop.job + ".")) {
                 ++task;
