Start no task again because a resent batch could not be sent

What callers would see: a task of a stored job runs in two pools at one time.

Cause: a keeper resends an unanswered batch after 1 s. If the connection breaks while the second copy waits to be sent, the peers report the batch as unsent, and the keeper took that for "not started", although the pool has the first copy.

Change: an unsent batch counts as not started only if it was sent once. Otherwise it is resent until the pool answers or its VM is lost.

Evidence: unsent_repetition_of_a_batch_starts_nothing fails without the change (2 starts, 1 overlapping run); task_of_an_unsent_batch_is_placed_again passes before and after. keeper_test and keeper_takeover_test pass.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -305,8 +305,13 @@
 
 void JobKeeper::onBatchUnsent(const std::string &vm, const TaskBatch &batch, Time now)
 {
+    Partition *partition = partitionOf(batch.job);
+    StoredJob *job = partition ? partition->find(batch.job) : nullptr;
     for (const TaskStart &start : batch.tasks) {
         const TaskName name {batch.job, batch.occurrence, batch.stepNumber, start.index};
+        const StoredTask *task = job ? job->find(name) : nullptr;
+        if (task && task->sends > 1)
+            continue; // the pool may have received another copy
         onOutcome(vm, {toString(name), start.run, TaskOutcome::Kind::NotStarted}, now);
     }
 }
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -190,6 +190,7 @@
         checkpoint = task.checkpoint;
         task.lastRun = run;
         task.ownRun = StoredTask::OwnRun::Open;
+        task.sends = 0;
         task.pool = vm;
         task.presumedEndAt = Time::max();
         batch.tasks.push_back({index, run, task.checkpoint});
@@ -259,6 +260,8 @@
                                 batch.stepNumber, batch.occurrence, batch.tasks.size(),
                                 batch.tasks.front().run, delivery.vm, partition->number(),
                                 partition->epoch()));
+        for (const TaskStart &start : batch.tasks)
+            ++job->find({batch.job, batch.occurrence, batch.stepNumber, start.index})->sends;
         actions_.emplace_back(SendBatch {delivery.vm, batch});
     }
     const Time next = now + delivery.resendInterval;
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -26,6 +26,7 @@
         Ended, // it is known how the run has ended, or that it never started
     };
     OwnRun ownRun = OwnRun::None;
+    uint32_t sends = 0;  // number of times that the batch with the latest run was sent
     std::string pool {}; // name of the VM that was asked to start the task; empty: not running
     // Time at which the run is taken to have ended, because the VM of its pool is lost; Time::max()
     // while that VM is not lost.
--- /dev/null
+++ b/tests/keeper_outcome_test.cpp
@@ -0,0 +1,59 @@
+// Tests of what a keeper concludes from late, repeated and missing outcomes of runs.
+#define BOOST_TEST_MODULE keeper_outcome
+#include "keeper_world.h"
+
+using namespace lovage;
+using namespace lovage::test;
+
+namespace {
+
+constexpr Duration lostRunTime = milliseconds(2100); // KeeperOptions::lostRunTimeout and some ticks
+
+struct OutcomeFixture : KeeperSimulation
+{
+    OutcomeFixture()
+    {
+        takeOver();
+        run(milliseconds(20));
+    }
+
+    void makeTasksLast(Duration time)
+    {
+        makeTask = [time](const std::string &) {
+            return SimulatedTask {0, Time(time), RunEnd::Succeeded};
+        };
+    }
+};
+
+} // namespace
+
+// Guards against starting a task again because a repetition of its batch could not be sent: the
+// pool has the first copy and runs the task.
+BOOST_FIXTURE_TEST_CASE(unsent_repetition_of_a_batch_starts_nothing, OutcomeFixture)
+{
+    makeTasksLast(std::chrono::seconds(3));
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(1200));
+    BOOST_REQUIRE(batches.size() == 2U);
+    keeper->onBatchUnsent("vm1", batches.back(), now);
+    run(milliseconds(300));
+    BOOST_TEST(starts.at("job1.0.0.0") == 1U);
+    BOOST_TEST(overlappingRuns == 0U);
+    withholdsOutcomes = false;
+    run(std::chrono::seconds(3));
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
+
+// Guards against a task that waits although its batch never reached the pool.
+BOOST_FIXTURE_TEST_CASE(task_of_an_unsent_batch_is_placed_again, OutcomeFixture)
+{
+    dropsBatches = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(100));
+    dropsBatches = false;
+    BOOST_REQUIRE(droppedBatches.size() == 1U);
+    keeper->onBatchUnsent("vm1", droppedBatches.front(), now);
+    run(milliseconds(200));
+    BOOST_TEST(starts.at("job1.0.0.0") == 1U);
+}
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -106,7 +106,8 @@
     std::map<std::string, uint32_t> starts;
     std::map<std::string, uint32_t> lastRun;
     std::vector<TaskBatch> batches;
-    bool dropsBatches = false;      // batches do not reach the pool
+    bool dropsBatches = false; // batches do not reach the pool
+    std::vector<TaskBatch> droppedBatches;
     bool withholdsOutcomes = false; // the keeper gets no outcomes from the pool
     // Starts of tasks whose success was already confirmed, or was confirmed later for an earlier
     // run.
@@ -261,8 +262,10 @@
     void execute(const KeeperAnswer &answer) { answers.push_back(answer); }
     void execute(const SendBatch &send)
     {
-        if (dropsBatches)
+        if (dropsBatches) {
+            droppedBatches.push_back(send.batch);
             return;
+        }
         batches.push_back(send.batch);
         for (const TaskStart &start : send.batch.tasks) {
             const std::string name = toString(TaskName {send.batch.job, send.batch.occurrence,
