Never count a failure after a later run was started

A run fails while its pool cannot report; the keeper takes it for lost and starts the next ones; then the failure arrives, is acknowledged, and was before starts that it should have prevented.

Cause: only a late success was acknowledged as superseded. A late failure was not counted, since a later one was known, but acknowledged like any other.

Change: a late failure is superseded too, so it is acknowledged after the lease of its server has lapsed.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -27,16 +27,30 @@
 // a generation of the group.
 constexpr unsigned epochBits = 8;
 
-// Whether a successful end must not count, because another run of the task has succeeded or a later
-// run has been started.
+bool isFailure(const TaskOutcome &outcome)
+{
+    return outcome.kind == TaskOutcome::Kind::Ended && outcome.end == RunEnd::Failed;
+}
+
+// Whether the failure is in the journal already.
+bool isRecordedFailure(const StoredTask &task, const TaskOutcome &outcome)
+{
+    return isFailure(outcome) && outcome.run == task.lastFailedRun;
+}
+
+// Whether a success or a failure must not count, because another run of the task has succeeded or a
+// later run has been started.
 bool isSuperseded(const StoredJob &job, const TaskName &name, const StoredTask *task,
                   const TaskOutcome &outcome)
 {
-    if (outcome.kind != TaskOutcome::Kind::Ended || outcome.end != RunEnd::Succeeded
-        || job.isGang(name))
+    const bool isSuccess =
+            outcome.kind == TaskOutcome::Kind::Ended && outcome.end == RunEnd::Succeeded;
+    if ((!isSuccess && !isFailure(outcome)) || job.isGang(name))
         return false;
     const uint32_t succeededRun = job.succeededRun(name);
-    return succeededRun > 0 ? outcome.run != succeededRun : task && outcome.run < task->lastRun;
+    if (succeededRun > 0)
+        return outcome.run != succeededRun;
+    return task && outcome.run < task->lastRun && !isRecordedFailure(*task, outcome);
 }
 
 // Whether the outcome must be recorded in the journal.
@@ -255,7 +269,7 @@
     StoredJob *job = partition->find(name->job);
     StoredTask *task = job ? job->find(*name) : nullptr;
     const bool isStale = job && isSuperseded(*job, *name, task, outcome);
-    if (!task || task->isDone || isStale) {
+    if (!task || task->isDone || isStale || isRecordedFailure(*task, outcome)) {
         addLogEntry("outcome-known", name->job,
                     fmt::format("task={} run={} vm={} job_known={} superseded={}", outcome.task,
                                 outcome.run, vm, job != nullptr, isStale));
--- a/tests/keeper_outcome_test.cpp
+++ b/tests/keeper_outcome_test.cpp
@@ -57,3 +57,29 @@
     run(milliseconds(200));
     BOOST_TEST(starts.at("job1.0.0.0") == 1U);
 }
+
+// Guards against confirming the failure of a run after a later run was started: the confirmed
+// failures before that start could then use up the attempts of the task.
+BOOST_FIXTURE_TEST_CASE(late_failure_does_not_exceed_the_attempts, OutcomeFixture)
+{
+    constexpr uint32_t attempts = 2;
+    makeTask = [](const std::string &) {
+        return SimulatedTask {0, Time(milliseconds(50)), RunEnd::Failed};
+    };
+    withholdsOutcomes = true;
+    store(makeJob("job1", {1}), attempts);
+    run(milliseconds(100));
+    keeper->onVmLost("vm1", now);
+    const std::vector<TaskOutcome> late = std::exchange(unconfirmedOutcomes, {});
+    run(lostRunTime);
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 2U);
+    withholdsOutcomes = false;
+    run(milliseconds(40)); // run 2 fails, and run 3 is started
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 3U);
+    unconfirmedOutcomes = late;
+    run(milliseconds(500));
+    BOOST_TEST((queryState("job1") == JobState::Failed));
+    BOOST_TEST(failuresBeforeLastStart("job1.0.0.0") < attempts);
+    BOOST_TEST(unconfirmedOutcomes.empty());
+    BOOST_TEST(supersededEnds == 1U);
+}
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -103,6 +103,8 @@
     std::map<std::string, SimulatedTask> running;
     std::vector<TaskOutcome> unconfirmedOutcomes; // reported every 10 ms
     std::set<std::string> confirmedTasks;         // tasks whose success was confirmed
+    // Numbers of the runs whose failure was confirmed, by task.
+    std::map<std::string, std::set<uint32_t>> confirmedFailures;
     std::map<std::string, uint32_t> starts;
     std::map<std::string, uint32_t> lastRun;
     std::vector<TaskBatch> batches;
@@ -191,6 +193,12 @@
             return answer.kind == KeeperAnswer::Kind::Stored && answer.caller == callers.at(job);
         });
     }
+    // Returns the number of confirmed failures of a task before the start of its latest run.
+    size_t failuresBeforeLastStart(const std::string &task)
+    {
+        const std::set<uint32_t> &runs = confirmedFailures[task];
+        return static_cast<size_t>(std::distance(runs.begin(), runs.lower_bound(lastRun.at(task))));
+    }
     size_t count(KeeperAnswer::Kind kind) const
     {
         size_t count = 0;
@@ -306,6 +314,9 @@
             if (isConfirmed && !send.confirm.isSuperseded && outcome.end == RunEnd::Succeeded
                 && outcome.kind == TaskOutcome::Kind::Ended)
                 recordConfirmedEnd(outcome);
+            if (isConfirmed && !send.confirm.isSuperseded && outcome.end == RunEnd::Failed
+                && outcome.kind == TaskOutcome::Kind::Ended)
+                confirmedFailures[outcome.task].insert(outcome.run);
             return isConfirmed;
         });
     }
