Never count the late success of a gang that was started again

Cause: ends of gangs were left out of the check for superseded ends. The reason is not recorded; all members share the number of a run, so the check holds for them.

Change: the check covers gangs.

Evidence: late_success_of_a_gang_is_superseded fails without the change (2 starts before the confirmed success of an earlier run, 0 superseded ends). gang_starts_together_and_ends_together and the other cases of keeper_test, keeper_takeover_test and keeper_outcome_test pass.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -45,7 +45,7 @@
 {
     const bool isSuccess =
             outcome.kind == TaskOutcome::Kind::Ended && outcome.end == RunEnd::Succeeded;
-    if ((!isSuccess && !isFailure(outcome)) || job.isGang(name))
+    if (!isSuccess && !isFailure(outcome))
         return false;
     const uint32_t succeededRun = job.succeededRun(name);
     if (succeededRun > 0)
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -81,10 +81,6 @@
     std::map<uint32_t, Occurrence> &occurrences() { return occurrences_; }
     const std::map<uint32_t, Occurrence> &occurrences() const { return occurrences_; }
     StoredTask *find(const TaskName &name);
-    bool isGang(const TaskName &name) const
-    {
-        return name.step < spec().steps.size() && spec().steps[name.step].isGang;
-    }
     // Returns the run of the task that has succeeded, or 0 if none has.
     uint32_t succeededRun(const TaskName &name) const;
     bool isStepReady(const Occurrence &occurrence, uint32_t step) const;
--- a/tests/keeper_outcome_test.cpp
+++ b/tests/keeper_outcome_test.cpp
@@ -83,3 +83,21 @@
     BOOST_TEST(unconfirmedOutcomes.empty());
     BOOST_TEST(supersededEnds == 1U);
 }
+
+// Guards against counting the late success of a gang that was started again in the meantime.
+BOOST_FIXTURE_TEST_CASE(late_success_of_a_gang_is_superseded, OutcomeFixture)
+{
+    JobSpec job = makeJob("job1", {2});
+    job.steps.front().isGang = true;
+    withholdsOutcomes = true;
+    store(job);
+    run(milliseconds(200));
+    keeper->onVmLost("vm1", now);
+    run(lostRunTime);
+    BOOST_REQUIRE(starts.at("job1.0.0.1") == 2U);
+    withholdsOutcomes = false;
+    run(milliseconds(500));
+    BOOST_TEST(startsAfterConfirmation == 0U);
+    BOOST_TEST(supersededEnds == 2U);
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
