Keep the run numbers of an epoch below those of the next one

What callers would see: a task waits for seconds after a change of its keeper, since its pool takes the new run for one that it knows; or runs of two keepers have the same number, and the end of the earlier one counts for the later one.

Cause: a keeper that takes a partition again within one generation begins 16 run numbers higher.

Change: a run whose number is in the range of the next epoch is stored before it starts.

Evidence: run_numbers_of_the_next_hold_are_higher fails without the change (run 17 after run 41, 1 start in place of 2).

--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -157,8 +157,8 @@
     return ready.empty();
 }
 
-// Sends the tasks to the pool of a VM as one batch. If an earlier run of one of them may have ended
-// without the keeper's knowledge, the batch is sent once the restart is in the journal.
+// Sends the tasks to the pool of a VM as one batch, if necessary once their restart is in the
+// journal.
 void JobKeeper::startTasks(Partition &partition, StoredJob &job, const TaskName &first,
                            const std::vector<uint32_t> &indexes, const std::string &vm, Time now)
 {
@@ -180,7 +180,7 @@
     bool isRestart = false;
     for (const uint32_t index : indexes) {
         run = std::max(run, job.nextRun(tasks[index], partition.epoch()));
-        isRestart |= job.mayHaveUnknownEnd(tasks[index], partition.epoch());
+        isRestart |= job.needsRestartRecord(tasks[index], partition.epoch());
     }
     std::string checkpoint;
     for (const uint32_t index : indexes) {
--- a/src/keeper/stored_job.cpp
+++ b/src/keeper/stored_job.cpp
@@ -264,14 +264,20 @@
 }
 
 uint32_t StoredJob::nextRun(const StoredTask &task, uint64_t epoch) const
+{
+    return std::max(task.lastRun, runsBefore(epoch)) + 1;
+}
+
+uint32_t StoredJob::runsBefore(uint64_t epoch) const
 {
     const uint64_t epochs = epoch > accepted_.epoch ? epoch - accepted_.epoch : 0;
-    const auto first = static_cast<uint32_t>(epochs << runsPerEpochLog2);
-    return std::max(task.lastRun, first) + 1;
+    return static_cast<uint32_t>(epochs << runsPerEpochLog2);
 }
 
-bool StoredJob::mayHaveUnknownEnd(const StoredTask &task, uint64_t epoch) const
+bool StoredJob::needsRestartRecord(const StoredTask &task, uint64_t epoch) const
 {
+    if (nextRun(task, epoch) > runsBefore(epoch + 1))
+        return true;
     if (task.ownRun == StoredTask::OwnRun::None)
         return epoch > accepted_.epoch;
     return task.ownRun == StoredTask::OwnRun::Open;
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -98,9 +98,10 @@
     // Returns the number of the next run of a task. It is higher than that of any run started by an
     // earlier keeper, including runs that are not in the journal.
     uint32_t nextRun(const StoredTask &task, uint64_t epoch) const;
-    // Returns whether an earlier run of the task may end without the journal showing to later
-    // keepers that another run was started.
-    bool mayHaveUnknownEnd(const StoredTask &task, uint64_t epoch) const;
+    // Returns whether the next run of the task must be in the journal before it starts: an earlier
+    // run may end without the knowledge of this keeper, or the number of the run is in the range of
+    // the next epoch.
+    bool needsRestartRecord(const StoredTask &task, uint64_t epoch) const;
     // Returns records from which the current state can be restored without any earlier record.
     std::vector<JournalRecord> snapshotRecords() const;
     void onSnapshotWritten(uint64_t offset) { firstOffset_ = offset; }
@@ -120,6 +121,8 @@
     static void completeOccurrence(Occurrence &occurrence);
     void close(JobState state, int64_t timestampMs);
     Occurrence makeOccurrence() const;
+    // Returns the highest number of a run that keepers before the epoch start without a record.
+    uint32_t runsBefore(uint64_t epoch) const;
     void openOccurrence(uint32_t number);
     void addRestartRecords(uint32_t occurrence, std::vector<JournalRecord> &records) const;
 
--- a/tests/keeper_outcome_test.cpp
+++ b/tests/keeper_outcome_test.cpp
@@ -101,3 +101,21 @@
     BOOST_TEST(supersededEnds == 2U);
     BOOST_TEST((queryState("job1") == JobState::Completed));
 }
+
+// Guards against run numbers that a later keeper uses again: with many runs in one hold of a
+// partition, the numbers would reach those of the next hold.
+BOOST_FIXTURE_TEST_CASE(run_numbers_of_the_next_hold_are_higher, OutcomeFixture)
+{
+    makeTasksLast(std::chrono::seconds(100));
+    refusedTasks = 40;
+    store(makeJob("job1", {1}));
+    run(std::chrono::seconds(6));
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 1U);
+    const uint32_t before = lastRun.at("job1.0.0.0");
+    withholdsOutcomes = true;
+    keeper->onLeaseLost(now);
+    keeper->setPartitions({0, 1}, generation, now);
+    run(std::chrono::seconds(3));
+    BOOST_TEST(batches.back().tasks.front().run > before);
+    BOOST_TEST(starts.at("job1.0.0.0") == 2U);
+}
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -110,6 +110,7 @@
     std::vector<TaskBatch> batches;
     bool dropsBatches = false; // batches do not reach the pool
     std::vector<TaskBatch> droppedBatches;
+    uint32_t refusedTasks = 0;      // number of tasks for which the pool is still to report no room
     bool withholdsOutcomes = false; // the keeper gets no outcomes from the pool
     // Starts of tasks whose success was already confirmed, or was confirmed later for an earlier
     // run.
@@ -280,6 +281,13 @@
                                                         send.batch.stepNumber, start.index});
             if (lastRun.contains(name) && lastRun[name] >= start.run)
                 continue; // a resent batch
+            if (refusedTasks > 0) {
+                --refusedTasks;
+                lastRun[name] = start.run;
+                unconfirmedOutcomes.push_back(
+                        {name, start.run, TaskOutcome::Kind::NotStarted, RunEnd::Stopped, {}});
+                continue;
+            }
             startsAfterConfirmation += confirmedTasks.contains(name) ? 1 : 0;
             overlappingRuns += running.contains(name) ? 1 : 0;
             ++starts[name];
