Leave the runs of a lost VM alone when it reports again

What callers would see: a task of a stored job runs in two pools at one time.

Cause: a keeper that takes a VM for lost starts its tasks elsewhere 2 s later. It did so also when the VM reported again in the meantime, as one does whose reports were late. The pool there is not told: a VM is listed as lost only until its next report, so its runs go on.

Change: when a lost VM reports again as the same process, its runs no longer count as over. The pool reports their outcomes as usual; batches that it may not have received are resent, and no batch is sent to a VM that is not known. A restarted process has another incarnation, so its runs end as before.

Evidence: task_goes_on_when_its_lost_vm_reports_again (2 starts, 1 overlapping run) and batch_is_resent_when_a_lost_vm_reports_again (never started on the VM) fail without the change; task_of_a_restarted_vm_is_started_again passes before and after.

Not covered: a VM that the keeper does not hear again, while its pool goes on with the runs because it reads old reports; that needs leases of stored runs in the pool.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -223,6 +224,8 @@
     };
     void onRestartStored(Partition &partition, BatchDelivery delivery, Time now);
     void sendBatch(BatchDelivery delivery, Time now);
+    void resumeRunsOfReturnedVms(Time now);
+    void resumeRuns(const std::string &vm, uint64_t incarnation, Time now);
     void resendBatches(Time now);
     Time startByFor(const std::string &vm, Time now) const;
 
@@ -233,6 +236,7 @@
     std::vector<DeferredQuery> deferredQueries_;
     // Batches that were sent, by the time of their next resend.
     std::multimap<Time, BatchDelivery> sentBatches_;
+    std::set<std::string> lostVms_; // names of the VMs that have not reported since they were lost
     bool isPlacementDue_ = false;
     // Latest epoch with which this VM has held each partition, by number of the partition.
     std::map<uint32_t, uint64_t> lastEpochs_;
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -332,18 +332,15 @@
 
 void JobKeeper::onVmLost(const std::string &vm, Time now)
 {
+    lostVms_.insert(vm);
     for (auto &[number, partition] : partitions_) {
         for (auto &[id, job] : partition->jobs()) {
             bool isAffected = false;
-            for (auto &[occurrenceNumber, occurrence] : job.occurrences()) {
-                for (keeper::StepState &step : occurrence.steps) {
-                    for (StoredTask &task : step.tasks) {
-                        if (task.pool != vm || task.presumedEndAt != Time::max())
-                            continue;
-                        task.presumedEndAt = now + options_.lostRunTimeout;
-                        isAffected = true;
-                    }
-                }
+            for (StoredTask *task : job.tasksPlacedAt(vm)) {
+                if (task->presumedEndAt != Time::max())
+                    continue;
+                task->presumedEndAt = now + options_.lostRunTimeout;
+                isAffected = true;
             }
             if (isAffected)
                 partition->scheduleWakeup(now + options_.lostRunTimeout, id);
@@ -351,8 +348,44 @@
     }
 }
 
+void JobKeeper::resumeRunsOfReturnedVms(Time now)
+{
+    std::erase_if(lostVms_, [&](const std::string &vm) {
+        const VmTable::Row *row = vms_.find(vm);
+        if (row)
+            resumeRuns(vm, row->report.vm.incarnation, now);
+        return row != nullptr;
+    });
+}
+
+// Expects outcomes again from the pool of a VM that was taken for lost: its process is the same, so
+// its runs may go on. The pool may not have received its last batches, so these are resent.
+void JobKeeper::resumeRuns(const std::string &vm, uint64_t incarnation, Time now)
+{
+    for (auto &[number, partition] : partitions_) {
+        for (auto &[id, job] : partition->jobs()) {
+            for (StoredTask *task : job.tasksPlacedAt(vm)) {
+                if (task->poolIncarnation == incarnation)
+                    task->presumedEndAt = Time::max();
+            }
+        }
+    }
+    const auto isForVm = [&](const auto &entry) {
+        return entry.second.vm == vm && entry.second.batch.poolIncarnation == incarnation;
+    };
+    std::vector<BatchDelivery> deliveries;
+    for (const auto &entry : sentBatches_) {
+        if (isForVm(entry))
+            deliveries.push_back(entry.second);
+    }
+    std::erase_if(sentBatches_, isForVm);
+    for (BatchDelivery &delivery : deliveries)
+        sendBatch(std::move(delivery), now);
+}
+
 void JobKeeper::tick(Time now)
 {
+    resumeRunsOfReturnedVms(now);
     for (auto &[number, partition] : partitions_) {
         partition->tick(options_, now);
         stopClosedJobs(*partition, now);
--- a/src/keeper/placement.cpp
+++ b/src/keeper/placement.cpp
@@ -192,6 +192,7 @@
         task.ownRun = StoredTask::OwnRun::Open;
         task.sends = 0;
         task.pool = vm;
+        task.poolIncarnation = batch.poolIncarnation;
         task.presumedEndAt = Time::max();
         batch.tasks.push_back({index, run, task.checkpoint});
     }
@@ -249,12 +250,13 @@
         const StoredTask *task =
                 job->find({batch.job, batch.occurrence, batch.stepNumber, start.index});
         return !task || task->isDone || task->pool != delivery.vm || task->lastRun != start.run
-                || task->isEndPending || task->presumedEndAt != Time::max();
+                || task->isEndPending;
     });
     if (batch.tasks.empty())
         return;
     batch.startBy = startByFor(delivery.vm, now);
-    if (isAuthoritative(*partition, now)) {
+    const bool isVmKnown = delivery.vm == vms_.self().name || vms_.find(delivery.vm);
+    if (isVmKnown && isAuthoritative(*partition, now)) {
         addLogEntry("batch-sent", batch.job,
                     fmt::format("step={} occurrence={} tasks={} run={} vm={} partition={} epoch={}",
                                 batch.stepNumber, batch.occurrence, batch.tasks.size(),
--- a/src/keeper/stored_job.cpp
+++ b/src/keeper/stored_job.cpp
@@ -263,6 +263,20 @@
     return {pools.begin(), pools.end()};
 }
 
+std::vector<StoredTask *> StoredJob::tasksPlacedAt(const std::string &vm)
+{
+    std::vector<StoredTask *> placed;
+    for (auto &[number, occurrence] : occurrences_) {
+        for (StepState &step : occurrence.steps) {
+            for (StoredTask &task : step.tasks) {
+                if (task.pool == vm)
+                    placed.push_back(&task);
+            }
+        }
+    }
+    return placed;
+}
+
 uint32_t StoredJob::nextRun(const StoredTask &task, uint64_t epoch) const
 {
     return std::max(task.lastRun, runsBefore(epoch)) + 1;
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -28,6 +28,7 @@
     OwnRun ownRun = OwnRun::None;
     uint32_t sends = 0;  // number of times that the batch with the latest run was sent
     std::string pool {}; // name of the VM that was asked to start the task; empty: not running
+    uint64_t poolIncarnation = 0; // incarnation of that VM
     // Time at which the run is taken to have ended, because the VM of its pool is lost; Time::max()
     // while that VM is not lost.
     Time presumedEndAt = Time::max();
@@ -95,6 +96,8 @@
     bool mayEndSoon() const;
     // Returns the names of the VMs that were asked to start a task that has not ended.
     std::vector<std::string> pools() const;
+    // Returns the tasks whose runs the pool of a VM was asked to start.
+    std::vector<StoredTask *> tasksPlacedAt(const std::string &vm);
     // Returns the number of the next run of a task. It is higher than that of any run started by an
     // earlier keeper, including runs that are not in the journal.
     uint32_t nextRun(const StoredTask &task, uint64_t epoch) const;
--- a/tests/keeper_outcome_test.cpp
+++ b/tests/keeper_outcome_test.cpp
@@ -17,6 +17,14 @@
         run(milliseconds(20));
     }
 
+    // Leaves room for tasks in the pool of another VM alone.
+    void useOnlyVm(const std::string &vm)
+    {
+        freeMilliCores = 0;
+        run(milliseconds(10));
+        reportVm(vm, 1);
+    }
+
     void makeTasksLast(Duration time)
     {
         makeTask = [time](const std::string &) {
@@ -119,3 +127,61 @@
     BOOST_TEST(batches.back().tasks.front().run > before);
     BOOST_TEST(starts.at("job1.0.0.0") == 2U);
 }
+
+// Guards against starting a task elsewhere although its pool goes on with it: the VM of the pool
+// was taken for lost, but has reported again since.
+BOOST_FIXTURE_TEST_CASE(task_goes_on_when_its_lost_vm_reports_again, OutcomeFixture)
+{
+    makeTasksLast(std::chrono::seconds(4));
+    useOnlyVm("vm3");
+    store(makeJob("job1", {1}));
+    run(milliseconds(50));
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 1U);
+    loseVm("vm3");
+    freeMilliCores = 100'000;
+    run(milliseconds(300));
+    reportVm("vm3", 1);
+    run(std::chrono::seconds(3));
+    BOOST_TEST(starts.at("job1.0.0.0") == 1U);
+    BOOST_TEST(overlappingRuns == 0U);
+    run(std::chrono::seconds(2));
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
+
+// Guards against a task that waits for ever because its batch was lost together with the connection
+// to a VM that was taken for lost and has reported again.
+BOOST_FIXTURE_TEST_CASE(batch_is_resent_when_a_lost_vm_reports_again, OutcomeFixture)
+{
+    useOnlyVm("vm3");
+    dropsBatches = true;
+    store(makeJob("job1", {1}));
+    run(milliseconds(50));
+    loseVm("vm3");
+    run(milliseconds(300));
+    dropsBatches = false;
+    reportVm("vm3", 1);
+    run(milliseconds(200));
+    BOOST_REQUIRE(starts.contains("job1.0.0.0"));
+    run(milliseconds(200));
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
+
+// Guards against waiting for the outcome of a run that a previous process of the VM had started.
+BOOST_FIXTURE_TEST_CASE(task_of_a_restarted_vm_is_started_again, OutcomeFixture)
+{
+    makeTasksLast(std::chrono::seconds(100));
+    useOnlyVm("vm3");
+    store(makeJob("job1", {1}));
+    run(milliseconds(50));
+    BOOST_REQUIRE(starts.at("job1.0.0.0") == 1U);
+    loseVm("vm3");
+    running.clear();
+    reportVm("vm3", 1); // a delayed report of the process that has ended
+    run(milliseconds(100));
+    reportVm("vm3", 2);
+    keeper->onVmLost("vm3", now);
+    run(lostRunTime);
+    freeMilliCores = 100'000;
+    run(milliseconds(100));
+    BOOST_TEST(starts.at("job1.0.0.0") == 2U);
+}
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -135,6 +135,22 @@
         running.clear();
     }
 
+    // Another VM reports, with room for many tasks.
+    void reportVm(const std::string &vm, uint64_t incarnation)
+    {
+        VmReport report;
+        report.vm = {vm, "dc1", "10.0.0.2:1", incarnation};
+        report.sentAt = now;
+        report.loads = {{"work", 4, 100'000, 0, 100}};
+        vms.addReport(std::move(report), now);
+    }
+    // The keeper takes another VM for lost, whose runs go on.
+    void loseVm(const std::string &vm)
+    {
+        vms.remove(vm, now);
+        keeper->onVmLost(vm, now);
+    }
+
     // The keeper takes the VM of the pool for lost. All runs there lapse.
     void loseServers()
     {
