Repeat stops of stored jobs with a back-off

Cause: a keeper repeats the stop of each closed job every 200 ms to each VM that has not reported the end of its runs.

Change: the interval doubles from 200 ms to 1 s.

Evidence: few_messages_are_repeated_to_a_vm_that_reads_nothing, with 20 cancelled and 20 new jobs at a VM that reads nothing for 10 s: 1,000 stops before (bound 300), 240 after; 80 batches in both. keeper_test, keeper_takeover_test and pool_stored_test pass.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -14,8 +14,11 @@
 
 namespace {
 
-// Interval at which a VM is asked to stop the runs of a closed job, until it reports their ends.
-constexpr Duration stopResendInterval = std::chrono::milliseconds(200);
+// Interval at which a VM is asked again to stop the runs of a closed job, until it reports their
+// ends. It doubles with each stop up to the maximum, since a VM that is behind has to read them
+// all.
+constexpr Duration initialStopInterval = std::chrono::milliseconds(200);
+constexpr Duration maxStopInterval = std::chrono::seconds(1);
 // Delay before an endless task that has ended is started again.
 constexpr Duration endlessRestartDelay = std::chrono::milliseconds(100);
 // Time for which the answer to a query about a job that is about to end is delayed. Callers often
@@ -405,7 +408,9 @@
             continue;
         }
         if (now >= closed->nextStopAt) {
-            closed->nextStopAt = now + stopResendInterval;
+            closed->stopInterval =
+                    std::clamp(closed->stopInterval * 2, initialStopInterval, maxStopInterval);
+            closed->nextStopAt = now + closed->stopInterval;
             const KeeperRef self {vms_.self().name, vms_.self().incarnation, partition.number(),
                                   partition.epoch()};
             for (const std::string &vm : pools)
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -116,6 +116,7 @@
 
     bool hasStarted = false;
     Time nextStopAt {};
+    Duration stopInterval {}; // interval between the last stop and the next one
     // Unix time in milliseconds of the first record that is needed to restore the state.
     int64_t snapshotAtMs = 0;
 
--- a/tests/keeper_outcome_test.cpp
+++ b/tests/keeper_outcome_test.cpp
@@ -185,3 +185,31 @@
     run(milliseconds(100));
     BOOST_TEST(starts.at("job1.0.0.0") == 2U);
 }
+
+// Guards against flooding a VM that reads nothing: repeated stops of closed jobs and repeated
+// batches must become rarer, as the VM has to read all of them later.
+BOOST_FIXTURE_TEST_CASE(few_messages_are_repeated_to_a_vm_that_reads_nothing, OutcomeFixture)
+{
+    constexpr size_t jobs = 20;
+    constexpr size_t maxMessagesPerJob = 15;
+    makeTasksLast(std::chrono::seconds(1000));
+    for (size_t i = 0; i < jobs; ++i)
+        store(makeJob("job" + std::to_string(i), {2}));
+    run(milliseconds(50));
+    withholdsOutcomes = true;
+    ignoresStops = true;
+    dropsBatches = true;
+    for (size_t i = 0; i < jobs; ++i)
+        cancel("job" + std::to_string(i));
+    for (size_t i = 0; i < jobs; ++i)
+        store(makeJob("late" + std::to_string(i), {2}));
+    run(std::chrono::seconds(10));
+    BOOST_TEST(stopCount <= jobs * maxMessagesPerJob);
+    BOOST_TEST(droppedBatches.size() <= jobs * maxMessagesPerJob);
+    ignoresStops = false;
+    dropsBatches = false;
+    withholdsOutcomes = false;
+    run(std::chrono::seconds(2));
+    for (size_t i = 0; i < jobs; ++i)
+        BOOST_TEST(!running.contains("job" + std::to_string(i) + ".0.0.0"));
+}
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -109,6 +109,7 @@
     std::map<std::string, uint32_t> lastRun;
     std::vector<TaskBatch> batches;
     bool dropsBatches = false; // batches do not reach the pool
+    bool ignoresStops = false; // stops do not reach the pool
     std::vector<TaskBatch> droppedBatches;
     uint32_t refusedTasks = 0;      // number of tasks for which the pool is still to report no room
     bool withholdsOutcomes = false; // the keeper gets no outcomes from the pool
@@ -319,6 +320,8 @@
     void execute(const SendStopJob &send)
     {
         ++stopCount;
+        if (ignoresStops)
+            return;
         for (auto task = running.begin(); task != running.end();) {
             if (!task->first.starts_with(send.stop.job + ".")) {
                 ++task;
