Test keepers with VMs that are lost and return at random

60 seeds with 30 rounds each: the VM of a pool is taken for lost and reports again within 1.9 s, outcomes are withheld and batches dropped.

--- a/tests/keeper_outcome_test.cpp
+++ b/tests/keeper_outcome_test.cpp
@@ -213,3 +213,43 @@
     for (size_t i = 0; i < jobs; ++i)
         BOOST_TEST(!running.contains("job" + std::to_string(i) + ".0.0.0"));
 }
+
+// Takes the VM of a pool for lost and hears it again at random times, and withholds outcomes.
+// Guards against two runs of a task at one time, and against tasks that are never started again.
+BOOST_AUTO_TEST_CASE(random_returns_of_lost_vms_start_no_task_twice)
+{
+    for (uint64_t seed = 1; seed <= 60; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            OutcomeFixture simulation;
+            Random random(seed);
+            simulation.makeTask = [&](const std::string &) {
+                return SimulatedTask {0,
+                                      Time(milliseconds(20 + static_cast<int>(random.below(3000)))),
+                                      random.unit() < 0.1 ? RunEnd::Failed : RunEnd::Succeeded};
+            };
+            simulation.useOnlyVm("vm3");
+            for (int round = 0; round < 30; ++round) {
+                simulation.reportVm("vm3", 1);
+                simulation.store(KeeperSimulation::makeJob("job" + std::to_string(round), {2, 1}),
+                                 100);
+                simulation.run(milliseconds(static_cast<int>(random.below(300)) + 10));
+                simulation.withholdsOutcomes = random.unit() < 0.4;
+                simulation.dropsBatches = random.unit() < 0.2;
+                if (random.unit() < 0.4) {
+                    simulation.loseVm("vm3");
+                    simulation.run(milliseconds(static_cast<int>(random.below(1900))));
+                }
+            }
+            simulation.withholdsOutcomes = false;
+            simulation.dropsBatches = false;
+            simulation.reportVm("vm3", 1);
+            simulation.freeMilliCores = 100'000;
+            simulation.run(std::chrono::seconds(30));
+            for (const auto &[id, caller] : simulation.callers)
+                BOOST_TEST((simulation.queryState(id) == JobState::Completed), id);
+            BOOST_TEST(simulation.overlappingRuns == 0U);
+            BOOST_TEST(simulation.startsAfterConfirmation == 0U);
+        }
+    }
+}
