--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -14,8 +14,11 @@
 
 namespace {
 
-// Interval at which a VM is asked to stop the runs of a closed job, until it reports their ends.
-constexpr Duration stopResendInterval = std::chrono::milliseconds(200);
+// Interval at which a VM is asked again to stop the runs of a closed job, until it reports their
+// ends. It doubles with each stop up to the maximum, since a VM that is behind has to read them
+// all.
+constexpr Duration initialStopInterval = std::chrono::milliseconds(200);
+constexpr Duration maxStopInterval = std::chrono::seconds(1);
 // Delay before an endless task that has ended is started again.
 constexpr Duration endlessRestartDelay = std::chrono::milliseconds(100);
 // Time for which the answer to a query about a job that is about to end is delayed. Callers often
@@ -27,16 +30,30 @@
 // a generation of the group.
 constexpr unsigned epochBits = 8;
 
-// Whether a successful end must not count, because another run of the task has succeeded or a later
-// run has been started.
+bool isFailure(const TaskOutcome &outcome)
+{
+    return outcome.kind == TaskOutcome::Kind::Ended && outcome.end == RunEnd::Failed;
+}
+
+// Whether the failure is in the journal already.
+bool isRecordedFailure(const StoredTask &task, const TaskOutcome &outcome)
+{
+    return isFailure(outcome) && outcome.run == task.lastFailedRun;
+}
+
+// Whether a success or a failure must not count, because another run of the task has succeeded or a
+// later run has been started.
 bool isSuperseded(const StoredJob &job, const TaskName &name, const StoredTask *task,
                   const TaskOutcome &outcome)
 {
-    if (outcome.kind != TaskOutcome::Kind::Ended || outcome.end != RunEnd::Succeeded
-        || job.isGang(name))
+    const bool isSuccess =
+            outcome.kind == TaskOutcome::Kind::Ended && outcome.end == RunEnd::Succeeded;
+    if (!isSuccess && !isFailure(outcome))
         return false;
     const uint32_t succeededRun = job.succeededRun(name);
-    return succeededRun > 0 ? outcome.run != succeededRun : task && outcome.run < task->lastRun;
+    if (succeededRun > 0)
+        return outcome.run != succeededRun;
+    return task && outcome.run < task->lastRun && !isRecordedFailure(*task, outcome);
 }
 
 // Whether the outcome must be recorded in the journal.
@@ -255,7 +272,7 @@
     StoredJob *job = partition->find(name->job);
     StoredTask *task = job ? job->find(*name) : nullptr;
     const bool isStale = job && isSuperseded(*job, *name, task, outcome);
-    if (!task || task->isDone || isStale) {
+    if (!task || task->isDone || isStale || isRecordedFailure(*task, outcome)) {
         addLogEntry("outcome-known", name->job,
                     fmt::format("task={} run={} vm={} job_known={} superseded={}", outcome.task,
                                 outcome.run, vm, job != nullptr, isStale));
@@ -266,6 +283,9 @@
     }
     if (outcome.kind == TaskOutcome::Kind::Ended)
         job->hasStarted = true;
+    if (outcome.kind != TaskOutcome::Kind::Lost && outcome.run == task->lastRun
+        && task->ownRun == StoredTask::OwnRun::Open)
+        task->ownRun = StoredTask::OwnRun::Ended;
     if (!outcome.checkpoint.empty())
         task->checkpoint = outcome.checkpoint;
     if (task->isEndPending && outcome.run == task->pendingRun)
@@ -302,26 +322,28 @@
 
 void JobKeeper::onBatchUnsent(const std::string &vm, const TaskBatch &batch, Time now)
 {
+    Partition *partition = partitionOf(batch.job);
+    StoredJob *job = partition ? partition->find(batch.job) : nullptr;
     for (const TaskStart &start : batch.tasks) {
         const TaskName name {batch.job, batch.occurrence, batch.stepNumber, start.index};
+        const StoredTask *task = job ? job->find(name) : nullptr;
+        if (task && task->sends > 1)
+            continue; // the pool may have received another copy
         onOutcome(vm, {toString(name), start.run, TaskOutcome::Kind::NotStarted}, now);
     }
 }
 
 void JobKeeper::onVmLost(const std::string &vm, Time now)
 {
+    lostVms_.insert(vm);
     for (auto &[number, partition] : partitions_) {
         for (auto &[id, job] : partition->jobs()) {
             bool isAffected = false;
-            for (auto &[occurrenceNumber, occurrence] : job.occurrences()) {
-                for (keeper::StepState &step : occurrence.steps) {
-                    for (StoredTask &task : step.tasks) {
-                        if (task.pool != vm || task.presumedEndAt != Time::max())
-                            continue;
-                        task.presumedEndAt = now + options_.lostRunTimeout;
-                        isAffected = true;
-                    }
-                }
+            for (StoredTask *task : job.tasksPlacedAt(vm)) {
+                if (task->presumedEndAt != Time::max())
+                    continue;
+                task->presumedEndAt = now + options_.lostRunTimeout;
+                isAffected = true;
             }
             if (isAffected)
                 partition->scheduleWakeup(now + options_.lostRunTimeout, id);
@@ -329,8 +351,44 @@
     }
 }
 
+void JobKeeper::resumeRunsOfReturnedVms(Time now)
+{
+    std::erase_if(lostVms_, [&](const std::string &vm) {
+        const VmTable::Row *row = vms_.find(vm);
+        if (row)
+            resumeRuns(vm, row->report.vm.incarnation, now);
+        return row != nullptr;
+    });
+}
+
+// Expects outcomes again from the pool of a VM that was taken for lost: its process is the same, so
+// its runs may go on. The pool may not have received its last batches, so these are resent.
+void JobKeeper::resumeRuns(const std::string &vm, uint64_t incarnation, Time now)
+{
+    for (auto &[number, partition] : partitions_) {
+        for (auto &[id, job] : partition->jobs()) {
+            for (StoredTask *task : job.tasksPlacedAt(vm)) {
+                if (task->poolIncarnation == incarnation)
+                    task->presumedEndAt = Time::max();
+            }
+        }
+    }
+    const auto isForVm = [&](const auto &entry) {
+        return entry.second.vm == vm && entry.second.batch.poolIncarnation == incarnation;
+    };
+    std::vector<BatchDelivery> deliveries;
+    for (const auto &entry : sentBatches_) {
+        if (isForVm(entry))
+            deliveries.push_back(entry.second);
+    }
+    std::erase_if(sentBatches_, isForVm);
+    for (BatchDelivery &delivery : deliveries)
+        sendBatch(std::move(delivery), now);
+}
+
 void JobKeeper::tick(Time now)
 {
+    resumeRunsOfReturnedVms(now);
     for (auto &[number, partition] : partitions_) {
         partition->tick(options_, now);
         stopClosedJobs(*partition, now);
@@ -350,7 +408,9 @@
             continue;
         }
         if (now >= closed->nextStopAt) {
-            closed->nextStopAt = now + stopResendInterval;
+            closed->stopInterval =
+                    std::clamp(closed->stopInterval * 2, initialStopInterval, maxStopInterval);
+            closed->nextStopAt = now + closed->stopInterval;
             const KeeperRef self {vms_.self().name, vms_.self().incarnation, partition.number(),
                                   partition.epoch()};
             for (const std::string &vm : pools)
@@ -368,12 +428,16 @@
                 actions_.emplace_back(std::move(*answer));
             else if (auto *confirmation = std::get_if<Partition::Confirmation>(&reply))
                 actions_.emplace_back(SendConfirm {confirmation->vm, confirmation->confirm});
+            else if (auto *delivery = std::get_if<BatchDelivery>(&reply))
+                onRestartStored(*partition, std::move(*delivery), now);
         }
-        while (auto call = partition->nextCall(now))
-            actions_.push_back(std::move(*call));
     }
     if (isPlacementDue_)
         placeWaitingJobs(now);
+    for (auto &[number, partition] : partitions_) {
+        while (auto call = partition->nextCall(now))
+            actions_.push_back(std::move(*call));
+    }
     answerDeferredQueries(now);
     return std::exchange(actions_, {});
 }
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -19,7 +19,16 @@
     std::string checkpoint {};
 
     // State known only to the current keeper.
+    // The latest run of the task that this keeper has started.
+    enum class OwnRun {
+        None,
+        Open,  // the run may still end, or has ended in a way that is not known
+        Ended, // it is known how the run has ended, or that it never started
+    };
+    OwnRun ownRun = OwnRun::None;
+    uint32_t sends = 0;  // number of times that the batch with the latest run was sent
     std::string pool {}; // name of the VM that was asked to start the task; empty: not running
+    uint64_t poolIncarnation = 0; // incarnation of that VM
     // Time at which the run is taken to have ended, because the VM of its pool is lost; Time::max()
     // while that VM is not lost.
     Time presumedEndAt = Time::max();
@@ -66,16 +75,13 @@
     // Applies the effects of a record.
     void apply(const TaskEnded &record);
     void apply(const JobCancelled &record);
+    void apply(const TasksRestarted &record);
 
     // Adds the occurrences that are due. Returns the time at which the next one is due, if any.
     std::optional<Time> openDueOccurrences(Time now);
     std::map<uint32_t, Occurrence> &occurrences() { return occurrences_; }
     const std::map<uint32_t, Occurrence> &occurrences() const { return occurrences_; }
     StoredTask *find(const TaskName &name);
-    bool isGang(const TaskName &name) const
-    {
-        return name.step < spec().steps.size() && spec().steps[name.step].isGang;
-    }
     // Returns the run of the task that has succeeded, or 0 if none has.
     uint32_t succeededRun(const TaskName &name) const;
     bool isStepReady(const Occurrence &occurrence, uint32_t step) const;
@@ -90,9 +96,15 @@
     bool mayEndSoon() const;
     // Returns the names of the VMs that were asked to start a task that has not ended.
     std::vector<std::string> pools() const;
+    // Returns the tasks whose runs the pool of a VM was asked to start.
+    std::vector<StoredTask *> tasksPlacedAt(const std::string &vm);
     // Returns the number of the next run of a task. It is higher than that of any run started by an
     // earlier keeper, including runs that are not in the journal.
     uint32_t nextRun(const StoredTask &task, uint64_t epoch) const;
+    // Returns whether the next run of the task must be in the journal before it starts: an earlier
+    // run may end without the knowledge of this keeper, or the number of the run is in the range of
+    // the next epoch.
+    bool needsRestartRecord(const StoredTask &task, uint64_t epoch) const;
     // Returns records from which the current state can be restored without any earlier record.
     std::vector<JournalRecord> snapshotRecords() const;
     void onSnapshotWritten(uint64_t offset) { firstOffset_ = offset; }
@@ -104,6 +116,7 @@
 
     bool hasStarted = false;
     Time nextStopAt {};
+    Duration stopInterval {}; // interval between the last stop and the next one
     // Unix time in milliseconds of the first record that is needed to restore the state.
     int64_t snapshotAtMs = 0;
 
@@ -112,6 +125,10 @@
     static void completeOccurrence(Occurrence &occurrence);
     void close(JobState state, int64_t timestampMs);
     Occurrence makeOccurrence() const;
+    // Returns the highest number of a run that keepers before the epoch start without a record.
+    uint32_t runsBefore(uint64_t epoch) const;
+    void openOccurrence(uint32_t number);
+    void addRestartRecords(uint32_t occurrence, std::vector<JournalRecord> &records) const;
 
     JobAccepted accepted_;
     uint64_t firstOffset_;
--- a/tests/keeper_world.h
+++ b/tests/keeper_world.h
@@ -103,16 +103,22 @@
     std::map<std::string, SimulatedTask> running;
     std::vector<TaskOutcome> unconfirmedOutcomes; // reported every 10 ms
     std::set<std::string> confirmedTasks;         // tasks whose success was confirmed
+    // Numbers of the runs whose failure was confirmed, by task.
+    std::map<std::string, std::set<uint32_t>> confirmedFailures;
     std::map<std::string, uint32_t> starts;
     std::map<std::string, uint32_t> lastRun;
     std::vector<TaskBatch> batches;
-    bool dropsBatches = false;      // batches do not reach the pool
+    bool dropsBatches = false; // batches do not reach the pool
+    bool ignoresStops = false; // stops do not reach the pool
+    std::vector<TaskBatch> droppedBatches;
+    uint32_t refusedTasks = 0;      // number of tasks for which the pool is still to report no room
     bool withholdsOutcomes = false; // the keeper gets no outcomes from the pool
     // Starts of tasks whose success was already confirmed, or was confirmed later for an earlier
     // run.
     uint64_t startsAfterConfirmation = 0;
     uint64_t supersededEnds = 0; // ends that may be acknowledged only after the lease
     uint64_t overlappingRuns = 0;
+    uint64_t stopCount = 0; // stops that the keeper has sent
 
     // Replaces the keeper by a new one that holds all partitions. The pool stops earlier runs.
     void takeOver()
@@ -130,6 +136,32 @@
         running.clear();
     }
 
+    // Another VM reports, with room for many tasks.
+    void reportVm(const std::string &vm, uint64_t incarnation)
+    {
+        VmReport report;
+        report.vm = {vm, "dc1", "10.0.0.2:1", incarnation};
+        report.sentAt = now;
+        report.loads = {{"work", 4, 100'000, 0, 100}};
+        vms.addReport(std::move(report), now);
+    }
+    // The keeper takes another VM for lost, whose runs go on.
+    void loseVm(const std::string &vm)
+    {
+        vms.remove(vm, now);
+        keeper->onVmLost(vm, now);
+    }
+
+    // The keeper takes the VM of the pool for lost. All runs there lapse.
+    void loseServers()
+    {
+        for (const auto &[task, run] : running)
+            unconfirmedOutcomes.push_back(
+                    {task, run.run, TaskOutcome::Kind::Ended, RunEnd::Lapsed, run.checkpoint});
+        running.clear();
+        keeper->onVmLost("vm1", now);
+    }
+
     static JobSpec makeJob(const std::string &id, std::vector<uint32_t> counts)
     {
         JobSpec job;
@@ -179,6 +211,12 @@
             return answer.kind == KeeperAnswer::Kind::Stored && answer.caller == callers.at(job);
         });
     }
+    // Returns the number of confirmed failures of a task before the start of its latest run.
+    size_t failuresBeforeLastStart(const std::string &task)
+    {
+        const std::set<uint32_t> &runs = confirmedFailures[task];
+        return static_cast<size_t>(std::distance(runs.begin(), runs.lower_bound(lastRun.at(task))));
+    }
     size_t count(KeeperAnswer::Kind kind) const
     {
         size_t count = 0;
@@ -250,14 +288,23 @@
     void execute(const KeeperAnswer &answer) { answers.push_back(answer); }
     void execute(const SendBatch &send)
     {
-        if (dropsBatches)
+        if (dropsBatches) {
+            droppedBatches.push_back(send.batch);
             return;
+        }
         batches.push_back(send.batch);
         for (const TaskStart &start : send.batch.tasks) {
             const std::string name = toString(TaskName {send.batch.job, send.batch.occurrence,
                                                         send.batch.stepNumber, start.index});
             if (lastRun.contains(name) && lastRun[name] >= start.run)
                 continue; // a resent batch
+            if (refusedTasks > 0) {
+                --refusedTasks;
+                lastRun[name] = start.run;
+                unconfirmedOutcomes.push_back(
+                        {name, start.run, TaskOutcome::Kind::NotStarted, RunEnd::Stopped, {}});
+                continue;
+            }
             startsAfterConfirmation += confirmedTasks.contains(name) ? 1 : 0;
             overlappingRuns += running.contains(name) ? 1 : 0;
             ++starts[name];
@@ -272,6 +319,9 @@
     }
     void execute(const SendStopJob &send)
     {
+        ++stopCount;
+        if (ignoresStops)
+            return;
         for (auto task = running.begin(); task != running.end();) {
             if (!task->first.starts_with(send.stop.job + ".")) {
                 ++task;
@@ -291,6 +341,9 @@
             if (isConfirmed && !send.confirm.isSuperseded && outcome.end == RunEnd::Succeeded
                 && outcome.kind == TaskOutcome::Kind::Ended)
                 recordConfirmedEnd(outcome);
+            if (isConfirmed && !send.confirm.isSuperseded && outcome.end == RunEnd::Failed
+                && outcome.kind == TaskOutcome::Kind::Ended)
+                confirmedFailures[outcome.task].insert(outcome.run);
             return isConfirmed;
         });
     }
