Make the servers of the soak as unhelpful as the protocol allows

The soak's servers answered starts, stops and refusals with their incarnation, which the protocol does not promise, used the Unix time as their clock, ended a run at the moment of its stop, and their entries showed a restart at once.

A restart leaves waiting polls without an answer, on closed or on open connections, and is seen in the entry at once or with the next heartbeat, every 1.4 to 1.6 s. What servers execute is written to servers.log, which traces of jobs include.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -121,7 +121,7 @@
                 jobs.insert(violation.job);
         }
         for (const std::string &job : jobs) {
-            for (const std::string &line : traceJob(fleet_, job))
+            for (const std::string &line : traceJob(fleet_, platform_.serverLog(), job))
                 fmt::print("trace: {}\n", line);
         }
         const ResponseCounts responses = callers_.responses();
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -3,7 +3,7 @@
 
 #include "options.h"
 #include "proxy.h"
-#include "servers.h"
+#include "server_entries.h"
 
 #include <memory>
 #include <vector>
@@ -14,15 +14,16 @@
 {
 public:
     Platform(const Options &options, boost::asio::io_context &proxies, Ledger &ledger)
-        : store_(threads_)
+        : log_(options.folder), store_(threads_), entries_(threads_, store_, log_, options.seed),
+          random_(options.seed)
     {
         for (uint32_t i = 0; i < options.servers; ++i) {
             const std::string dataCentre = dataCentreName(i % dataCentreCount(options));
-            servers_.push_back(std::make_unique<Server>(threads_, ledger, "e" + std::to_string(i),
-                                                        dataCentre));
+            servers_.push_back(std::make_unique<Server>(
+                    threads_, ledger, log_, "e" + std::to_string(i), dataCentre, random_.next()));
             serverProxies_.push_back(std::make_unique<Proxy>(proxies, loopback(0),
                                                              loopback(servers_.back()->port())));
-            registerServer(i);
+            entries_.add(*servers_.back(), serverProxies_.back()->port());
         }
         publishConfig();
     }
@@ -31,14 +32,30 @@
     Platform &operator=(const Platform &) = delete;
 
     uint16_t storePort() const { return store_.endpoint().port; }
-    test::FakeStore &store() { return store_; }
     size_t serverCount() const { return servers_.size(); }
+    Server &server(size_t server) { return *servers_[server]; }
     Proxy &serverProxy(size_t server) { return *serverProxies_[server]; }
+    ServerEntries &entries() { return entries_; }
+    const ServerLog &serverLog() const { return log_; }
 
+    void crashServer(size_t server)
+    {
+        const bool isSilent = random_.unit() < 0.5;
+        servers_[server]->crash(isSilent);
+        if (!isSilent)
+            serverProxies_[server]->reset();
+    }
+    // The new incarnation writes its entry immediately or with the next heartbeat.
+    void bootServer(size_t server)
+    {
+        servers_[server]->boot();
+        if (random_.unit() < 0.5)
+            entries_.refresh(server);
+    }
     void restartServer(size_t server)
     {
-        servers_[server]->restart();
-        registerServer(server);
+        crashServer(server);
+        bootServer(server);
     }
     void publishConfig()
     {
@@ -50,14 +67,11 @@
     }
 
 private:
-    void registerServer(size_t server)
-    {
-        store_.put("keyed.servers", servers_[server]->id(),
-                   servers_[server]->storeRecord(serverProxies_[server]->port()));
-    }
-
     IoThreads threads_ {1};
+    ServerLog log_;
     test::FakeStore store_;
+    ServerEntries entries_;
+    Random random_; // used by the thread that injects the faults
     std::vector<std::unique_ptr<Server>> servers_;
     std::vector<std::unique_ptr<Proxy>> serverProxies_;
     uint64_t configVersion_ = 0;
--- a/tests/soak/process_faults.h
+++ b/tests/soak/process_faults.h
@@ -78,8 +78,8 @@
         case 6:
             return platform_.serverProxy(choice.server).reset(), FaultTarget {server};
         case 7:
-            platform_.store().setDown(true);
-            schedule_.runAfter(choice.time, [this] { platform_.store().setDown(false); });
+            platform_.entries().setStoreDown(true);
+            schedule_.runAfter(choice.time, [this] { platform_.entries().setStoreDown(false); });
             return {"store", choice.time};
         case 8:
             return platform_.restartServer(choice.server), FaultTarget {server};
