--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -4,6 +4,9 @@
 #include "ledger.h"
 #include "network_faults.h"
 #include "process_faults.h"
+#include "server_faults.h"
+
+#include <algorithm>
 
 namespace lovage::soak {
 
@@ -11,8 +14,9 @@
 {
 public:
     FaultInjector(const Options &options, Fleet &fleet, Platform &platform)
-        : options_(options), fleet_(fleet), random_(options.seed),
-          processFaults_(fleet, platform, schedule_), networkFaults_(options, fleet, schedule_)
+        : options_(options), fleet_(fleet), random_(options.seed), serverRandom_(~options.seed),
+          processFaults_(fleet, platform, schedule_), networkFaults_(options, fleet, schedule_),
+          serverFaults_(platform, schedule_)
     { }
 
     // Injects faults until the duration of the soak has passed. Faults that are still in force then
@@ -22,9 +26,11 @@
         const Time end = currentTime() + std::chrono::seconds(options_.seconds);
         while (currentTime() < end) {
             schedule_.wait(std::chrono::milliseconds(100 + static_cast<int>(random_.below(900))));
-            inject(processFaults_);
+            inject(processFaults_, random_);
             if (options_.hasNetworkFaults && random_.unit() < networkFaultShare)
-                inject(networkFaults_);
+                inject(networkFaults_, random_);
+            if (options_.hasServerFaults)
+                injectServerFaults();
             fleet_.startAll();
         }
     }
@@ -37,11 +43,21 @@
 
 private:
     static constexpr double networkFaultShare = 0.6; // network faults per process fault
+    static constexpr double serverFaultShare = 0.6;  // faults of 8 servers per process fault
 
+    // The number of faults grows with the number of servers.
+    void injectServerFaults()
+    {
+        constexpr uint32_t serversPerFault = 8;
+        for (uint32_t i = 0; i < std::max(1U, options_.servers / serversPerFault); ++i) {
+            if (serverRandom_.unit() < serverFaultShare)
+                inject(serverFaults_, serverRandom_);
+        }
+    }
     template<typename Faults>
-    void inject(Faults &faults)
+    void inject(Faults &faults, Random &random)
     {
-        const auto choice = faults.choose(random_);
+        const auto choice = faults.choose(random);
         const std::string name(faults.nameOf(choice));
         if (options_.excludedFaults.contains(name))
             return;
@@ -55,9 +71,13 @@
     const Options &options_;
     Fleet &fleet_;
     Random random_;
+    // Faults of servers have a generator of their own, so that they don't change the other faults
+    // of a seed.
+    Random serverRandom_;
     Schedule schedule_;
     ProcessFaults processFaults_;
     NetworkFaults networkFaults_;
+    ServerFaults serverFaults_;
     uint64_t faultCount_ = 0;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -20,6 +20,9 @@
 ABSL_FLAG(uint32_t, callers, 8, "number of concurrent callers");
 ABSL_FLAG(double, stored_share, 0.5, "share of the jobs that are stored, 0 to 1");
 ABSL_FLAG(bool, network, false, "also inject faults between VMs, callers and the store");
+ABSL_FLAG(
+        bool, server_faults, false,
+        "also inject late calls, restarts in quick succession and odd entries of backend servers");
 ABSL_FLAG(std::vector<std::string>, except, {}, "names of faults that are not injected");
 ABSL_FLAG(std::string, folder, "/tmp/lovage-soak",
           "folder for the settings and logs of the daemons");
@@ -156,6 +159,7 @@
     options.callers = absl::GetFlag(FLAGS_callers);
     options.storedShare = absl::GetFlag(FLAGS_stored_share);
     options.hasNetworkFaults = absl::GetFlag(FLAGS_network);
+    options.hasServerFaults = absl::GetFlag(FLAGS_server_faults);
     const auto excluded = absl::GetFlag(FLAGS_except);
     options.excludedFaults = {excluded.begin(), excluded.end()};
     return options;
--- a/tests/soak/options.h
+++ b/tests/soak/options.h
@@ -18,6 +18,7 @@
     uint32_t callers = 8;
     double storedShare = 0.5; // share of the jobs that are stored
     bool hasNetworkFaults = false;
+    bool hasServerFaults = false;
     std::set<std::string> excludedFaults; // names of faults that are not injected
 
     auto operator<=>(const Options &) const = default;
