--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -15,7 +15,8 @@
 public:
     Platform(const Options &options, boost::asio::io_context &proxies, Ledger &ledger)
         : log_(options.folder), store_(threads_), entries_(threads_, store_, log_, options.seed),
-          random_(options.seed)
+          random_(options.seed),
+          mayClocksStep_(options.hasServerFaults && !options.excludedFaults.contains(clockBack))
     {
         for (uint32_t i = 0; i < options.servers; ++i) {
             const std::string dataCentre = dataCentreName(i % dataCentreCount(options));
@@ -48,7 +49,7 @@
     // The new incarnation writes its entry immediately or with the next heartbeat.
     void bootServer(size_t server)
     {
-        servers_[server]->boot();
+        servers_[server]->boot(mayClocksStep_ && random_.unit() < clockStepShare);
         if (random_.unit() < 0.5)
             entries_.refresh(server);
     }
@@ -67,11 +68,16 @@
     }
 
 private:
+    // Name of the fault that a server restarts after its wall clock was set back.
+    static constexpr const char *clockBack = "clock-back";
+    static constexpr double clockStepShare = 0.1; // of the restarts
+
     IoThreads threads_ {1};
     ServerLog log_;
     test::FakeStore store_;
     ServerEntries entries_;
     Random random_; // used by the thread that injects the faults
+    bool mayClocksStep_;
     std::vector<std::unique_ptr<Server>> servers_;
     std::vector<std::unique_ptr<Proxy>> serverProxies_;
     uint64_t configVersion_ = 0;
--- a/tests/soak/servers.h
+++ b/tests/soak/servers.h
@@ -90,8 +90,9 @@
                              finished_.size(), isSilent));
         running_.clear();
     }
-    // Starts the next incarnation. The start time that it reports is later than before.
-    void boot()
+    // Starts the next incarnation. The start time that it reports is later than before, unless the
+    // server's wall clock was set back.
+    void boot(bool isClockSetBack)
     {
         const std::lock_guard lock(mutex_);
         if (isUp_)
@@ -103,7 +104,9 @@
         fencingToken_ = 0;
         leaseUntilMs_ = 0;
         clock_ = ServerClock(random_.unit() * ServerClock::maxSlowness);
-        startedAtMs_ = std::max(startedAtMs_ + 1, nowMs());
+        startedAtMs_ = isClockSetBack
+                ? startedAtMs_ - 1 - static_cast<int64_t>(random_.below(maxClockStepMs))
+                : std::max(startedAtMs_ + 1, nowMs());
         isUp_ = true;
         log_.add(id_, "server-started", fmt::format("born={}", startedAtMs_));
     }
@@ -133,6 +136,7 @@
     };
 
     static constexpr int64_t advanceIntervalMs = 5;
+    static constexpr uint64_t maxClockStepMs = 5000;
     // Time for which a connection stays open on which nothing is answered.
     static constexpr std::chrono::seconds silenceTime {6};
 
