--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -3,6 +3,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace lovage {
 
 using pool::Run;
@@ -15,11 +17,13 @@
 constexpr Duration fullServerBackoff = std::chrono::milliseconds(30);
 // Time without new work for a server that is unhealthy or could not be reached.
 constexpr Duration unhealthyServerBackoff = std::chrono::milliseconds(200);
+// Delay before a stop is sent again that another server has rejected.
+constexpr Duration rejectedStopDelay = std::chrono::milliseconds(100);
 
 } // namespace
 
-void Pool::Implementation::onStartAnswered(const RunRef &ref, OrderResult result,
-                                           const ServerReading &reading, Time now)
+void Pool::Implementation::onStartAnswered(const RunRef &ref, OrderResult result, ServerClock clock,
+                                           Time now)
 {
     const auto found = servers_.find(ref.server);
     if (found == servers_.end())
@@ -29,25 +33,17 @@
         logEvent("start-answered", {},
                  fmt::format("task={} run={} server={} result={}", ref.task, ref.run, ref.server,
                              toString(result)));
-    if (result == OrderResult::OtherIncarnation) {
-        onServerReplaced(server, now);
-        if (server.findRun(ref))
-            requeue(ref.task, server.remove(ref.task), now);
-        return;
-    }
-    const bool isCurrentIncarnation = checkIncarnation(server, reading, now);
     Run *run = server.findRun(ref);
-    if (!isCurrentIncarnation && reading.incarnation.value_or(0) < server.info().incarnation) {
-        // If the order was executed, then by an incarnation that has ended.
-        if (run)
-            requeue(ref.task, server.remove(ref.task), now);
+    if (!run) {
+        if (result == OrderResult::Done && server.ownership != pool::Ownership::None
+            && server.isCancelledStart(ref))
+            stopForeignRun(server, ref.task, ref.run, now);
         return;
     }
-    server.updateClock(reading, now);
-    if (!run)
-        return;
+    run->isClockKnown =
+            server.provesIncarnation(clock, now) && !server.contradictsClock(clock, run->orderedAt);
+    noteClock(server, clock, run->orderedAt, now);
     if (result == OrderResult::Done) {
-        server.onStartExecuted(run->orderedAt);
         run->confirmedAt = now;
         if (run->state != RunState::Stopping)
             run->state = RunState::Running;
@@ -55,11 +51,17 @@
     }
     if (result == OrderResult::Unknown) {
         ++counters_.startsUnanswered;
+        server.onOrderUnanswered(run->orderedAt);
         if (run->state == RunState::Starting)
             run->state = RunState::Unconfirmed;
         server.nextPollAt = now;
         return;
     }
+    if (run->isListed)
+        return; // the list is the surer evidence
+    if (result == OrderResult::OtherServer && server.replacedDelay == Duration::zero())
+        server.requireList(now);
+    run->isRefused = true;
     // The server has not started the run and will not do so without a new order.
     ++counters_.startsRejected;
     const Run ended = server.remove(ref.task);
@@ -91,8 +93,8 @@
     requeue(ref.task, ended, now);
 }
 
-void Pool::Implementation::onStopAnswered(const RunRef &ref, OrderResult result,
-                                          const ServerReading &reading, Time now)
+void Pool::Implementation::onStopAnswered(const RunRef &ref, OrderResult result, ServerClock clock,
+                                          Time now)
 {
     const auto found = servers_.find(ref.server);
     if (found == servers_.end())
@@ -105,20 +107,25 @@
         onServerLost(server, "fenced", now);
         return;
     }
-    if (result == OrderResult::OtherIncarnation) {
-        onServerReplaced(server, now);
+    if (result == OrderResult::OtherServer) {
+        if (server.replacedDelay == Duration::zero())
+            server.requireList(now);
+        if (run)
+            run->nextStopAt = now + std::max(server.replacedDelay, rejectedStopDelay);
         return;
     }
     if (result == OrderResult::Unknown || result == OrderResult::NotSent
         || result == OrderResult::Unhealthy)
         return;
-    if (!checkIncarnation(server, reading, now))
+    server.nextPollAt = now;
+    if (!run)
         return;
-    server.updateClock(reading, now);
-    run = server.findRun(ref);
-    if (run && run->stopConfirmedAt == Time {})
+    noteClock(server, clock, run->stopSentAt, now);
+    // A stop that was sent before the incarnation was known may have met the previous one.
+    if (run->stopSentTo != server.incarnationCount())
+        run->nextStopAt = now;
+    else if (run->stopConfirmedAt == Time {})
         run->stopConfirmedAt = now;
-    server.nextPollAt = now;
 }
 
 } // namespace lovage
--- a/tests/fleet_servers.h
+++ b/tests/fleet_servers.h
@@ -30,7 +30,7 @@
 class FleetServers
 {
 public:
-    using StartCallback = std::function<void(OrderResult, ServerReading)>;
+    using StartCallback = std::function<void(OrderResult, ServerClock)>;
     using PollCallback = std::function<void(PollReply)>;
 
     FleetServers(VirtualTime &time, VirtualNetwork &network) : time_(time), network_(network)
@@ -54,6 +54,7 @@
         info.address = "10.9.9.9:1";
         info.capacity = {milliCores, 1U << 20, 0};
         info.incarnation = 1;
+        entry.server.startedAt = entry.clock->now() - std::chrono::minutes(10);
     }
     std::vector<ServerInfo> infos() const
     {
@@ -107,7 +108,7 @@
         auto call = std::make_shared<Call>();
         time_.scheduleAfter(order.timeout, [call, order, done] {
             if (!std::exchange(call->isOver, true))
-                done({order.server, OrderResult::Unknown, {}, {}, {}});
+                done(unansweredPoll(order.server));
         });
         const HostId host = hostOf(order.server);
         if (!network_.isOpen(from, host))
@@ -115,8 +116,8 @@
         time_.scheduleAfter(network_.delay(from, host), [this, from, order, done, call] {
             Entry &entry = servers_.at(order.server);
             entry.server.advance(entry.clock->now());
-            if (entry.server.checkOrder(order.token, 0) == OrderResult::Done)
-                entry.server.executePoll(order);
+            if (entry.server.checkOrder(order.token) == OrderResult::Done)
+                entry.server.executePoll(order, entry.clock->now());
             entry.polls.push_back(
                     {order, from, time_.now() + order.wait, [call, done](const PollReply &reply) {
                          if (!std::exchange(call->isOver, true))
@@ -126,6 +127,13 @@
     }
 
 private:
+    static PollReply unansweredPoll(const std::string &server)
+    {
+        PollReply reply;
+        reply.server = server;
+        return reply;
+    }
+
     struct Call
     {
         bool isOver = false;
@@ -178,12 +186,12 @@
                 network_.delay(from, host), [this, from, host, id, execute, done, call] {
                     Entry &entry = servers_.at(id);
                     const OrderResult result = execute(entry);
-                    const ServerReading reading = entry.server.readingAt(entry.clock->now());
+                    const ServerClock clock = entry.server.clockAt(entry.clock->now());
                     if (!network_.isOpen(host, from))
                         return;
-                    time_.scheduleAfter(network_.delay(host, from), [call, done, result, reading] {
+                    time_.scheduleAfter(network_.delay(host, from), [call, done, result, clock] {
                         if (!std::exchange(call->isOver, true))
-                            done(result, reading);
+                            done(result, clock);
                     });
                 });
     }
@@ -193,13 +201,12 @@
         SimulatedServer &server = entry.server;
         const Time now = entry.clock->now();
         server.advance(now);
-        const OrderResult result = server.checkOrder(order.token, order.incarnation);
+        const OrderResult result = server.checkOrder(order.token);
         if (result != OrderResult::Done)
             return result;
-        const Time lease = fromUnixMillis(order.leaseUntilMs);
-        if (lease <= now)
+        if (server.isLate(order, now))
             return OrderResult::Late;
-        server.leaseUntil = std::max(server.leaseUntil, lease);
+        server.extendLease(order.leaseUntilMs, now);
         const auto ended = server.highestEndedRuns.find(order.ref.task);
         if (ended != server.highestEndedRuns.end() && ended->second >= order.ref.run)
             return OrderResult::Superseded;
@@ -230,7 +237,7 @@
     OrderResult execute(Entry &entry, const OrderStop &order)
     {
         SimulatedServer &server = entry.server;
-        const OrderResult result = server.checkOrder(order.token, 0);
+        const OrderResult result = server.checkOrder(order.token);
         if (result != OrderResult::Done)
             return result;
         auto &highest = server.highestEndedRuns[order.ref.task];
@@ -262,8 +269,7 @@
     {
         PollReply reply;
         reply.server = poll.order.server;
-        reply.result = entry.server.checkOrder(poll.order.token, 0);
-        reply.reading = entry.server.readingAt(entry.clock->now());
+        reply.result = entry.server.checkOrder(poll.order.token);
         if (reply.result == OrderResult::Done)
             entry.server.listRuns(reply, entry.clock->now());
         if (network_.isOpen(entry.host, poll.from))
