Show refusals that refuse nothing, and an entry that hides a server for 10 s

- unexpected_status_does_not_refuse_an_order: the adapter reports 500, 502 and 504 as Invalid.
The pool takes this for a start that was not executed, and for a stop that was confirmed.
Callers of stored jobs would see a second run of a task whose first start was executed.
- server_is_used_again_after_an_entry_with_a_wrong_zone: after one entry that names another zone, the server's own next entry is not read for 10 s, and the server gets no work.

--- a/tests/pool_review_test.cpp
+++ b/tests/pool_review_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE pool_review
 #include "executors.h"
 #include "pool_world.h"
+#include "server_list.h"
 
 #include "lovage/net.h"
 
@@ -295,3 +296,75 @@
     BOOST_TEST(reply.ended.size() == maxListedEnds);
     BOOST_TEST(!reply.areEndsComplete);
 }
+
+namespace {
+
+// A server that answers every order in the same way.
+struct AnsweringServer
+{
+    AnsweringServer(int status, std::string body)
+    {
+        auto listening =
+                HttpServer::listen(threads, {"127.0.0.1", 0}, {},
+                                   [status, body](const HttpRequest &, HttpServer::Reply reply) {
+                                       reply({status, "application/json", {}, body});
+                                   });
+        server = std::move(listening.value());
+    }
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", server->port()); }
+    OrderResult start()
+    {
+        platform::ExecutorClient client(threads, seconds(1));
+        OrderStart order;
+        order.ref = {"a", "job.0.0.0", 1};
+        order.address = address();
+        std::promise<OrderResult> answered;
+        client.start(order, [&](OrderResult result, ServerClock) { answered.set_value(result); });
+        return answered.get_future().get();
+    }
+    OrderResult stop()
+    {
+        platform::ExecutorClient client(threads, seconds(1));
+        std::promise<OrderResult> answered;
+        client.stop({{"a", "job.0.0.0", 1}, address(), 1},
+                    [&](OrderResult result, ServerClock) { answered.set_value(result); });
+        return answered.get_future().get();
+    }
+
+    IoThreads threads {1};
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace
+
+// Guards against a second start of a task after an answer that does not say whether the first start
+// was executed.
+BOOST_AUTO_TEST_CASE(unexpected_status_does_not_refuse_an_order)
+{
+    for (const int status : {500, 502, 504}) {
+        AnsweringServer server(status, "");
+        BOOST_TEST((server.start() == OrderResult::Unknown), "start, status " << status);
+        BOOST_TEST((server.stop() == OrderResult::Unknown), "stop, status " << status);
+    }
+}
+
+// Guards against a live server that is out of use for seconds after one entry of another writer
+// named another zone.
+BOOST_AUTO_TEST_CASE(server_is_used_again_after_an_entry_with_a_wrong_zone)
+{
+    const auto entry = [](const std::string &zone, int seq) {
+        return fmt::format(
+                R"({{"service":"s","address":"127.0.0.1:80","zone":"{}","state":"ready",)"
+                R"("capacity":{{"cpu":1000,"mem_mb":1000}},"born":1,"seq":{}}})",
+                zone, seq);
+    };
+    platform::ServerList list("z");
+    Time now = fromUnixMillis(1'700'000'000'000);
+    BOOST_TEST_REQUIRE(list.update({{"a", entry("z", 1)}}, now)->size() == 1U);
+    now += milliseconds(100);
+    list.update({{"a", entry("elsewhere", 2)}}, now);
+    now += milliseconds(100);
+    const auto servers = list.update({{"a", entry("z", 3)}}, now);
+    BOOST_TEST((servers && servers->size() == 1U));
+}
