Show that a list without an incarnation ends the runs of a server

Tests only; list_that_names_no_incarnation_ends_no_run fails on the logic of: the task of a run that the list shows starts a second time on another server. Servers always name their incarnation, so callers see this only if a list is odd.

--- a/tests/pool_review_test.cpp
+++ b/tests/pool_review_test.cpp
@@ -74,14 +74,7 @@
     SteppedPool()
     {
         pool.expectStoredJobs(false);
-        ServerInfo info;
-        info.id = "a";
-        info.service = "work";
-        info.dataCentre = "dc1";
-        info.address = "10.0.0.1:1";
-        info.capacity = {64000, 1U << 20, 0};
-        info.incarnation = 1;
-        pool.setServers({info}, now);
+        pool.setServers({makeInfo("a", "10.0.0.1:1")}, now);
         ShardGrants grants;
         for (uint32_t shard = 0; shard < PoolOptions {}.shardCount; ++shard)
             grants[shard] = {1, false};
@@ -89,6 +82,17 @@
         execute();
     }
 
+    static ServerInfo makeInfo(const std::string &id, const std::string &address)
+    {
+        ServerInfo info;
+        info.id = id;
+        info.service = "work";
+        info.dataCentre = "dc1";
+        info.address = address;
+        info.capacity = {64000, 1U << 20, 0};
+        info.incarnation = 1;
+        return info;
+    }
     void execute()
     {
         for (PoolAction &action : pool.takeActions(now)) {
@@ -108,13 +112,14 @@
         pool.onStartAnswered(starts.at(index).ref, OrderResult::Done, clockMs, now);
         execute();
     }
-    void answerPoll(int64_t clockMs, std::vector<RunningRow> running)
+    void answerPoll(int64_t clockMs, std::vector<RunningRow> running,
+                    const std::string &server = "a", std::optional<uint64_t> incarnation = 1)
     {
         PollReply reply;
-        reply.server = "a";
+        reply.server = server;
         reply.result = OrderResult::Done;
         reply.clock = clockMs;
-        reply.incarnation = 1;
+        reply.incarnation = incarnation;
         reply.running = std::move(running);
         pool.onPollAnswered(reply, now);
         execute();
@@ -226,6 +231,26 @@
     BOOST_TEST(starts.size() == 3U);
 }
 
+// Guards against the end of all runs of a server by a list that does not name its incarnation.
+BOOST_FIXTURE_TEST_CASE(list_that_names_no_incarnation_ends_no_run, SteppedPool)
+{
+    now += microseconds(300);
+    answerPoll(600'000, {});
+    offer("job1");
+    BOOST_TEST_REQUIRE(starts.size() == 1U);
+    now += milliseconds(1);
+    answerStart(0, 600'001);
+    pool.setServers({makeInfo("a", "10.0.0.1:1"), makeInfo("b", "10.0.0.1:2")}, now);
+    execute();
+    now += milliseconds(1);
+    answerPoll(600'002, {}, "b");
+    now += milliseconds(20);
+    answerPoll(600'022, {{"job1.0.0.0", 1, 20, {}}});
+    now += milliseconds(20);
+    answerPoll(600'042, {{"job1.0.0.0", 1, 40, {}}}, "a", std::nullopt);
+    BOOST_TEST(starts.size() == 1U);
+}
+
 // Guards against waiting for the longest delay of an order because of an unanswered poll that had
 // asked for no lease.
 BOOST_FIXTURE_TEST_CASE(unanswered_poll_without_a_lease_delays_no_restart, TwoServers)
