--- a/tests/pool_review_test.cpp
+++ b/tests/pool_review_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE pool_review
 #include "executors.h"
 #include "pool_world.h"
+#include "server_list.h"
 
 #include "lovage/net.h"
 
@@ -73,14 +74,7 @@
     SteppedPool()
     {
         pool.expectStoredJobs(false);
-        ServerInfo info;
-        info.id = "a";
-        info.service = "work";
-        info.dataCentre = "dc1";
-        info.address = "10.0.0.1:1";
-        info.capacity = {64000, 1U << 20, 0};
-        info.incarnation = 1;
-        pool.setServers({info}, now);
+        pool.setServers({makeInfo("a", "10.0.0.1:1")}, now);
         ShardGrants grants;
         for (uint32_t shard = 0; shard < PoolOptions {}.shardCount; ++shard)
             grants[shard] = {1, false};
@@ -88,6 +82,17 @@
         execute();
     }
 
+    static ServerInfo makeInfo(const std::string &id, const std::string &address)
+    {
+        ServerInfo info;
+        info.id = id;
+        info.service = "work";
+        info.dataCentre = "dc1";
+        info.address = address;
+        info.capacity = {64000, 1U << 20, 0};
+        info.incarnation = 1;
+        return info;
+    }
     void execute()
     {
         for (PoolAction &action : pool.takeActions(now)) {
@@ -107,13 +112,14 @@
         pool.onStartAnswered(starts.at(index).ref, OrderResult::Done, clockMs, now);
         execute();
     }
-    void answerPoll(int64_t clockMs, std::vector<RunningRow> running)
+    void answerPoll(int64_t clockMs, std::vector<RunningRow> running,
+                    const std::string &server = "a", std::optional<uint64_t> incarnation = 1)
     {
         PollReply reply;
-        reply.server = "a";
+        reply.server = server;
         reply.result = OrderResult::Done;
         reply.clock = clockMs;
-        reply.incarnation = 1;
+        reply.incarnation = incarnation;
         reply.running = std::move(running);
         pool.onPollAnswered(reply, now);
         execute();
@@ -225,6 +231,26 @@
     BOOST_TEST(starts.size() == 3U);
 }
 
+// Guards against the end of all runs of a server by a list that does not name its incarnation.
+BOOST_FIXTURE_TEST_CASE(list_that_names_no_incarnation_ends_no_run, SteppedPool)
+{
+    now += microseconds(300);
+    answerPoll(600'000, {});
+    offer("job1");
+    BOOST_TEST_REQUIRE(starts.size() == 1U);
+    now += milliseconds(1);
+    answerStart(0, 600'001);
+    pool.setServers({makeInfo("a", "10.0.0.1:1"), makeInfo("b", "10.0.0.1:2")}, now);
+    execute();
+    now += milliseconds(1);
+    answerPoll(600'002, {}, "b");
+    now += milliseconds(20);
+    answerPoll(600'022, {{"job1.0.0.0", 1, 20, {}}});
+    now += milliseconds(20);
+    answerPoll(600'042, {{"job1.0.0.0", 1, 40, {}}}, "a", std::nullopt);
+    BOOST_TEST(starts.size() == 1U);
+}
+
 // Guards against waiting for the longest delay of an order because of an unanswered poll that had
 // asked for no lease.
 BOOST_FIXTURE_TEST_CASE(unanswered_poll_without_a_lease_delays_no_restart, TwoServers)
@@ -295,3 +321,75 @@
     BOOST_TEST(reply.ended.size() == maxListedEnds);
     BOOST_TEST(!reply.areEndsComplete);
 }
+
+namespace {
+
+// A server that answers every order in the same way.
+struct AnsweringServer
+{
+    AnsweringServer(int status, std::string body)
+    {
+        auto listening =
+                HttpServer::listen(threads, {"127.0.0.1", 0}, {},
+                                   [status, body](const HttpRequest &, HttpServer::Reply reply) {
+                                       reply({status, "application/json", {}, body});
+                                   });
+        server = std::move(listening.value());
+    }
+
+    std::string address() const { return fmt::format("127.0.0.1:{}", server->port()); }
+    OrderResult start()
+    {
+        platform::ExecutorClient client(threads, seconds(1));
+        OrderStart order;
+        order.ref = {"a", "job.0.0.0", 1};
+        order.address = address();
+        std::promise<OrderResult> answered;
+        client.start(order, [&](OrderResult result, ServerClock) { answered.set_value(result); });
+        return answered.get_future().get();
+    }
+    OrderResult stop()
+    {
+        platform::ExecutorClient client(threads, seconds(1));
+        std::promise<OrderResult> answered;
+        client.stop({{"a", "job.0.0.0", 1}, address(), 1},
+                    [&](OrderResult result, ServerClock) { answered.set_value(result); });
+        return answered.get_future().get();
+    }
+
+    IoThreads threads {1};
+    std::unique_ptr<HttpServer> server;
+};
+
+} // namespace
+
+// Guards against a second start of a task after an answer that does not say whether the first start
+// was executed.
+BOOST_AUTO_TEST_CASE(unexpected_status_does_not_refuse_an_order)
+{
+    for (const int status : {500, 502, 504}) {
+        AnsweringServer server(status, "");
+        BOOST_TEST((server.start() == OrderResult::Unknown), "start, status " << status);
+        BOOST_TEST((server.stop() == OrderResult::Unknown), "stop, status " << status);
+    }
+}
+
+// Guards against a live server that is out of use for seconds after one entry of another writer
+// named another zone.
+BOOST_AUTO_TEST_CASE(server_is_used_again_after_an_entry_with_a_wrong_zone)
+{
+    const auto entry = [](const std::string &zone, int seq) {
+        return fmt::format(
+                R"({{"service":"s","address":"127.0.0.1:80","zone":"{}","state":"ready",)"
+                R"("capacity":{{"cpu":1000,"mem_mb":1000}},"born":1,"seq":{}}})",
+                zone, seq);
+    };
+    platform::ServerList list("z");
+    Time now = fromUnixMillis(1'700'000'000'000);
+    BOOST_TEST_REQUIRE(list.update({{"a", entry("z", 1)}}, now)->size() == 1U);
+    now += milliseconds(100);
+    list.update({{"a", entry("elsewhere", 2)}}, now);
+    now += milliseconds(100);
+    const auto servers = list.update({{"a", entry("z", 3)}}, now);
+    BOOST_TEST((servers && servers->size() == 1U));
+}
