--- a/tests/pool_outcome_test.cpp
+++ b/tests/pool_outcome_test.cpp
@@ -13,14 +13,13 @@
     constexpr Duration orderDelay = milliseconds(600);
     PoolWorld world;
     world.addServer("a", 32000);
-    world.checksIncarnation = false;
     world.runTimeOf = [](const std::string &) { return Duration(milliseconds(800)); };
     world.begin();
     OrderDelivery delivery {false, orderDelay};
     world.delivery = [&delivery](const std::string &) { return std::exchange(delivery, {}); };
     world.startBatch(PoolWorld::makeBatch("job1", 1, 14000));
     world.runFor(orderDelay - milliseconds(2));
-    world.servers.at("a").restart();
+    world.servers.at("a").restart(world.now);
     world.runFor(milliseconds(100));
     BOOST_REQUIRE(world.starts == 1U);
     BOOST_TEST(world.outcomesOf(TaskOutcome::Kind::NotStarted) == 0U);
