--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -65,7 +65,7 @@
 bool LeasedServer::tryReleaseSupersededEnds(Time now)
 {
     if (lapseAt_ == Time {})
-        lapseAt_ = latestLeaseEnd(now, options_.lease);
+        lapseAt_ = now + longestLease();
     if (now <= lapseAt_)
         return false;
     for (const uint64_t end : std::exchange(supersededEnds_, {}))
@@ -121,11 +121,11 @@
         lateLeaseEnd_ = unansweredLeaseSentAt_ + maxOrderDelay + longestLease();
 }
 
-void LeasedServer::requireList(Time now)
+bool LeasedServer::requireList(Time now)
 {
-    isListRequired_ = true;
     listRequiredAt_ = now;
     nextPollAt = std::min(nextPollAt, now);
+    return !std::exchange(isListRequired_, true);
 }
 
 bool LeasedServer::contradictsClock(ServerClock clock, Time orderSentAt) const
@@ -216,7 +216,7 @@
 
 bool LeasedServer::hasLapsed(const Run &run, Time now) const
 {
-    if (run.isListed || run.isClockKnown)
+    if (run.isListed || run.isIncarnationProven)
         return now > std::max(leaseEnd(), lateLeaseEnd_);
     return now > leaseSentAt_ + maxOrderDelay + longestLease();
 }
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -47,8 +47,9 @@
     // Whether a list of the current incarnation has shown the run. Until then it is not known which
     // incarnation executes it.
     bool isListed = false;
-    // Whether the clock in the answer to the start is one that no later incarnation can show.
-    bool isClockKnown = false;
+    // Whether the clock in the answer to the start proves that the incarnation known then has
+    // executed it.
+    bool isIncarnationProven = false;
     Duration expected {};        // predicted run time on this server
     bool isSlowRecorded = false; // whether the run counted against the speed of the server
     uint32_t percent = 0;        // percentage of its work that is done, as of the latest poll
@@ -125,7 +126,7 @@
     int64_t leaseForPoll(Time now, Time limit);
     // Extends the known end of the lease after a list has shown a run. Unless the run was ordered
     // from the incarnation that lists it, its lease is not known and may be the longest one.
-    void onRunListed(Time orderedAt, Time now)
+    void extendUnknownLease(Time orderedAt, Time now)
     {
         if (orderedAt <= incarnationKnownAt_)
             startLeaseEnd_ = std::max(startLeaseEnd_, now + longestLease());
@@ -191,11 +192,10 @@
     // Clears the state that belongs to the incarnation.
     void resetIncarnationState();
     // Demands a list of runs before new runs are ordered, because another incarnation may be alive
-    // than the known one.
-    void requireList(Time now);
+    // than the known one. Returns false if a list is demanded already.
+    bool requireList(Time now);
     // Notes the answer to a poll for a list.
     void onListed(Time sentAt) { isListRequired_ = isListRequired_ && sentAt < listRequiredAt_; }
-    bool isListRequired() const { return isListRequired_; }
     // Records a start that was not answered and then stopped. The server refuses such a start if it
     // arrives late, but a new incarnation of the server does not.
     void recordCancelledStart(const std::string &task, uint32_t run, Time now);
@@ -246,8 +246,8 @@
     Duration leaseWithin(Time now, Time limit) const;
     int64_t leaseUntilMs(Time now, Duration lease) const;
 
-    // Latest possible end of the lease as extended by start orders, by polls including the pending
-    // one, and by polls without the pending one.
+    // Latest possible end of the lease as extended by start orders or before the incarnation was
+    // known, by polls including the pending one, and by polls without the pending one.
     Time startLeaseEnd_ {};
     Time pollLeaseEnd_ {};
     Time committedPollLeaseEnd_ {};
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -114,6 +114,8 @@
                  Time now);
     void onRunSucceeded(Server &server, const pool::Run &run, Time now);
     void onRunFailed(Server &server, const pool::Run &run, Time now);
+    void onStartRefused(Server &server, const RunRef &ref, OrderResult result, Time now);
+    void requireList(Server &server, std::string_view cause, Time now);
     void noteClock(Server &server, ServerClock clock, Time orderSentAt, Time now);
 
     // Puts the task of a run that is over back into the queue. For a stored job, reports the
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -41,7 +41,7 @@
         return;
     }
     if (run->orderedTo == server.incarnationCount()) {
-        run->isClockKnown = server.provesIncarnation(clock, now)
+        run->isIncarnationProven = server.provesIncarnation(clock, now)
                 && !server.contradictsClock(clock, run->orderedAt);
         noteClock(server, clock, run->orderedAt, now);
     }
@@ -61,11 +61,18 @@
     }
     if (run->isListed)
         return; // the list is the surer evidence
-    if (result == OrderResult::OtherServer && server.replacedDelay == Duration::zero())
-        server.requireList(now);
     run->isRefused = true;
-    // The server has not started the run and will not do so without a new order.
+    onStartRefused(server, ref, result, now);
+}
+
+// Handles the answer that the server has not started the run and will not do so without a new
+// order.
+void Pool::Implementation::onStartRefused(Server &server, const RunRef &ref, OrderResult result,
+                                          Time now)
+{
     ++counters_.startsRejected;
+    if (result == OrderResult::OtherServer && server.replacedDelay == Duration::zero())
+        requireList(server, "other-server", now);
     const Run ended = server.remove(ref.task);
     switch (result) {
     case OrderResult::Fenced:
@@ -111,7 +118,7 @@
     }
     if (result == OrderResult::OtherServer) {
         if (server.replacedDelay == Duration::zero())
-            server.requireList(now);
+            requireList(server, "other-server", now);
         if (run)
             run->nextStopAt = now + std::max(server.replacedDelay, rejectedStopDelay);
         return;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -50,7 +50,7 @@
                 && info.incarnation != server.incarnation();
         server.update(info);
         if (isOtherProcess && !isNew)
-            server.requireList(now);
+            requireList(server, "entry", now);
         if (isNew)
             applyGrant(server, now);
     }
@@ -195,12 +195,20 @@
     }
 }
 
+// Demands a list of the server's runs, because another process may be alive there than the known
+// one.
+void Pool::Implementation::requireList(Server &server, std::string_view cause, Time now)
+{
+    if (server.requireList(now))
+        logEvent("list-required", {}, fmt::format("server={} cause={}", server.info().id, cause));
+}
+
 // Handles the clock of an answer to a start or a stop that was sent to the known incarnation. A
 // reading below its clock shows that another one has answered, but not which runs it executes.
 void Pool::Implementation::noteClock(Server &server, ServerClock clock, Time orderSentAt, Time now)
 {
     if (server.contradictsClock(clock, orderSentAt))
-        server.requireList(now);
+        requireList(server, "clock", now);
     else
         server.updateClock(clock, orderSentAt, now);
 }
@@ -353,7 +361,11 @@
     switch (result) {
     case OrderResult::NotSent:
         server.rollBackPollLease();
-        server.nextPollAt = now + reconnectDelay;
+        // A server without runs is polled for a list that was demanded, which is not urgent.
+        server.resetDelay = server.runs().empty()
+                ? std::clamp(server.resetDelay * 2, reconnectDelay, maxReconnectDelay)
+                : reconnectDelay;
+        server.nextPollAt = now + server.resetDelay;
         break;
     case OrderResult::Fenced:
         onServerLost(server, "fenced", now);
@@ -416,7 +428,7 @@
             stopForeignRun(server, row.task, row.run, now);
         Run *run = server.findRun({server.info().id, row.task, row.run});
         if (run && !std::exchange(run->isListed, true))
-            server.onRunListed(Time {}, now);
+            server.extendUnknownLease(run->orderedAt, now);
     }
 }
 
@@ -425,7 +437,7 @@
 {
     if (!run.isListed) {
         run.isListed = true;
-        server.onRunListed(run.orderedAt, now);
+        server.extendUnknownLease(run.orderedAt, now);
     }
     if (run.confirmedAt == Time {})
         run.confirmedAt = now;
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -252,7 +252,8 @@
 // the run is over in any case.
 void Pool::Implementation::queueLostOutcome(const std::string &task, const Run &run, Time now)
 {
-    const Duration lease = scaled(options_.lease, 1 + 2 * options_.clockError) + options_.stopTime;
+    const Duration lease =
+            scaled(options_.maxLease, 1 + 2 * options_.clockError) + options_.stopTime;
     PendingOutcome pending {
             {task, run.number, TaskOutcome::Kind::Lost, RunEnd::Lapsed, run.checkpoint}};
     pending.nextReportAt = now + lease;
--- a/tests/pool_review_test.cpp
+++ b/tests/pool_evidence_test.cpp
@@ -1,5 +1,5 @@
 // Tests of what a pool concludes from the clocks of servers that restart, are young or are slow.
-#define BOOST_TEST_MODULE pool_review
+#define BOOST_TEST_MODULE pool_evidence
 #include "executors.h"
 #include "pool_world.h"
 #include "server_list.h"
--- a/tests/pool_restart_test.cpp
+++ b/tests/pool_restart_test.cpp
@@ -316,3 +316,15 @@
     BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
     BOOST_TEST(world.overlappingRuns == 0U);
 }
+
+// Guards against a flood of polls to a server that has left, after an entry named another process
+// than the known one.
+BOOST_FIXTURE_TEST_CASE(list_demanded_of_a_dead_server_costs_few_polls, TwoServers)
+{
+    servers.at("a").isUp = false;
+    const uint64_t before = pool.counters().polls;
+    ServerInfo entry = servers.at("a").info;
+    entry.incarnation = 2;
+    playEntry("a", entry, seconds(5));
+    BOOST_TEST(pool.counters().polls - before <= 15U);
+}
