--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -41,12 +41,21 @@
     Demand demand;
     RunState state = RunState::Starting;
     Time orderedAt {};
-    Time confirmedAt {};         // time at which the run was known to run; zero: not known
+    std::string address {}; // address to which the start was sent, or at which the run was found
+    Time confirmedAt {};    // time at which the start was known to be executed; zero: not yet
+    // Whether a list of the current incarnation has shown the run. Until then it is not known which
+    // incarnation executes it.
+    bool isListed = false;
+    // Whether the clock in the answer to the start is one that no later incarnation can show.
+    bool isClockKnown = false;
     Duration expected {};        // predicted run time on this server
     bool isSlowRecorded = false; // whether the run counted against the speed of the server
     uint32_t percent = 0;        // percentage of its work that is done, as of the latest poll
     bool needsMove = false;      // whether the run would end too late on this server
+    bool isRefused = false; // whether the server has answered that it does not execute the start
     bool isStopPending = false;
+    Time stopSentAt {};
+    uint32_t stopSentTo = 0; // LeasedServer::incarnationCount() when the latest stop was sent
     Time stopConfirmedAt {}; // time at which the server confirmed the stop; zero: not yet
     Time nextStopAt {};
     std::optional<StoredOrigin> stored {};
@@ -94,19 +103,28 @@
     Run remove(const std::string &task);
     bool hasForeignRuns() const;
 
-    void updateClock(const ServerReading &reading, Time now);
-    // Returns a lower bound of the server's clock; nullopt before its first answer.
-    std::optional<int64_t> clockMs(Time now) const;
+    // Returns whether the reading, of an answer to an order that was sent at the given time, is of
+    // another incarnation than the known one.
+    bool contradictsClock(ServerClock clock, Time orderSentAt) const;
+    // Returns whether no incarnation that began after the known one was last heard of can show the
+    // reading: its clock would be behind.
+    bool provesIncarnation(ServerClock clock, Time now) const;
+    // Takes the reading of an answer to an order that was sent at the given time.
+    void updateClock(ServerClock clock, Time orderSentAt, Time now);
+    // Returns a lower bound of the clock of the known incarnation at the given time; nullopt before
+    // its first answer.
+    std::optional<int64_t> clockMs(Time time) const;
     // Return the end of the lease to request with a start or a poll, on the server's clock. The
     // lease has certainly lapsed by `limit`; a poll requests none (0) if there is no time left
     // until then. At most one poll is pending at a time.
     int64_t leaseForStart(Time now, Time limit);
     int64_t leaseForPoll(Time now, Time limit);
-    // Extends the known end of the lease after an order to start was executed. The executing
-    // incarnation may have begun after the order was sent, so that its lease is not known yet.
-    void onStartExecuted(Time orderedAt)
+    // Extends the known end of the lease after a list has shown a run. Unless the run was ordered
+    // from the incarnation that lists it, its lease is not known and may be the longest one.
+    void onRunListed(Time orderedAt, Time now)
     {
-        startLeaseEnd_ = std::max(startLeaseEnd_, latestLeaseEnd(orderedAt, options_.lease));
+        if (orderedAt <= incarnationKnownAt_)
+            startLeaseEnd_ = std::max(startLeaseEnd_, now + longestLease());
     }
     // Takes back the lease of a poll that did not reach the server.
     void rollBackPollLease() { pollLeaseEnd_ = committedPollLeaseEnd_; }
@@ -114,11 +132,16 @@
     void commitPollLease() { committedPollLeaseEnd_ = pollLeaseEnd_; }
     // Returns the latest time at which the lease, as far as it was requested, has lapsed.
     Time leaseEnd() const { return std::max(startLeaseEnd_, pollLeaseEnd_); }
-    // Returns whether the lease has lapsed, so that everything started under it has ended.
-    bool hasLapsed(Time now) const { return now > leaseEnd(); }
+    // Returns the longest time for which runs may go on after an order has extended the lease.
+    Duration longestLease() const { return latestLeaseEnd(Time {}, options_.maxLease) - Time {}; }
+    // Returns whether the run must have ended because the lease of its incarnation has lapsed.
+    bool hasLapsed(const Run &run, Time now) const;
+    // Records that an order that was sent at the given time may be executed late.
+    void onOrderUnanswered(Time sentAt);
 
     bool isPollPending = false;
     Time pollSentAt {};
+    std::string pollAddress {}; // address to which the latest poll was sent
     Time nextPollAt {};
     uint32_t unansweredPolls = 0; // number of failed polls since the last answer to a poll
     Duration replacedDelay {}; // delay between orders while another server answers at the address
@@ -128,10 +151,13 @@
 
     // Records that the server listed the end of a run. Returns false if it was seen before.
     bool recordEnd(uint64_t number);
-    // Returns the highest number up to which all ends may be acknowledged.
-    uint64_t ackedThrough() const
+    // Returns the number up to which the next poll acknowledges ends; 0 if it acknowledges none. An
+    // incarnation forgets ends up to this number even if it is meant for the previous one. A poll
+    // after one that was not answered is the most likely to meet a new incarnation, so it
+    // acknowledges nothing.
+    uint64_t ackForPoll() const
     {
-        return heldEnds_.empty() ? seenThrough_ : *heldEnds_.begin() - 1;
+        return hasUnacknowledged() && unansweredPolls == 0 && !isListRequired_ ? ackedThrough() : 0;
     }
     // Delays the acknowledgement of an end until releaseEnd(), because its job's keeper has not
     // stored it yet.
@@ -149,11 +175,27 @@
     void commitPollAck() { acknowledged_ = std::max(acknowledged_, pollAck_); }
     bool hasUnacknowledged() const { return ackedThrough() > acknowledged_; }
 
-    // Clears the state that belongs to the previous incarnation.
+    // Incarnation that the latest list named; nullopt before the first list.
+    std::optional<uint64_t> incarnation() const { return incarnation_; }
+    // Number of incarnations that were seen.
+    uint32_t incarnationCount() const { return incarnationCount_; }
+    // Returns whether a list is of another incarnation than the lists before it.
+    bool isNewIncarnation(const PollReply &list) const;
+    // Sets the incarnation and clears the state that belongs to the previous one.
+    void beginIncarnation(uint64_t incarnation, Time now);
+    // Clears the state that belongs to the incarnation.
     void resetIncarnationState();
+    // Demands a list of runs before new runs are ordered, because another incarnation may be alive
+    // than the known one.
+    void requireList(Time now);
+    // Notes the answer to a poll for a list.
+    void onListed(Time sentAt) { isListRequired_ = isListRequired_ && sentAt < listRequiredAt_; }
+    bool isListRequired() const { return isListRequired_; }
     // Records a start that was not answered and then stopped. The server refuses such a start if it
     // arrives late, but a new incarnation of the server does not.
     void recordCancelledStart(const std::string &task, uint32_t run, Time now);
+    bool isCancelledStart(const RunRef &ref) const;
+    bool hasCancelledStarts(Time now) const;
     // Adds the recorded starts as runs to be stopped, because the new incarnation of the server
     // would execute them if they arrived late.
     void restoreCancelledStarts(Time now);
@@ -182,8 +224,19 @@
     const PoolOptions &options_;
     std::map<std::string, Run> runs_;
     Demand used_ {0, 0, 0};
-    std::optional<int64_t> clockMs_;
+    std::optional<uint64_t> incarnation_;
+    uint32_t incarnationCount_ = 0;
+    bool isListRequired_ = false;
+    Time listRequiredAt_ {};
+    Time incarnationKnownAt_ {}; // time of the first list of the incarnation
+    Time aliveAt_ {};            // latest time at which the incarnation was certainly alive
+    ServerClock clockMs_;
     Time clockReadAt_ {};
+    // Returns the highest number up to which all ends may be acknowledged.
+    uint64_t ackedThrough() const
+    {
+        return heldEnds_.empty() ? seenThrough_ : *heldEnds_.begin() - 1;
+    }
     Time latestLeaseEnd(Time now, Duration lease) const;
     Duration leaseWithin(Time now, Time limit) const;
     int64_t leaseUntilMs(Time now, Duration lease) const;
@@ -193,6 +246,13 @@
     Time startLeaseEnd_ {};
     Time pollLeaseEnd_ {};
     Time committedPollLeaseEnd_ {};
+    // Times at which the latest order that extends the lease was sent, and the latest such order
+    // without an answer. Orders may be executed until maxOrderDelay later, by an incarnation on
+    // whose clock their lease has another end.
+    Time leaseSentAt_ {};
+    Time unansweredLeaseSentAt_ {};
+    // Latest end of a lease that a late order of before the incarnation may have extended.
+    Time lateLeaseEnd_ {};
     uint64_t seenThrough_ = 0;
     uint64_t acknowledged_ = 0;
     uint64_t pollAck_ = 0;
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -42,21 +42,22 @@
         const auto [entry, isNew] = servers_.try_emplace(info.id, info, options_);
         Server &server = entry->second;
         server.isRegistered = true;
-        const bool isNewIncarnation = info.incarnation > server.info().incarnation;
         if (!isNew && server.info().isLeaving != info.isLeaving)
             logEvent("server-leaving", {},
                      fmt::format("server={} leaving={}", info.id, info.isLeaving));
-        if (!isNew && info.incarnation < server.info().incarnation)
-            continue; // an outdated entry of an earlier incarnation
+        // An entry does not end runs: it may be outdated or of another writer.
+        const bool isOtherProcess = info.incarnation != server.info().incarnation
+                && info.incarnation != server.incarnation();
         server.update(info);
-        if (isNewIncarnation && !isNew)
-            onNewIncarnation(server, now);
+        if (isOtherProcess && !isNew)
+            server.requireList(now);
         if (isNew)
             applyGrant(server, now);
     }
     std::erase_if(servers_, [&](const auto &entry) {
         const Server &server = entry.second;
-        return !server.isRegistered && server.runs().empty() && !server.isPollPending;
+        return !server.isRegistered && server.runs().empty() && !server.isPollPending
+                && !server.hasCancelledStarts(now);
     });
     isPlacementDue_ = true;
 }
@@ -86,23 +87,49 @@
     server.nextPollAt = now;
 }
 
-// All runs of the previous incarnation have ended. An unanswered order may still be executed by the
-// new incarnation, which its answer or a poll will show. The new incarnation does not know the
-// stops that the previous one confirmed, so they are sent again.
-void Pool::Implementation::onNewIncarnation(Server &server, Time now)
+// Logs why a run counts as over although the server has not listed its end.
+void Pool::Implementation::logRunOver(const Server &server, const std::string &task, const Run &run,
+                                      std::string_view cause, Time now)
+{
+    const Duration sinceConfirmed =
+            run.confirmedAt == Time {} ? Duration(-1) : now - run.confirmedAt;
+    logEvent("run-over", {},
+             fmt::format("task={} run={} server={} cause={} ordered_us={} confirmed_us={}", task,
+                         run.number, server.info().id, cause, (now - run.orderedAt).count(),
+                         sinceConfirmed.count()));
+}
+
+// Starts the tasks of those runs again that have ended together with their process.
+template<class Predicate>
+void Pool::Implementation::endRuns(Server &server, Predicate hasEnded, std::string_view cause,
+                                   Time now)
 {
-    logEvent("server-restarted", {}, fmt::format("server={}", server.info().id));
     std::vector<std::string> tasks;
     for (const auto &[task, run] : server.runs()) {
-        if (run.confirmedAt != Time {} || run.job == pool::foreignJob)
+        if (hasEnded(run))
             tasks.push_back(task);
     }
-    for (const std::string &task : tasks)
-        requeue(task, server.remove(task), now);
-    server.resetIncarnationState();
-    if (server.ownership != Ownership::None)
-        server.ownership = Ownership::TakingOver;
-    server.nextPollAt = now;
+    for (const std::string &task : tasks) {
+        const Run run = server.remove(task);
+        logRunOver(server, task, run, cause, now);
+        requeue(task, run, now);
+    }
+}
+
+// Handles a list of another incarnation than the lists before it. What those had shown as running
+// has ended. The start of any other run may have been executed by either incarnation, so the run
+// stays until a list shows it or lacks it. The new incarnation does not know the stops that the
+// previous one confirmed, so they are sent again.
+void Pool::Implementation::onNewIncarnation(Server &server, const PollReply &list, Time now)
+{
+    const size_t known = server.runs().size();
+    const uint64_t previous = server.incarnation().value_or(0);
+    endRuns(
+            server, [](const Run &run) { return run.isListed; }, "restart", now);
+    logEvent("server-restarted", {},
+             fmt::format("server={} known={} named={} runs={} kept={}", server.info().id, previous,
+                         list.incarnation.value_or(0), known, server.runs().size()));
+    server.beginIncarnation(list.incarnation.value_or(0), now);
     server.restoreCancelledStarts(now);
     for (auto &[task, run] : server.runs()) {
         run.stopConfirmedAt = {};
@@ -110,11 +137,27 @@
     }
 }
 
-// Another server answers at the address, so the process has ended. Because its entry may stay in
-// the server list for seconds, orders to it are delayed increasingly.
-void Pool::Implementation::onServerReplaced(Server &server, Time now)
+// Another server answers at the address to which the poll was sent, so the process that had
+// executed starts there has ended. The entry may name a wrong address, at which no run was started.
+void Pool::Implementation::endReplacedRuns(Server &server, Time now)
 {
-    onNewIncarnation(server, now);
+    const auto hasEnded = [&](const Run &run) {
+        return run.address == server.pollAddress && run.confirmedAt != Time {}
+        && run.confirmedAt < server.pollSentAt;
+    };
+    endRuns(server, hasEnded, "other-server", now);
+}
+
+// Delays orders increasingly while another server answers at the address. The entry may stay in the
+// server list for seconds after the server has left.
+void Pool::Implementation::delayOrders(Server &server, Time now)
+{
+    if (server.ownership == Ownership::Held) {
+        logEvent("server-replaced", {},
+                 fmt::format("server={} address={} runs={}", server.info().id, server.pollAddress,
+                             server.runs().size()));
+        server.ownership = Ownership::TakingOver;
+    }
     server.replacedDelay = std::clamp(server.replacedDelay * 2, reconnectDelay, maxReconnectDelay);
     server.nextPollAt = now + server.replacedDelay;
     for (auto &[task, run] : server.runs())
@@ -152,15 +195,14 @@
     }
 }
 
-bool Pool::Implementation::checkIncarnation(Server &server, const ServerReading &reading, Time now)
+// Handles the clock of an answer to a start or a stop. A reading below the clock of the known
+// incarnation shows that another one has answered, but not which runs it executes.
+void Pool::Implementation::noteClock(Server &server, ServerClock clock, Time orderSentAt, Time now)
 {
-    if (!reading.incarnation || *reading.incarnation <= server.info().incarnation)
-        return reading.incarnation.value_or(0) == server.info().incarnation || !reading.incarnation;
-    ServerInfo info = server.info();
-    info.incarnation = *reading.incarnation;
-    server.update(std::move(info));
-    onNewIncarnation(server, now);
-    return false;
+    if (server.contradictsClock(clock, orderSentAt))
+        server.requireList(now);
+    else
+        server.updateClock(clock, orderSentAt, now);
 }
 
 void Pool::Implementation::sendDuePolls(Time now)
@@ -197,6 +239,7 @@
     ++counters_.polls;
     server.isPollPending = true;
     server.pollSentAt = now;
+    server.pollAddress = server.info().address;
     // A server whose answers are lost may still receive polls. Its lease is no longer extended, so
     // that it lapses and the tasks can be started on other servers.
     const bool extendsLease = server.ownership == Ownership::Held && !server.runs().empty()
@@ -209,7 +252,7 @@
     poll.server = server.info().id;
     poll.address = server.info().address;
     poll.token = server.token;
-    poll.ackedThrough = server.ackedThrough();
+    poll.ackedThrough = server.ackForPoll();
     poll.leaseUntilMs = extendsLease ? server.leaseForPoll(now, limit) : 0;
     poll.wait = server.pollWait(now);
     poll.timeout = poll.wait + options_.answerTimeout;
@@ -224,23 +267,23 @@
         return;
     ++counters_.stops;
     run.isStopPending = true;
+    run.stopSentTo = server.incarnationCount();
+    run.stopSentAt = now;
     run.nextStopAt = now + stopRetryDelay;
     actions_.emplace_back(
             OrderStop {{server.info().id, task, run.number}, server.info().address, server.token});
 }
 
-// Repeats unanswered stops, and drops runs that must have ended because their lease has lapsed or
-// because their server has left and their order can no longer be executed.
+// Repeats unanswered stops, and drops runs that must have ended because their lease has lapsed, or
+// because their server has left and a start that was never confirmed can no longer be executed.
 void Pool::Implementation::retryStopsAndDropLapsedRuns(Time now)
 {
     for (auto &[id, server] : servers_) {
         std::vector<std::string> ended;
         for (auto &[task, run] : server.runs()) {
-            const bool isConfirmed = run.confirmedAt != Time {} || run.job == pool::foreignJob;
-            const bool isOrderExpired =
-                    !server.isRegistered && now > run.orderedAt + pool::maxOrderDelay;
-            if ((isConfirmed && server.hasLapsed(now) && run.job != pool::foreignJob)
-                || isOrderExpired) {
+            const bool isOrderExpired = !server.isRegistered && run.confirmedAt == Time {}
+                    && now > run.orderedAt + pool::maxOrderDelay + server.longestLease();
+            if ((run.confirmedAt != Time {} && server.hasLapsed(run, now)) || isOrderExpired) {
                 ended.push_back(task);
                 continue;
             }
@@ -251,8 +294,7 @@
         for (const std::string &task : ended) {
             ++counters_.runsLost;
             const Run run = server.remove(task);
-            logEvent("run-lapsed", {},
-                     fmt::format("task={} run={} server={}", task, run.number, id));
+            logRunOver(server, task, run, "lapsed", now);
             requeue(task, run, now);
         }
     }
@@ -272,16 +314,19 @@
         onPollFailed(server, reply.result, now);
         return;
     }
-    server.commitPollAck();
     server.unansweredPolls = 0;
     server.replacedDelay = {};
     server.resetDelay = {};
     server.commitPollLease();
     server.nextPollAt = now;
     server.closedUntil = {};
-    if (!checkIncarnation(server, reply.reading, now))
-        return;
-    server.updateClock(reply.reading, now);
+    if (server.isNewIncarnation(reply))
+        onNewIncarnation(server, reply, now);
+    else if (!server.incarnation())
+        server.beginIncarnation(reply.incarnation.value_or(0), now);
+    server.commitPollAck();
+    server.onListed(sentAt);
+    server.updateClock(reply.clock, sentAt, now);
     for (const EndedRow &row : reply.ended)
         onRunEnded(server, row, now);
     reconcile(server, reply, sentAt, now);
@@ -307,13 +352,15 @@
     case OrderResult::Fenced:
         onServerLost(server, "fenced", now);
         return;
-    case OrderResult::OtherIncarnation:
-        onServerReplaced(server, now);
+    case OrderResult::OtherServer:
+        endReplacedRuns(server, now);
+        delayOrders(server, now);
         return;
     case OrderResult::Unknown:
         // A reset connection fails immediately and not after a timeout, so the next poll has to be
         // delayed explicitly.
         ++counters_.pollsUnanswered;
+        server.onOrderUnanswered(server.pollSentAt);
         server.resetDelay = std::clamp(server.resetDelay * 2, reconnectDelay, maxResetDelay);
         server.nextPollAt = std::max(now, server.pollSentAt + server.resetDelay);
         break;
@@ -325,7 +372,8 @@
 }
 
 // Compares the runs that this VM knows with those that the server lists. A missing run counts as
-// over only if the poll was sent after the run or its stop was confirmed.
+// over only if the poll was sent after its start or its stop was known to be executed, and if the
+// server has no further ends to list, since that of the run may be among them.
 void Pool::Implementation::reconcile(Server &server, const PollReply &reply, Time sentAt, Time now)
 {
     std::map<std::string_view, const RunningRow *> listed;
@@ -335,28 +383,20 @@
     for (auto &[task, run] : server.runs()) {
         const auto row = listed.find(task);
         if (row != listed.end() && row->second->run == run.number) {
-            if (run.state == RunState::Unconfirmed) {
-                run.state = RunState::Running;
-                run.confirmedAt = now;
-                // A new incarnation may have executed the order at any time until now.
-                server.onStartExecuted(now);
-            }
-            if (!row->second->checkpoint.empty())
-                run.checkpoint = row->second->checkpoint;
-            if (run.state == RunState::Running)
-                checkProgress(server, *row->second, run, now);
+            onRunListed(server, *row->second, run, now);
             continue;
         }
-        const bool isGone = (run.state == RunState::Running && sentAt > run.confirmedAt)
+        const bool isOver = (run.confirmedAt != Time {} && sentAt > run.confirmedAt)
                 || (run.state == RunState::Stopping && run.stopConfirmedAt != Time {}
                     && sentAt > run.stopConfirmedAt);
-        if (isGone)
+        if (isOver && reply.areEndsComplete)
             gone.push_back(task);
         else if (run.state == RunState::Unconfirmed && sentAt > run.orderedAt)
             sendStop(server, task, run, now);
     }
     for (const std::string &task : gone) {
         const Run run = server.remove(task);
+        logRunOver(server, task, run, "not-listed", now);
         if (run.state == RunState::Running)
             ++counters_.runsLost;
         if (run.confirmedAt == Time {} && run.job != pool::foreignJob)
@@ -366,23 +406,47 @@
     for (const RunningRow &row : reply.running) {
         const auto known = server.runs().find(row.task);
         if (known == server.runs().end() || known->second.number != row.run)
-            stopForeignRun(server, row, now);
+            stopForeignRun(server, row.task, row.run, now);
+        Run *run = server.findRun({server.info().id, row.task, row.run});
+        if (run && !std::exchange(run->isListed, true))
+            server.onRunListed(Time {}, now);
+    }
+}
+
+// Handles a run that a list shows, which proves that the current incarnation executes it.
+void Pool::Implementation::onRunListed(Server &server, const RunningRow &row, Run &run, Time now)
+{
+    if (!run.isListed) {
+        run.isListed = true;
+        server.onRunListed(run.orderedAt, now);
     }
+    if (run.confirmedAt == Time {})
+        run.confirmedAt = now;
+    if (run.state == RunState::Unconfirmed || run.state == RunState::Starting)
+        run.state = RunState::Running;
+    if (!row.checkpoint.empty())
+        run.checkpoint = row.checkpoint;
+    if (run.state == RunState::Running)
+        checkProgress(server, row, run, now);
 }
 
-// Stops a run that an earlier holder of the server started, since its job is not open in this pool.
-void Pool::Implementation::stopForeignRun(Server &server, const RunningRow &row, Time now)
+// Stops a run whose job is not open in this pool: an earlier holder of the server started it, or
+// this pool gave its start up before it was executed.
+void Pool::Implementation::stopForeignRun(Server &server, const std::string &task, uint32_t number,
+                                          Time now)
 {
-    if (server.runs().contains(row.task))
+    if (server.runs().contains(task))
         return;
     logEvent("run-foreign", {},
-             fmt::format("task={} run={} server={}", row.task, row.run, server.info().id));
+             fmt::format("task={} run={} server={}", task, number, server.info().id));
     Run run;
-    run.number = row.run;
+    run.number = number;
     run.orderedAt = now;
+    run.address = server.pollAddress;
+    run.confirmedAt = now;
     run.endBy = now; // the caller of its job may have lost its connection long ago
-    server.add(row.task, run);
-    sendStop(server, row.task, server.runs().at(row.task), now);
+    server.add(task, run);
+    sendStop(server, task, server.runs().at(task), now);
 }
 
 void Pool::Implementation::onRunEnded(Server &server, const EndedRow &row, Time now)
