Give a new server no lease that nobody asked for

Cause: since each first list of a server counted its lease as the longest one, and no run is placed where the lease of the server outlives that of the job.

Change: the lease of an incarnation counts as unknown only if a poll that extends it or a run of unknown process may have reached it.

Evidence: new_server_takes_a_job_with_an_older_lease failed and passes; the other cases of the pool tests as before.

--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -110,13 +110,14 @@
     return list.incarnation.value_or(0) != *incarnation_;
 }
 
-void LeasedServer::beginIncarnation(uint64_t incarnation, Time now)
+void LeasedServer::beginIncarnation(uint64_t incarnation, bool mayHaveLease, Time now)
 {
     resetIncarnationState();
     incarnation_ = incarnation;
     ++incarnationCount_;
     incarnationKnownAt_ = now;
-    startLeaseEnd_ = now + longestLease();
+    if (mayHaveLease)
+        startLeaseEnd_ = now + longestLease();
     if (unansweredLeaseSentAt_ != Time {})
         lateLeaseEnd_ = unansweredLeaseSentAt_ + maxOrderDelay + longestLease();
 }
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -187,8 +187,9 @@
     uint32_t incarnationCount() const { return incarnationCount_; }
     // Returns whether a list is of another incarnation than the lists before it.
     bool isNewIncarnation(const PollReply &list) const;
-    // Sets the incarnation and clears the state that belongs to the previous one.
-    void beginIncarnation(uint64_t incarnation, Time now);
+    // Sets the incarnation and clears the state that belongs to the previous one. Its lease counts
+    // as the longest one if orders to the previous incarnation may have extended it.
+    void beginIncarnation(uint64_t incarnation, bool mayHaveLease, Time now);
     // Clears the state that belongs to the incarnation.
     void resetIncarnationState();
     // Demands a list of runs before new runs are ordered, because another incarnation may be alive
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -129,7 +129,8 @@
     logEvent("server-restarted", {},
              fmt::format("server={} known={} named={} runs={} kept={}", server.info().id, previous,
                          list.incarnation.value_or(0), known, server.runs().size()));
-    server.beginIncarnation(list.incarnation.value_or(0), now);
+    const bool mayHaveLease = server.doesPollExtendLease || !server.runs().empty();
+    server.beginIncarnation(list.incarnation.value_or(0), mayHaveLease, now);
     server.restoreCancelledStarts(now);
     for (auto &[task, run] : server.runs()) {
         run.stopConfirmedAt = {};
@@ -337,7 +338,7 @@
     if (server.isNewIncarnation(reply))
         onNewIncarnation(server, reply, now);
     else if (!server.incarnation())
-        server.beginIncarnation(reply.incarnation.value_or(0), now);
+        server.beginIncarnation(reply.incarnation.value_or(0), false, now);
     server.commitPollAck();
     server.onListed(sentAt);
     server.setClock(reply.clock, sentAt, now);
--- a/tests/pool_restart_test.cpp
+++ b/tests/pool_restart_test.cpp
@@ -328,3 +328,18 @@
     playEntry("a", entry, seconds(5));
     BOOST_TEST(pool.counters().polls - before <= 15U);
 }
+
+// Guards against a new server that takes no jobs for its first second: nothing has extended its
+// lease yet, so a job whose lease was last renewed 200 ms ago can be placed there.
+BOOST_AUTO_TEST_CASE(new_server_takes_a_job_with_an_older_lease)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.begin();
+    JobOffer offer = PoolWorld::makeOffer("job1", 1, 14000, milliseconds(100));
+    offer.lease =
+            JobLease {1, world.now + PoolOptions {}.resubmission.jobLease() - milliseconds(200)};
+    world.offer(offer);
+    world.runFor(milliseconds(200));
+    BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
+}
