Tell by the incarnation that a run was ordered from whether its lease is known

Callers see no change. Whether a listed run was ordered from the known incarnation was told by comparing times, and for a run of another holder by the time at which it was found, which is always later. The number of the incarnation says it without times. A test that lets a list show a run of another holder passes before and after, since polls of a server with runs extend its lease, so it was not kept.

--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -124,12 +124,11 @@
     // until then. At most one poll is pending at a time.
     int64_t leaseForStart(Time now, Time limit);
     int64_t leaseForPoll(Time now, Time limit);
-    // Extends the known end of the lease after a list has shown a run. Unless the run was ordered
-    // from the incarnation that lists it, its lease is not known and may be the longest one.
-    void extendUnknownLease(Time orderedAt, Time now)
+    // Counts the lease as the longest one, because a list shows a run that was not ordered from the
+    // known incarnation by this VM.
+    void assumeLongestLease(Time now)
     {
-        if (orderedAt <= incarnationKnownAt_)
-            startLeaseEnd_ = std::max(startLeaseEnd_, now + longestLease());
+        startLeaseEnd_ = std::max(startLeaseEnd_, now + longestLease());
     }
     // Takes back the lease of a poll that did not reach the server.
     void rollBackPollLease() { pollLeaseEnd_ = committedPollLeaseEnd_; }
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -429,7 +429,7 @@
             stopForeignRun(server, row.task, row.run, now);
         Run *run = server.findRun({server.info().id, row.task, row.run});
         if (run && !std::exchange(run->isListed, true))
-            server.extendUnknownLease(run->orderedAt, now);
+            server.assumeLongestLease(now);
     }
 }
 
@@ -438,7 +438,8 @@
 {
     if (!run.isListed) {
         run.isListed = true;
-        server.extendUnknownLease(run.orderedAt, now);
+        if (run.orderedTo != server.incarnationCount())
+            server.assumeLongestLease(now);
     }
     if (run.confirmedAt == Time {})
         run.confirmedAt = now;
