End the runs of a replaced server as soon as any start is rejected at its address

Cause: ended runs only on a rejected poll. A poll that waits at a server that crashes without closing its connections takes up to 350 ms to fail, while starts are rejected at once.

Change: a rejected start proves as much as a rejected poll, namely that the process which executed starts at that address before has ended. Runs at other addresses and later ones stay.

Evidence: rejected_start_ends_the_runs_of_a_replaced_server failed and passes; entry_with_a_wrong_address_ends_no_run passes as before.

--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -94,7 +94,7 @@
     void onNewIncarnation(Server &server, const PollReply &list, Time now);
     template<class Predicate>
     void endRuns(Server &server, Predicate hasEnded, std::string_view cause, Time now);
-    void endReplacedRuns(Server &server, Time now);
+    void endReplacedRuns(Server &server, const std::string &address, Time sentAt, Time now);
     void delayOrders(Server &server, Time now);
     void onServerLost(Server &server, std::string_view cause, Time now);
     Time leaseEndsBy(const Server &server) const;
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -71,10 +71,13 @@
                                           Time now)
 {
     ++counters_.startsRejected;
-    if (result == OrderResult::OtherServer && server.replacedDelay == Duration::zero())
-        requireList(server, "other-server", now);
     const Run ended = server.remove(ref.task);
     switch (result) {
+    case OrderResult::OtherServer:
+        endReplacedRuns(server, ended.address, ended.orderedAt, now);
+        if (server.replacedDelay == Duration::zero())
+            requireList(server, "other-server", now);
+        break;
     case OrderResult::Fenced:
         requeue(ref.task, ended, now);
         onServerLost(server, "fenced", now);
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -138,13 +138,14 @@
     }
 }
 
-// Another server answers at the address to which the poll was sent, so the process that had
-// executed starts there has ended. The entry may name a wrong address, at which no run was started.
-void Pool::Implementation::endReplacedRuns(Server &server, Time now)
+// Another server has answered an order that was sent to the address at the given time, so the
+// process that had executed starts there before has ended. The entry may name a wrong address, at
+// which no run was started.
+void Pool::Implementation::endReplacedRuns(Server &server, const std::string &address, Time sentAt,
+                                           Time now)
 {
     const auto hasEnded = [&](const Run &run) {
-        return run.address == server.pollAddress && run.confirmedAt != Time {}
-        && run.confirmedAt < server.pollSentAt;
+        return run.address == address && run.confirmedAt != Time {} && run.confirmedAt < sentAt;
     };
     endRuns(server, hasEnded, "other-server", now);
 }
@@ -372,7 +373,7 @@
         onServerLost(server, "fenced", now);
         return;
     case OrderResult::OtherServer:
-        endReplacedRuns(server, now);
+        endReplacedRuns(server, server.pollAddress, server.pollSentAt, now);
         delayOrders(server, now);
         return;
     case OrderResult::Unknown:
--- a/tests/pool_restart_test.cpp
+++ b/tests/pool_restart_test.cpp
@@ -343,3 +343,19 @@
     world.runFor(milliseconds(200));
     BOOST_TEST((world.resultOf("job1") == JobResult::Completed));
 }
+
+// Guards against tasks of a replaced server that wait until a poll is answered, although another
+// server has rejected a start at the same address.
+BOOST_FIXTURE_TEST_CASE(rejected_start_ends_the_runs_of_a_replaced_server, TwoServers)
+{
+    runTimeOf = [](const std::string &) { return Duration(milliseconds(600)); };
+    offer(makeOffer("job1", 2, 14000, milliseconds(600)));
+    runFor(milliseconds(20));
+    BOOST_REQUIRE_EQUAL(servers.at("a").running.size(), 2U);
+    servers.at("a").isReplaced = true;
+    servers.at("a").restart(now);
+    arePollsLostAtRestart = true; // the connection of the poll that waits does not break
+    offer(makeOffer("job2", 1, 4000, milliseconds(600)));
+    runFor(milliseconds(20));
+    BOOST_TEST(servers.at("b").running.size() == 3U);
+}
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -69,6 +69,9 @@
     // Entries that differ from what the servers are, by server id. An empty entry is missing from
     // the list of servers.
     std::map<std::string, std::optional<ServerInfo>> oddEntries;
+    // Whether polls that wait at a server when it restarts stay without an answer until they time
+    // out.
+    bool arePollsLostAtRestart = false;
     uint64_t starts = 0;
     uint64_t overlappingRuns = 0; // starts of tasks that were already running on some server
     uint64_t repeatedTasks = 0;   // starts of tasks whose success was acknowledged
@@ -418,6 +421,8 @@
     bool isComplete(const WaitingPoll &waiting)
     {
         const auto &server = servers.at(waiting.order.server);
+        if (arePollsLostAtRestart && server.info.incarnation != waiting.incarnation)
+            return now >= waiting.until + options_.answerTimeout;
         return !server.isUp || server.resetsConnections
                 || server.info.incarnation != waiting.incarnation
                 || server.info.address != waiting.order.address
