Show that two zones run one task at a time after a cut

Cause: a keeper that loses a partition tells no pool, and a pool that does not hear the next keeper goes on with the runs of the earlier one, whose VM it still hears.

--- /dev/null
+++ b/review/harness/cases.cpp
@@ -0,0 +1,259 @@
+#include "cases.h"
+
+#include "deployment.h"
+
+namespace lovage::review {
+
+namespace {
+
+constexpr const char *route =
+        R"({"name":"q","host":"work.example","path_prefix":"/a/","timeout_ms":3000,)"
+        R"("slo_ms":20000,"service":"s","attempts":3,"stretch_factor":5})";
+const std::string prefix = "/a/";
+
+void sleepMs(int64_t ms)
+{
+    std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+}
+
+std::string idOf(uint64_t kind, uint64_t number)
+{
+    return fmt::format("{:04x}{:012x}", kind, number);
+}
+
+// Whether a task of the job was ever started.
+bool hasBegun(Deployment &deployment, const std::string &job)
+{
+    const std::lock_guard lock(deployment.registry().mutex);
+    const auto &runs = deployment.registry().runs;
+    const auto next = runs.lower_bound(job + ".");
+    return next != runs.end() && next->first.starts_with(job + ".");
+}
+
+} // namespace
+
+// Two zones. Stored jobs run when the zones are cut off from each other for 5.5 s; the store is
+// reachable from both. Meanwhile the store deals the partitions anew, as it does at times.
+bool playZoneCut(Record &record, bool hasTrouble)
+{
+    Layout layout;
+    layout.zones = 2;
+    layout.vmsPerZone = 2;
+    layout.executorsPerZone = 4;
+    Deployment deployment(record, layout);
+    deployment.start(route);
+    if (!deployment.waitUntilServed(prefix))
+        return false;
+    sleepMs(3000);
+    constexpr uint64_t jobs = 16;
+    std::vector<std::string> accepted;
+    for (uint64_t i = 0; i < jobs; ++i) {
+        const std::string id = idOf(1, i);
+        const auto body = Deployment::jobBody({4, 1000, 64, 9000, 9000});
+        if (deployment.submit(i % deployment.vmCount(), prefix + id, body))
+            accepted.push_back(id);
+    }
+    if (accepted.size() < jobs)
+        return false;
+    sleepMs(1000);
+    if (hasTrouble)
+        deployment.cutZone(0, true);
+    sleepMs(1000);
+    record.add("the store deals all partitions of the group 'keepers' anew");
+    deployment.store().reassign("keepers");
+    sleepMs(4500);
+    if (hasTrouble)
+        deployment.cutZone(0, false);
+    // All jobs can end by now, also those that are started again after the cut.
+    const Time until = currentTime() + std::chrono::seconds(45);
+    size_t open = jobs;
+    while (open > 0 && currentTime() < until) {
+        sleepMs(3000);
+        open = 0;
+        for (const std::string &id : accepted)
+            open += deployment.send(1, "GET", prefix + id).body.find("completed")
+                    == std::string::npos;
+    }
+    record.add(fmt::format("{} of {} jobs are not completed", open, jobs));
+    return true;
+}
+
+// One of 8 executors has the label `b`. It is lost for good. Jobs that need it wait; jobs that any
+// executor can run come after them.
+bool playLostLabel(Record &record, bool hasTrouble)
+{
+    Layout layout;
+    Deployment deployment(record, layout);
+    deployment.executors().front()->setKind("b");
+    deployment.start(route);
+    if (!deployment.waitUntilServed(prefix))
+        return false;
+    sleepMs(2000);
+    if (hasTrouble) {
+        deployment.executors().front()->crash();
+        sleepMs(6000); // its entry is gone after three heartbeat intervals
+    }
+    Deployment::Job labelled;
+    labelled.requiredLabel = "b";
+    constexpr uint64_t labelledJobs = 60;
+    for (uint64_t i = 0; i < labelledJobs; ++i)
+        deployment.submit(i % deployment.vmCount(), prefix + idOf(2, i),
+                          Deployment::jobBody(labelled));
+    std::vector<std::string> accepted;
+    constexpr uint64_t plainJobs = 10;
+    for (uint64_t i = 0; i < plainJobs; ++i) {
+        const std::string id = idOf(3, i);
+        if (deployment.submit(i % deployment.vmCount(), prefix + id, Deployment::jobBody({})))
+            accepted.push_back(id);
+    }
+    if (accepted.empty())
+        return false;
+    record.add("the traffic ends");
+    constexpr int64_t finishMs = 14000;
+    constexpr int64_t idleMs = 3000;
+    sleepMs(finishMs);
+    // For 3 s from now on: does a job have nothing running, beside idle executors?
+    std::vector<std::string> waiting;
+    for (const std::string &id : accepted) {
+        if (!hasBegun(deployment, id))
+            waiting.push_back(id);
+    }
+    bool isIdle = true;
+    for (int64_t passed = 0; passed < idleMs; passed += 50) {
+        sleepMs(50);
+        int64_t free = 0;
+        int64_t total = 0;
+        for (const auto &executor : deployment.executors()) {
+            if (!executor->isUp())
+                continue;
+            free += executor->freeCpu();
+            total += executor->info().cpu;
+        }
+        isIdle &= 2 * free > total;
+    }
+    for (const std::string &id : waiting) {
+        const Response response = deployment.send(0, "GET", prefix + id);
+        if (isIdle && !hasBegun(deployment, id))
+            record.addViolation(fmt::format(
+                    "LOST: job {} was accepted, has nothing running {} s after the end of the "
+                    "traffic while over half of the service is idle, and is shown as {}",
+                    id, (finishMs + idleMs) / 1000, response.body));
+    }
+    return true;
+}
+
+// Gangs of 4 tasks run when one of 8 executors is cut off for 5.5 s. It crashes behind the cut and
+// starts again.
+bool playGangCut(Record &record, bool hasTrouble)
+{
+    Layout layout;
+    Deployment deployment(record, layout);
+    deployment.start(route);
+    if (!deployment.waitUntilServed(prefix))
+        return false;
+    sleepMs(2000);
+    Deployment::Job gang;
+    gang.count = 4;
+    gang.cpu = 4000;
+    gang.workMs = 1500;
+    gang.estimateMs = 1500;
+    gang.isGang = true;
+    std::vector<std::string> accepted;
+    constexpr int64_t trafficMs = 15000;
+    constexpr int64_t cutAtMs = 5000;
+    constexpr int64_t cutMs = 5500;
+    const int64_t begin = record.elapsedMs();
+    Executor &victim = *deployment.executors().front();
+    bool isCut = false;
+    bool wasCut = false;
+    while (record.elapsedMs() < begin + trafficMs) {
+        const std::string id = idOf(4, accepted.size());
+        if (deployment.submit(accepted.size() % deployment.vmCount(), prefix + id,
+                              Deployment::jobBody(gang)))
+            accepted.push_back(id);
+        sleepMs(300);
+        if (hasTrouble && !wasCut && record.elapsedMs() >= begin + cutAtMs) {
+            isCut = wasCut = true;
+            victim.setCut(true);
+        }
+        if (isCut && record.elapsedMs() >= begin + cutAtMs + cutMs) {
+            isCut = false;
+            victim.crash();
+            victim.restart();
+            victim.setCut(false);
+        }
+    }
+    record.add("the traffic ends, all executors are up");
+    const int64_t calmSince = nowMs();
+    sleepMs(25000);
+    // `stable_ms` after the last disruption nothing excuses a run that ends `alone`.
+    constexpr int64_t stableMs = 3000;
+    constexpr int64_t gangWaitMs = gangTimeoutMs;
+    std::set<std::string> alone;
+    {
+        const std::lock_guard lock(deployment.registry().mutex);
+        for (const auto &[task, notes] : deployment.registry().runs) {
+            for (const RunNote &note : notes) {
+                if (note.how == "alone" && note.endedAtMs > calmSince + stableMs + gangWaitMs) {
+                    alone.insert(task.substr(0, task.find('.')));
+                    record.add(fmt::format("{} run {} on {} ended alone {} ms after the last "
+                                           "disruption",
+                                           task, note.run, note.executor,
+                                           note.endedAtMs - calmSince));
+                }
+            }
+        }
+    }
+    for (const std::string &id : alone) {
+        const Response response = deployment.send(0, "GET", prefix + id);
+        record.addViolation(fmt::format("GANG: runs of job {} end alone with no disruption near, "
+                                        "the job is shown as {}",
+                                        id, response.body));
+    }
+    return true;
+}
+
+// Jobs that need much memory come at 1.8 times the rate at which there is room for them.
+bool playLargeJobs(Record &record, bool hasTrouble)
+{
+    Layout layout;
+    layout.executor.memMb = 3000;
+    Deployment deployment(record, layout);
+    deployment.start(route);
+    if (!deployment.waitUntilServed(prefix))
+        return false;
+    sleepMs(2000);
+    Deployment::Job large;
+    large.memMb = 1000;
+    large.workMs = 30000;
+    large.estimateMs = 30000;
+    // 8 executors have room for 24 of them.
+    const uint64_t jobs = hasTrouble ? 43 : 24;
+    std::vector<std::string> accepted;
+    for (uint64_t i = 0; i < jobs; ++i) {
+        const std::string id = idOf(5, i);
+        if (deployment.submit(i % deployment.vmCount(), prefix + id, Deployment::jobBody(large)))
+            accepted.push_back(id);
+    }
+    record.add(fmt::format("{} jobs are accepted", accepted.size()));
+    // `visible_ms` + 2 s after the last acceptance, and a little longer.
+    sleepMs(7000);
+    for (size_t vm = 0; vm < deployment.vmCount(); ++vm) {
+        int64_t waiting = 0;
+        for (const std::string &id : accepted)
+            waiting += hasBegun(deployment, id) ? 0 : 1;
+        const Response response = deployment.send(vm, "GET", prefix);
+        if (response.status != 200)
+            return false;
+        const int64_t pending = json::parse(response.body).at("pending").to_number<int64_t>();
+        record.add(
+                fmt::format("{} jobs have not begun, {} are given as pending", waiting, pending));
+        if (2 * pending < waiting)
+            record.addViolation(fmt::format(
+                    "MIXED: {} gives {} jobs as pending, {} accepted jobs have not begun",
+                    Deployment::nameOf(vm), pending, waiting));
+    }
+    return true;
+}
+
+} // namespace lovage::review
