Show that repeated tasks that have ended run again after a keeper was killed

Cause: the next keeper confirms outcomes of occurrences that it has not opened yet, without a record.

--- a/review/harness/cases.h
+++ b/review/harness/cases.h
@@ -11,15 +11,15 @@
 
 using Case = bool (*)(Record &record, bool hasTrouble);
 
+bool playKeeperKill(Record &record, bool hasTrouble);
 bool playZoneCut(Record &record, bool hasTrouble);
-bool playLostLabel(Record &record, bool hasTrouble);
 bool playGangCut(Record &record, bool hasTrouble);
 bool playLargeJobs(Record &record, bool hasTrouble);
 
 inline const std::map<std::string, Case> &cases()
 {
-    static const std::map<std::string, Case> cases {{"zone-cut", playZoneCut},
-                                                    {"lost-label", playLostLabel},
+    static const std::map<std::string, Case> cases {{"keeper-kill", playKeeperKill},
+                                                    {"zone-cut", playZoneCut},
                                                     {"gang-cut", playGangCut},
                                                     {"large-jobs", playLargeJobs}};
     return cases;
