Show that small jobs wait for ever after a task that needs a whole executor

Cause: free cores are reported in multiples of the demand of the latest task, and nothing is offered to a pool that reports none.

--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -207,6 +207,66 @@
     return true;
 }
 
+// Long-running tasks of one core are at work on 7 of 8 executors. A task that needs a whole
+// executor comes to the last one, and then small jobs come.
+bool playLargeTask(Record &record, bool hasTrouble)
+{
+    Layout layout;
+    Deployment deployment(record, layout);
+    deployment.start(route);
+    if (!deployment.waitUntilServed(prefix))
+        return false;
+    sleepMs(2000);
+    Deployment::Job lasting;
+    lasting.count = 7;
+    lasting.maxPerServer = 1;
+    lasting.workMs = 3600000;
+    lasting.estimateMs = 1000;
+    lasting.isEndless = true;
+    if (!deployment.submit(0, prefix + idOf(10, 0), Deployment::jobBody(lasting)))
+        return false;
+    sleepMs(2000);
+    if (hasTrouble) {
+        Deployment::Job large = lasting;
+        large.count = 1;
+        large.cpu = layout.executor.cpu;
+        if (!deployment.submit(1, prefix + idOf(10, 1), Deployment::jobBody(large)))
+            return false;
+        sleepMs(2000);
+    }
+    std::vector<std::string> accepted;
+    for (uint64_t i = 0; i < 10; ++i) {
+        const std::string id = idOf(11, i);
+        if (deployment.submit(i % deployment.vmCount(), prefix + id, Deployment::jobBody({})))
+            accepted.push_back(id);
+    }
+    if (accepted.empty())
+        return false;
+    record.add("the traffic ends");
+    constexpr int64_t finishMs = 14000;
+    constexpr int64_t idleMs = 3000;
+    sleepMs(finishMs);
+    int64_t leastFree = INT64_MAX;
+    for (int64_t passed = 0; passed < idleMs; passed += 50) {
+        sleepMs(50);
+        int64_t free = 0;
+        for (const auto &executor : deployment.executors())
+            free += executor->freeCpu();
+        leastFree = std::min(leastFree, free);
+    }
+    const auto executors = static_cast<int64_t>(deployment.executors().size());
+    const int64_t total = executors * layout.executor.cpu;
+    for (const std::string &id : accepted) {
+        const Response response = deployment.send(0, "GET", prefix + id);
+        if (2 * leastFree > total && !hasBegun(deployment, id))
+            record.addViolation(fmt::format(
+                    "LOST: job {} was accepted, has nothing running {} s after the end of the "
+                    "traffic while {} of {} cores are free, and is shown as {}",
+                    id, (finishMs + idleMs) / 1000, leastFree / 1000, total / 1000, response.body));
+    }
+    return true;
+}
+
 // Jobs that need much memory come at 1.8 times the rate at which there is room for them.
 bool playLargeJobs(Record &record, bool hasTrouble)
 {
--- a/review/harness/cases.h
+++ b/review/harness/cases.h
@@ -14,6 +14,7 @@
 bool playKeeperKill(Record &record, bool hasTrouble);
 bool playZoneCut(Record &record, bool hasTrouble);
 bool playGangCut(Record &record, bool hasTrouble);
+bool playLargeTask(Record &record, bool hasTrouble);
 bool playLargeJobs(Record &record, bool hasTrouble);
 
 inline const std::map<std::string, Case> &cases()
@@ -21,6 +22,7 @@
     static const std::map<std::string, Case> cases {{"keeper-kill", playKeeperKill},
                                                     {"zone-cut", playZoneCut},
                                                     {"gang-cut", playGangCut},
+                                                    {"large-task", playLargeTask},
                                                     {"large-jobs", playLargeJobs}};
     return cases;
 }
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -216,6 +216,7 @@
         int64_t estimateMs = 100;
         bool isGang = false;
         std::string requiredLabel {};
+        bool isEndless = false;
         uint32_t repeatCount = 0;
         int64_t intervalMs = 0;
         int64_t maxPerServer = 0;
@@ -235,6 +236,8 @@
             step["gang"] = true;
             step["checkpointing"] = true;
         }
+        if (job.isEndless)
+            step["long_running"] = true;
         if (job.maxPerServer > 0)
             step["max_per_server"] = job.maxPerServer;
         if (!job.requiredLabel.empty())
