--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -267,6 +267,66 @@
     return true;
 }
 
+// For 5.5 s, executors leave a share of the orders unanswered and carry them out late. In the
+// seconds after, single executors crash, one at a time, and start again under their ids.
+bool playLateStarts(Record &record, bool hasTrouble)
+{
+    Layout layout;
+    Deployment deployment(record, layout);
+    deployment.start(route);
+    if (!deployment.waitUntilServed(prefix))
+        return false;
+    sleepMs(2000);
+    Deployment::Job job;
+    job.count = 8;
+    job.workMs = 60;
+    job.estimateMs = 60;
+    constexpr uint32_t lateThousandths = 55;
+    constexpr int64_t lateMs = 5500;
+    constexpr int64_t trafficMs = 18000;
+    constexpr int64_t crashIntervalMs = 3000;
+    constexpr int64_t downMs = 2000;
+    auto &executors = deployment.executors();
+    const int64_t begin = record.elapsedMs();
+    if (hasTrouble) {
+        record.add("orders are carried out late");
+        for (auto &executor : executors)
+            executor->setLateShare(lateThousandths);
+    }
+    bool isLate = hasTrouble;
+    int64_t nextCrash = begin + crashIntervalMs;
+    int64_t nextStart = 0;
+    size_t victim = 0;
+    uint64_t jobs = 0;
+    while (record.elapsedMs() < begin + trafficMs) {
+        const int64_t now = record.elapsedMs();
+        deployment.submit(jobs % deployment.vmCount(), prefix + idOf(12, jobs),
+                          Deployment::jobBody(job));
+        ++jobs;
+        sleepMs(25);
+        if (isLate && now >= begin + lateMs) {
+            isLate = false;
+            record.add("orders are carried out in time again");
+            for (auto &executor : executors)
+                executor->setLateShare(0);
+        }
+        if (hasTrouble && nextStart == 0 && now >= nextCrash) {
+            executors[victim]->crash();
+            nextStart = now + downMs;
+            nextCrash = now + crashIntervalMs;
+        }
+        if (nextStart > 0 && now >= nextStart) {
+            executors[victim]->restart();
+            nextStart = 0;
+            victim = (victim + 1) % executors.size();
+        }
+    }
+    if (nextStart > 0)
+        executors[victim]->restart();
+    sleepMs(5000);
+    return true;
+}
+
 // Jobs that need much memory come at 1.8 times the rate at which there is room for them.
 bool playLargeJobs(Record &record, bool hasTrouble)
 {
--- a/review/harness/cases.h
+++ b/review/harness/cases.h
@@ -15,15 +15,15 @@
 bool playZoneCut(Record &record, bool hasTrouble);
 bool playGangCut(Record &record, bool hasTrouble);
 bool playLargeTask(Record &record, bool hasTrouble);
+bool playLateStarts(Record &record, bool hasTrouble);
 bool playLargeJobs(Record &record, bool hasTrouble);
 
 inline const std::map<std::string, Case> &cases()
 {
-    static const std::map<std::string, Case> cases {{"keeper-kill", playKeeperKill},
-                                                    {"zone-cut", playZoneCut},
-                                                    {"gang-cut", playGangCut},
-                                                    {"large-task", playLargeTask},
-                                                    {"large-jobs", playLargeJobs}};
+    static const std::map<std::string, Case> cases {
+            {"keeper-kill", playKeeperKill}, {"zone-cut", playZoneCut},
+            {"gang-cut", playGangCut},       {"large-task", playLargeTask},
+            {"late-starts", playLateStarts}, {"large-jobs", playLargeJobs}};
     return cases;
 }
 
--- a/review/harness/executor.h
+++ b/review/harness/executor.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 
 namespace lovage::review {
@@ -174,6 +175,14 @@
         registry_.record.add(fmt::format("executor {} starts again", info_.id));
     }
 
+    // Sets the share, in thousandths, of the starts and stops that get no answer and are carried
+    // out 2 to 12 s later.
+    void setLateShare(uint32_t thousandths)
+    {
+        const std::lock_guard lock(registry_.mutex);
+        lateShare_ = thousandths;
+    }
+
     // Cuts the executor off from all VMs: their calls get no answer. Its runs go on.
     void setCut(bool isCut)
     {
@@ -181,7 +190,8 @@
         registry_.record.add(fmt::format("executor {} is {}", info_.id,
                                          isCut ? "cut off from the VMs" : "reachable again"));
         isCut_ = isCut;
-        unanswered_.clear();
+        if (!isCut)
+            unanswered_.clear();
     }
 
     bool isRunning(const std::string &task)
@@ -326,6 +336,30 @@
         }
         if (!isUp_)
             return; // the connection is closed
+        if (request.path() != "/-/hold" && random_() % 1000 < lateShare_) {
+            unanswered_.push_back(std::move(reply));
+            threads_.postAfter(0, std::chrono::milliseconds(2000 + random_() % 10000),
+                               [this, request] { carryOutLate(request); });
+            return;
+        }
+        carryOut(request, std::move(reply));
+    }
+
+    void carryOutLate(const HttpRequest &request)
+    {
+        const std::lock_guard lock(registry_.mutex);
+        if (!isUp_)
+            return;
+        const int64_t ends = nextEnd_;
+        const size_t runs = running_.size();
+        carryOut(request, [](const HttpResponse &) {});
+        if (running_.size() > runs || nextEnd_ > ends)
+            registry_.record.add(fmt::format("executor {} has carried out late: {} {}", info_.id,
+                                             request.path(), request.body));
+    }
+
+    void carryOut(const HttpRequest &request, HttpServer::Reply reply)
+    {
         advance();
         if (request.header("Lovagedeal-Expected-Instance") != info_.id) {
             reply(test::jsonResponse(421, fields()));
@@ -477,7 +511,9 @@
     Info info_;
     bool isUp_ = true;
     bool isCut_ = false;
-    std::vector<HttpServer::Reply> unanswered_; // their connections stay open during a cut
+    uint32_t lateShare_ = 0;
+    std::mt19937 random_ {std::random_device {}()};
+    std::vector<HttpServer::Reply> unanswered_; // their connections stay open
     int64_t bornMs_ = nowMs();
     int64_t nextSequence_ = 1;
     int64_t nextEnd_ = 1;
