--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -127,14 +127,6 @@
             pids_[vm] = 0;
         }
     }
-    // Returns whether the process of the VM has ended by itself.
-    bool hasEnded(size_t vm)
-    {
-        if (pids_[vm] > 0 && waitpid(pids_[vm], nullptr, WNOHANG) == pids_[vm])
-            pids_[vm] = 0;
-        return pids_[vm] == 0;
-    }
-
     // Returns a VM that keeps partitions of the journal, by what the VMs have logged.
     std::optional<size_t> keeper() const
     {
@@ -188,7 +180,7 @@
         }
         return false;
     }
-    // Waits until stored jobs are served at every VM: submits a small job and waits for its end.
+    // Waits until a small stored job is served.
     bool waitUntilServed(const std::string &prefix)
     {
         const Time until = currentTime() + std::chrono::seconds(25);
@@ -215,7 +207,6 @@
         int64_t workMs = 100;
         int64_t estimateMs = 100;
         bool isGang = false;
-        std::string requiredLabel {};
         bool isEndless = false;
         uint32_t repeatCount = 0;
         int64_t intervalMs = 0;
@@ -240,8 +231,6 @@
             step["long_running"] = true;
         if (job.maxPerServer > 0)
             step["max_per_server"] = job.maxPerServer;
-        if (!job.requiredLabel.empty())
-            step["requires"] = job.requiredLabel;
         json::object body {{"spec", spec}, {"steps", json::array {step}}};
         if (job.repeatCount > 0) {
             body["repeat_count"] = job.repeatCount;
--- a/review/harness/executor.h
+++ b/review/harness/executor.h
@@ -130,7 +130,6 @@
     }
 
     const Info &info() const { return info_; }
-    void setKind(std::string kind) { info_.kind = std::move(kind); }
     bool isUp() const { return isUp_; }
 
     // Returns the entry of the executor in the platform's store.
@@ -194,11 +193,6 @@
             unanswered_.clear();
     }
 
-    bool isRunning(const std::string &task)
-    {
-        const std::lock_guard lock(registry_.mutex);
-        return running_.contains(task);
-    }
     int64_t freeCpu()
     {
         const std::lock_guard lock(registry_.mutex);
