--- a/review/harness/cases.cpp
+++ b/review/harness/cases.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-// 24 jobs are repeated each 0.7 s. A VM that keeps some of them is killed, and starts again 3.5 s
+// 24 jobs are repeated each 0.7 s. A VM that keeps some of them is killed, and starts again 0.5 s
 // later. Long tasks run beside them, so that the leases of the executors do not lapse meanwhile.
 bool playKeeperKill(Record &record, bool hasTrouble)
 {
@@ -73,7 +73,7 @@
         if (!vm)
             return false;
         deployment.signalVm(*vm, SIGKILL);
-        sleepMs(3500);
+        sleepMs(500);
         deployment.startVm(*vm);
     }
     const Time until = currentTime() + std::chrono::seconds(60);
@@ -207,33 +207,33 @@
     return true;
 }
 
-// Long-running tasks of one core are at work on 7 of 8 executors. A task that needs a whole
-// executor comes to the last one, and then small jobs come.
+// Long-running tasks are at work on 6 of 8 executors. Two tasks that are larger than what is left
+// there come to the others, and then small jobs come.
 bool playLargeTask(Record &record, bool hasTrouble)
 {
     Layout layout;
+    layout.executor.cpu = 16000;
     Deployment deployment(record, layout);
     deployment.start(route);
     if (!deployment.waitUntilServed(prefix))
         return false;
     sleepMs(2000);
     Deployment::Job lasting;
-    lasting.count = 7;
+    lasting.count = 6;
+    lasting.cpu = 7000;
     lasting.maxPerServer = 1;
-    lasting.workMs = 3600000;
-    lasting.estimateMs = 1000;
     lasting.isEndless = true;
     if (!deployment.submit(0, prefix + idOf(10, 0), Deployment::jobBody(lasting)))
         return false;
     sleepMs(2000);
-    if (hasTrouble) {
+    for (uint64_t i = 1; hasTrouble && i <= 2; ++i) {
         Deployment::Job large = lasting;
         large.count = 1;
-        large.cpu = layout.executor.cpu;
-        if (!deployment.submit(1, prefix + idOf(10, 1), Deployment::jobBody(large)))
+        large.cpu = 10000;
+        if (!deployment.submit(1, prefix + idOf(10, i), Deployment::jobBody(large)))
             return false;
-        sleepMs(2000);
     }
+    sleepMs(2000);
     std::vector<std::string> accepted;
     for (uint64_t i = 0; i < 10; ++i) {
         const std::string id = idOf(11, i);
--- a/review/harness/deployment.h
+++ b/review/harness/deployment.h
@@ -214,11 +214,11 @@
     };
     static std::string jobBody(const Job &job)
     {
-        const std::string spec =
-                json::serialize(json::object {{"cpu", job.cpu},
-                                              {"mem_mb", job.memMb},
-                                              {"work_ms", job.workMs},
-                                              {"gang", job.isGang ? job.count : 0}});
+        const std::string spec = json::serialize(json::object {{"cpu", job.cpu},
+                                                               {"mem_mb", job.memMb},
+                                                               {"work_ms", job.workMs},
+                                                               {"gang", job.isGang ? job.count : 0},
+                                                               {"lasts", job.isEndless}});
         json::object step {{"count", job.count},
                            {"cpu", job.cpu},
                            {"mem_mb", job.memMb},
--- a/review/harness/executor.h
+++ b/review/harness/executor.h
@@ -38,6 +38,7 @@
     int64_t workMs = 0;
     int64_t gang = 0; // number of members; 0: no gang
     bool hasCheckpoints = false;
+    bool isLasting = false;     // runs until it is stopped
     std::string checkpoint;     // latest value
     int64_t resumedFromMs = 0;  // work that the checkpoint of the start holds
     int64_t arrivedAtMs = 0;    // time of the start
@@ -244,7 +245,7 @@
                 run->checkpoint = fmt::format("w{}", done / checkpointMs * checkpointMs);
             if (hasLapsed)
                 ends.emplace_back(task, "lapsed");
-            else if (run->workingSinceMs > 0 && done >= run->workMs)
+            else if (!run->isLasting && run->workingSinceMs > 0 && done >= run->workMs)
                 ends.emplace_back(task, "done");
             else if (run->stopsAtMs && nowMs() >= *run->stopsAtMs)
                 ends.emplace_back(task, "stopped");
@@ -402,11 +403,11 @@
         const int64_t number = body.at("run").to_number<int64_t>();
         const int64_t until = body.at("deadline_ms").to_number<int64_t>();
         const auto *checkpoint = body.as_object().if_contains("checkpoint");
+        extendLease(until);
         if (running_.contains(task) && running_[task]->number == number)
             return test::jsonResponse(200, fields());
         if (until <= clockMs())
             return refusal("late");
-        extendLease(until);
         if (running_.contains(task)
             || (highestClosed_.contains(task) && highestClosed_[task] >= number))
             return refusal("old");
@@ -419,6 +420,7 @@
         run->workMs = spec.at("work_ms").to_number<int64_t>();
         run->gang = spec.at("gang").to_number<int64_t>();
         run->hasCheckpoints = run->gang > 0;
+        run->isLasting = spec.at("lasts").as_bool();
         run->checkpoint = checkpoint ? std::string(checkpoint->as_string()) : "";
         if (!run->checkpoint.empty())
             run->resumedFromMs = std::stoll(run->checkpoint.substr(1));
@@ -482,7 +484,9 @@
         }
         json::array running;
         for (const auto &[task, run] : running_) {
-            const int64_t percent = std::min<int64_t>(100, 100 * run->doneMs() / run->workMs);
+            const int64_t percent = run->isLasting
+                    ? 100
+                    : std::min<int64_t>(100, 100 * run->doneMs() / run->workMs);
             running.push_back(
                     json::array {task, run->number, json::string(run->checkpoint), percent, 0});
         }
