Review case 6: use a job that asks for more cores than any executor has

Cause: the fault does not depend on gangs. Change: the job that can never be done has one task of 100 cores.

--- a/review/harness-2/cases.cpp
+++ b/review/harness-2/cases.cpp
@@ -119,9 +119,8 @@
     if (!start(rig, 3))
         return Verdict::NotRun;
     const std::string plain = jobBody({StepShape {2, 1000, 64, 200}});
-    // A gang that needs more cores than all executors of the service have together.
-    StepShape tooWide {100, 2000, 64, 200};
-    tooWide.isGang = true;
+    // A task that needs more cores than a zone has, where no executor has more than 16.
+    const StepShape tooWide {1, 100'000, 64, 20};
     const std::string impossible = jobBody({tooWide});
     // Of the jobs that are sent in a burst, one in seventeen can never be done (0.0588).
     constexpr int64_t gapMs = 10;
