--- a/review/harness-2/cases.cpp
+++ b/review/harness-2/cases.cpp
@@ -119,8 +119,9 @@
     if (!start(rig, 3))
         return Verdict::NotRun;
     const std::string plain = jobBody({StepShape {2, 1000, 64, 200}});
-    // A task that needs more cores than a zone has, where no executor has more than 16.
-    const StepShape tooWide {1, 100'000, 64, 20};
+    // A gang that needs more cores than all executors of the service have together.
+    StepShape tooWide {100, 2000, 64, 200};
+    tooWide.isGang = true;
     const std::string impossible = jobBody({tooWide});
     // Of the jobs that are sent in a burst, one in seventeen can never be done (0.0588).
     constexpr int64_t gapMs = 10;
@@ -223,7 +224,7 @@
         clients.emplace_back([&rig, &request, &body] {
             const std::string bytes = std::string("POST ") + Rig::prefix + request.id
                     + " HTTP/1.1\r\nHost: " + Rig::host
-                    + "\r\nLovagedeal-Deadline-Ms: 2500\r\nContent-Type: application/json"
+                    + "\r\nLovagedeal-Deadline-Ms: 1500\r\nContent-Type: application/json"
                       "\r\nContent-Length: "
                     + std::to_string(body.size()) + "\r\n\r\n" + body;
             request.sentAt = rig.record.seconds();
@@ -390,7 +391,7 @@
 Verdict dealtAnew(const CaseOptions &options)
 {
     Bounds bounds;
-    bounds.startMs = 60;
+    bounds.startDelayMs = 60;
     Rig &rig = *new Rig(options, threeZones, 300, bounds); // its threads go on until the end
     const FleetGuard guard(rig.fleet);
     addTwelveExecutors(rig);
--- a/review/harness-2/executors.h
+++ b/review/harness-2/executors.h
@@ -18,7 +18,7 @@
     int64_t gangTimeoutMs = 3000;
     int64_t checkpointMs = 1000;
     int64_t restoreMs = 100;
-    int64_t startMs = 0; // time that an executor takes to carry out a start
+    int64_t startDelayMs = 0; // time by which a start reaches an executor later than other calls
 };
 
 // One execution of a task, as the executors saw it.
@@ -361,7 +361,7 @@
     Response handle(Executor &executor, const Request &request)
     {
         if (request.path == "/-/run-start")
-            sleepMs(bounds_.startMs);
+            sleepMs(bounds_.startDelayMs);
         std::unique_lock lock(mutex_);
         if (!executor.isUp) {
             const bool isSilent = executor.isSilent;
--- a/review/harness-2/rig.h
+++ b/review/harness-2/rig.h
@@ -32,10 +32,9 @@
     // Writes the configuration with one queue, as the operator does.
     void configure(int64_t attempts)
     {
-        const json::object route {{"name", "queue-1"},     {"host", host},
-                                  {"path_prefix", prefix}, {"service", service},
-                                  {"priority", 1},         {"attempts", attempts},
-                                  {"stretch_factor", 1.6}, {"slo_ms", 10'000}};
+        const json::object route {{"name", "queue-1"},     {"host", host},  {"path_prefix", prefix},
+                                  {"service", service},    {"priority", 1}, {"attempts", attempts},
+                                  {"stretch_factor", 1.6}, {"slo_ms", 60},  {"timeout_ms", 1500}};
         const json::object config {
                 {"version", 1},
                 {"routes", json::array {route}},
