Evacuate data centres at the request of operators

Operators request by the records evacuate/NAME of the topic keyed.op that no more work is started in a data centre. Nothing read these records, so tasks were started there without end.

Each VM decodes the request from the records, and takes it from another VM together with the configuration if it stays behind for a second. States are merged by the offset up to which the records were read. A pool of an evacuated data centre reports no capacity, refuses new and waiting jobs as not run, and starts no tasks of stored jobs. Jobs that have started may start further tasks for a fifth of the time limit and are abandoned after it. Routers and keepers leave out the pools of evacuated data centres, and refusals by these do not count towards the offers of a job. With a time limit in the settings, a pool starts nothing before the evacuations are known.

The format of messages between VMs changes, so their version is 7.

vm_message_test names the type of the configuration, which is optional now.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -21,6 +21,7 @@
 namespace lovage {
 
 namespace node {
+class EvacuationWatch;
 class HeldShards;
 class JobMetrics;
 class Peers;
@@ -58,6 +59,10 @@
     Duration jobRetention = std::chrono::seconds(120);
     // The store drops journal records that are older than this.
     Duration journalHistory = std::chrono::seconds(300);
+    // Time after the store has acknowledged the request to evacuate a data centre from which no VM
+    // in touch with the platform starts a task there. If it is set, nothing is started before it is
+    // known which data centres are evacuated.
+    std::optional<Duration> evacuationLimit;
     LogLevel logLevel = LogLevel::Info;
 
     auto operator<=>(const NodeSettings &) const = default;
@@ -173,6 +178,7 @@
     void onFramesLost(const FrameClient::Lost &lost);
 
     void setConfiguration(Configuration configuration);
+    void setEvacuations(Evacuations evacuations);
     void setServers(const std::vector<ServerInfo> &servers);
     void setPeers(const std::vector<VmInfo> &peers);
     uint64_t submit(JobSpec job, const Queue &queue, const RequestTiming &timing,
@@ -213,6 +219,7 @@
     void onPeerMessage(const ConfigurationRequest &message);
     void onPeerMessage(ConfigurationMessage message);
     void requestConfiguration(const std::string &vm);
+    void watchEvacuation(Time now);
 
     Duration staleRequestLimit() const { return settings_.resubmitDelay / 2; }
     void refuseStaleRequest(const std::string &job, const RequestTiming &timing,
@@ -261,6 +268,8 @@
     Time previousTickAt_ {}; // time of the last tick
     Time nextConfigurationRequest_ {};
     std::unique_ptr<node::JobMetrics> metrics_;
+    EvacuationState evacuations_;
+    std::unique_ptr<node::EvacuationWatch> evacuationWatch_;
 };
 
 // Single-threaded: all calls and callbacks take place on thread 0 of the I/O threads.
@@ -281,6 +290,8 @@
 
     // Ignores a version that is not newer than the one in force.
     void setConfiguration(Configuration configuration);
+    // Ignores a state with a lower version than the one in force.
+    void setEvacuations(Evacuations evacuations);
     void setServers(const std::vector<ServerInfo> &servers);
     void setPeers(const std::vector<VmInfo> &peers);
 
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -108,6 +108,7 @@
     uint32_t couldRun = 0;           // number of tasks of the first step that could end in time
     uint32_t couldRunWithMargin = 0; // part of couldRun that ends in time with some margin
     bool wouldAccept = false;        // whether the same offer would be accepted with isLastOffer
+    bool isEvacuated = false;        // whether the pool's data centre is evacuated
 
     auto operator<=>(const JobAnswer &) const = default;
 };
@@ -373,6 +374,11 @@
     // time the server is avoided again before a run there has succeeded.
     Duration minAvoidance = std::chrono::milliseconds(1000);
     Duration maxAvoidance = std::chrono::seconds(16);
+    // Whether nothing is started before the first call of setEvacuated().
+    bool needsEvacuationState = false;
+    // Time from the begin of an evacuation in which jobs that have started may start their
+    // remaining tasks.
+    Duration evacuationGrace = std::chrono::milliseconds(1000);
 };
 
 struct PoolCounters
@@ -419,6 +425,11 @@
     void setGrants(const ShardGrants &grants, Time now);
     // Refuses all further jobs.
     void drain();
+    // Sets whether the data centre of the servers is evacuated. If so, the pool reports no
+    // capacity, refuses new and waiting jobs and starts no tasks of stored jobs. Jobs that have
+    // started may start further tasks for evacuationGrace and are abandoned if that does not
+    // suffice. Runs are not stopped unless their job is abandoned.
+    void setEvacuated(bool isEvacuated, Time now);
 
     void offer(JobOffer offer, Time now);
     // Drops a job and stops its runs, because its caller has disconnected or cancelled it. The
@@ -466,6 +477,8 @@
     std::set<std::string> servedVms() const;
     // Returns the number of servers that this pool holds and may place on.
     size_t serverCount() const;
+    // Returns the number of runs on the servers of this pool.
+    size_t runCount() const;
     // Returns the number of registered servers, held or not.
     size_t knownServerCount() const;
     std::vector<ServiceLoad> load(Time now) const;
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -3,6 +3,7 @@
 // library performs no I/O.
 #pragma once
 
+#include "lovage/evacuations.h"
 #include "lovage/pool.h"
 
 #include <functional>
@@ -144,6 +145,7 @@
     bool isHolder = false; // the sender holds shards or has requested them
     bool isDraining = false;
     uint64_t configurationVersion = 0;
+    uint64_t evacuationsVersion = 0;
     // Number of backend servers that the sender knows in its data centre; 0 if it tracks none.
     uint32_t knownServers = 0;
     std::vector<ServiceLoad> loads;
@@ -199,7 +201,8 @@
 };
 struct ConfigurationMessage
 {
-    Configuration configuration;
+    std::optional<Configuration> configuration {};
+    std::optional<Evacuations> evacuations {};
 
     auto operator<=>(const ConfigurationMessage &) const = default;
 };
@@ -315,10 +318,14 @@
     std::map<std::string, Row> &rows() { return rows_; }
     const std::map<std::string, Row> &rows() const { return rows_; }
     const VmInfo &self() const { return self_; }
+    // Sets the data centres whose pools get no work.
+    void setEvacuated(std::set<std::string> dataCentres) { evacuated_ = std::move(dataCentres); }
+    const std::set<std::string> &evacuated() const { return evacuated_; }
 
 private:
     VmTableOptions options_;
     VmInfo self_;
+    std::set<std::string> evacuated_;
     std::map<std::string, Row> rows_; // row of each other VM, by name of the VM
     // Time at which each VM that has not reported since was lost or removed, by name of the VM.
     std::map<std::string, Time> lostAt_;
@@ -339,8 +346,9 @@
 struct RouterOptions
 {
     ResubmissionLimits resubmission;
-    // Number of pools to which a job, or a part of one, is offered in turn. If none of these takes
-    // it, the job is divided among pools, offered to its fallback pool or refused.
+    // Number of pools to which a job, or a part of one, is offered in turn, not counting those of
+    // evacuated data centres. If none of these takes it, the job is divided among pools, offered to
+    // its fallback pool or refused.
     size_t maxOffers = 3;
     // Round-trip time that is added to the expected wait of a pool in another data centre.
     Duration remotePenalty = std::chrono::milliseconds(4);
@@ -428,6 +436,7 @@
         std::string vm {};
         bool isOffered = false;
         std::vector<std::string> refusedBy {};
+        size_t evacuated = 0; // number of pools in refusedBy whose data centre is evacuated
         // A pool that could run all tasks in time, but some only without margin. It gets the last
         // offer if no pool with more margin accepts.
         std::string fallback {};
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -78,6 +78,11 @@
     implementation_->logic().setConfiguration(std::move(configuration));
 }
 
+void Node::setEvacuations(Evacuations evacuations)
+{
+    implementation_->logic().setEvacuations(std::move(evacuations));
+}
+
 void Node::setServers(const std::vector<ServerInfo> &servers)
 {
     implementation_->logic().setServers(servers);
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -1,3 +1,4 @@
+#include "evacuation_watch.h"
 #include "held_shards.h"
 #include "job_metrics.h"
 #include "peers.h"
@@ -27,6 +28,13 @@
 // get its refusals faster than they would get a timeout.
 constexpr Duration readyWithoutPoolAfter = std::chrono::seconds(3);
 
+// Time limit of an evacuation if the settings have none.
+constexpr Duration defaultEvacuationLimit = std::chrono::seconds(5);
+// Inverse of the share of the limit in which jobs that have started may go on. A VM learns of the
+// request up to 1.7 s after it, if a read of the store has failed, and a start may be executed
+// until its lease of at most 1 s has ended. The sum stays well below the limit.
+constexpr int evacuationGraceInverse = 5;
+
 ResubmissionLimits resubmissionLimits(const NodeSettings &settings)
 {
     return {settings.resubmitDelay, settings.stopTime};
@@ -42,6 +50,9 @@
     options.maxLease = settings.lease;
     options.stopTime = settings.stopTime;
     options.pollWait = options.lease / 4;
+    options.needsEvacuationState = settings.evacuationLimit.has_value();
+    options.evacuationGrace =
+            settings.evacuationLimit.value_or(defaultEvacuationLimit) / evacuationGraceInverse;
     return options;
 }
 
@@ -83,7 +94,8 @@
               [this](const std::string &vm, const VmMessage &message) {
                   peers_->send(vm, message);
               })),
-      metrics_(std::make_unique<node::JobMetrics>(metrics))
+      metrics_(std::make_unique<node::JobMetrics>(metrics)),
+      evacuationWatch_(std::make_unique<node::EvacuationWatch>(metrics, self_.dataCentre))
 { }
 
 NodeLogic::~NodeLogic() = default;
@@ -117,6 +129,7 @@
     heldShards_->sendDueRequest(wantsShards(now), now);
     storedJobs_->setEligible(!isDraining_ && storedJobs_->jobsExist() && heldShards_->isMember());
     storedJobs_->tick(now);
+    watchEvacuation(now);
     flush();
     peers_->sendReports([this] { return contactState(); }, [this] { return report(); },
                         [this] { return router_.leaseRenewals(); }, now);
@@ -258,6 +271,28 @@
     hasConfiguration_ = true;
 }
 
+void NodeLogic::setEvacuations(Evacuations evacuations)
+{
+    const Time now = clock_.now();
+    const EvacuationState::Change change = evacuations_.merge(std::move(evacuations), now);
+    evacuationWatch_->recordChange(change, evacuations_.current().version, now);
+    if (!change.isEmpty())
+        vms_.setEvacuated(evacuations_.current().dataCentres);
+    pool_.setEvacuated(evacuations_.isEvacuated(self_.dataCentre), now);
+    flush();
+    const bool isOwn =
+            change.begun.contains(self_.dataCentre) || change.ended.contains(self_.dataCentre);
+    if (isOwn && heldShards_->isMember())
+        peers_->sendReportNow(contactState(), report(), router_.leaseRenewals(), now);
+}
+
+void NodeLogic::watchEvacuation(Time now)
+{
+    const auto since = evacuations_.since(self_.dataCentre);
+    if (since)
+        evacuationWatch_->recordRuns(pool_.runCount(), *since, now);
+}
+
 void NodeLogic::setServers(const std::vector<ServerInfo> &servers)
 {
     std::vector<ServerInfo> own;
@@ -318,6 +353,7 @@
     report.isHolder = heldShards_->isMember();
     report.isDraining = isDraining_;
     report.configurationVersion = configuration_.version;
+    report.evacuationsVersion = evacuations_.current().version;
     report.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
     report.loads = pool_.load(clock_.now());
     report.lostVms = vms_.recentlyLost(clock_.now());
--- a/src/node/node_messages.cpp
+++ b/src/node/node_messages.cpp
@@ -75,7 +75,8 @@
     const uint64_t incarnation = report.vm.incarnation;
     const VmTable::Row *known = vms_.find(vm);
     const bool isNewFollower = report.isFollowing && !(known && known->report.isFollowing);
-    if (report.configurationVersion > configuration_.version)
+    const bool isBehind = evacuations_.isRequestDue(report.evacuationsVersion, clock_.now());
+    if (report.configurationVersion > configuration_.version || isBehind)
         requestConfiguration(vm);
     if (std::find(report.lostVms.begin(), report.lostVms.end(), self_.name)
         != report.lostVms.end()) {
@@ -131,13 +132,21 @@
 
 void NodeLogic::onPeerMessage(const ConfigurationRequest &message)
 {
+    ConfigurationMessage answer;
     if (hasConfiguration_)
-        peers_->send(message.vm, ConfigurationMessage {configuration_});
+        answer.configuration = configuration_;
+    if (evacuations_.isKnown())
+        answer.evacuations = evacuations_.current();
+    if (answer.configuration || answer.evacuations)
+        peers_->send(message.vm, std::move(answer));
 }
 
 void NodeLogic::onPeerMessage(ConfigurationMessage message)
 {
-    setConfiguration(std::move(message.configuration));
+    if (message.configuration)
+        setConfiguration(std::move(*message.configuration));
+    if (message.evacuations)
+        setEvacuations(std::move(*message.evacuations));
 }
 
 // All other messages are about stored jobs.
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -30,6 +30,14 @@
         settings.peerAdvertised = advertised;
 }
 
+void readEvacuationLimit(ObjectReader &reader, NodeSettings &settings)
+{
+    Duration limit {};
+    reader.readMillis("evacuationLimitMs", limit, 1, maxMillis);
+    if (limit > Duration::zero())
+        settings.evacuationLimit = limit;
+}
+
 // The limit is a share of each of the VM's cores.
 void readCpuLimit(ObjectReader &reader, NodeSettings &settings)
 {
@@ -58,6 +66,7 @@
     reader.readMillis("stopTimeMs", settings.stopTime, 1, maxMillis);
     reader.readMillis("resubmitDelayMs", settings.resubmitDelay, 1, maxMillis);
     reader.readMillis("groupLeaseMs", settings.groupLease, 1, maxMillis);
+    readEvacuationLimit(reader, settings);
     reader.readSeconds("stopLimitS", settings.stopLimit, 0, maxSeconds);
     reader.readSeconds("jobRetentionS", settings.jobRetention, 1, maxSeconds);
     reader.readSeconds("journalHistoryS", settings.journalHistory, 1, maxSeconds);
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -44,6 +44,11 @@
     implementation_->isDraining_ = true;
 }
 
+void Pool::setEvacuated(bool isEvacuated, Time now)
+{
+    implementation_->setEvacuated(isEvacuated, now);
+}
+
 void Pool::offer(JobOffer offer, Time now)
 {
     implementation_->offer(std::move(offer), now);
@@ -132,7 +137,9 @@
 std::vector<PoolAction> Pool::takeActions(Time now)
 {
     implementation_->dropExpiredLeases(now);
-    if (implementation_->isPlacementDue_ && now >= implementation_->startsHeldUntil_)
+    implementation_->abandonEvacuatedJobs(now);
+    if (implementation_->isPlacementDue_ && now >= implementation_->startsHeldUntil_
+        && implementation_->mayContinueJobs(now))
         implementation_->placeQueued(now);
     implementation_->reportDueOutcomes(now);
     implementation_->retryStopsAndDropLapsedRuns(now);
@@ -186,6 +193,14 @@
     }));
 }
 
+size_t Pool::runCount() const
+{
+    size_t count = 0;
+    for (const auto &[id, server] : implementation_->servers_)
+        count += server.ownership == pool::Ownership::None ? 0 : server.runs().size();
+    return count;
+}
+
 size_t Pool::knownServerCount() const
 {
     const auto &servers = implementation_->servers_;
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -14,7 +14,9 @@
 class Pool::Implementation
 {
 public:
-    explicit Implementation(PoolOptions options) : options_(options) { }
+    explicit Implementation(PoolOptions options)
+        : options_(options), isEvacuationKnown_(!options.needsEvacuationState)
+    { }
 
     // Servers and grants (pool_servers.cpp).
     void setServers(const std::vector<ServerInfo> &servers, Time now);
@@ -36,6 +38,14 @@
     void dropOverdueJobs(Time now);
     void dropExpiredLeases(Time now);
 
+    // Evacuation of the data centre (pool_evacuation.cpp).
+    void setEvacuated(bool isEvacuated, Time now);
+    void abandonEvacuatedJobs(Time now);
+    // Returns whether new work is accepted.
+    bool isOpenForWork() const { return isEvacuationKnown_ && !evacuatedAt_; }
+    // Returns whether jobs that have started may start further tasks.
+    bool mayContinueJobs(Time now) const;
+
     // Tasks of stored jobs (pool_stored.cpp).
     void expectStoredJobs(bool exist);
     void startBatch(TaskBatch batch, Time now);
@@ -203,7 +213,9 @@
     std::vector<PoolLogEntry> logEntries_;
     PoolCounters counters_;
     bool isDraining_ = false;
-    Time startsHeldUntil_ {}; // no task is started before this time
+    Time startsHeldUntil_ {};         // no task is started before this time
+    bool isEvacuationKnown_;          // whether nothing has to be known first about evacuations
+    std::optional<Time> evacuatedAt_; // begin of the evacuation in force
 
     std::map<std::string, Server> servers_; // servers of this data centre, by id
     pool::RunTimeModel model_;
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -68,6 +68,10 @@
         answer(job, JobResult::Abandoned, "already-open", now);
         return;
     }
+    if (!isOpenForWork()) {
+        answer(job, JobResult::Refused, evacuatedAt_ ? "evacuated" : "evacuations-unknown", now);
+        return;
+    }
     if (now >= job.leaseUntil) {
         // The offer was delayed, and its caller may have sent the job again.
         logEvent("job-refused", id,
@@ -167,7 +171,7 @@
         ++counters_.refused;
         // A refusal guarantees to the caller that the job has not run and never will.
         LOVAGE_ASSERT_INVARIANT(Promise::TrueNotRun, !job.hasStarted, job.offer.job.id);
-        if (job.hadToWait)
+        if (job.hadToWait && !evacuatedAt_)
             waitError_ = std::min(maxWaitError, waitError_ + waitErrorRise);
         break;
     case JobResult::Abandoned:
@@ -176,7 +180,9 @@
     }
     if (jobs_.contains(job.number))
         logAnswered(job, result, reason, now);
-    actions_.emplace_back(JobAnswer {job.offer.ticket, result, std::move(reason), retryAfter});
+    JobAnswer answer {job.offer.ticket, result, std::move(reason), retryAfter};
+    answer.isEvacuated = result == JobResult::Refused && evacuatedAt_;
+    actions_.emplace_back(std::move(answer));
     removeJob(job.number, now);
 }
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -81,7 +81,8 @@
         const auto typical = typicalMilliCores_.find(service);
         const uint32_t portion =
                 typical == typicalMilliCores_.end() ? defaultMilliCores : typical->second;
-        load.freeMilliCores += uint64_t {server.freeMilliCores() / portion} * portion;
+        if (isOpenForWork())
+            load.freeMilliCores += uint64_t {server.freeMilliCores() / portion} * portion;
     }
     for (const auto &[number, job] : jobs_) {
         const auto load = loads.find(job.offer.service);
@@ -90,7 +91,7 @@
     }
     std::vector<ServiceLoad> result;
     for (auto &[service, load] : loads) {
-        load.rate = isDraining_ ? 0 : rateOf(service, now);
+        load.rate = isDraining_ || !isOpenForWork() ? 0 : rateOf(service, now);
         result.push_back(std::move(load));
     }
     return result;
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -49,7 +49,8 @@
             && elapsed >= scaled(run.expected, hangFactor) + hangSlack;
     const auto found = jobs_.find(run.job);
     const bool isOpen = run.stored || found != jobs_.end();
-    if (isOpen && isOverdue && row.percent < hangPercent) {
+    const bool mayRestart = run.stored || mayContinueJobs(now);
+    if (isOpen && isOverdue && mayRestart && row.percent < hangPercent) {
         pool::avoid(server, options_, now);
         logEvent("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
         moveRun(server, row.task, run, "hanging", now);
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 6;
+constexpr uint8_t messageVersion = 7;
 
 } // namespace
 
@@ -55,6 +55,7 @@
     durationField(archive, answer.retryAfter);
     archive(answer.couldRun, answer.couldRunWithMargin);
     flagField(archive, answer.wouldAccept);
+    flagField(archive, answer.isEvacuated);
 }
 
 template<class Archive>
@@ -111,8 +112,8 @@
     report.nextReportWithin = Duration(nextReportMicros);
     timeField(archive, report.sentAt);
     optionalField(archive, report.renewal);
-    archive(report.configurationVersion, report.knownServers, report.loads, report.holders,
-            report.lostVms, report.claims, report.backlog);
+    archive(report.configurationVersion, report.evacuationsVersion, report.knownServers,
+            report.loads, report.holders, report.lostVms, report.claims, report.backlog);
 }
 
 template<class Archive>
@@ -156,10 +157,33 @@
     archive(message.vm);
 }
 
+template<class Archive>
+void serialize(Archive &archive, Configuration &configuration)
+{
+    archive(configuration.version, configuration.queues);
+}
+
+template<class Archive>
+void save(Archive &archive, const Evacuations &evacuations)
+{
+    const std::vector<std::string> names(evacuations.dataCentres.begin(),
+                                         evacuations.dataCentres.end());
+    archive(evacuations.version, names);
+}
+
+template<class Archive>
+void load(Archive &archive, Evacuations &evacuations)
+{
+    std::vector<std::string> names;
+    archive(evacuations.version, names);
+    evacuations.dataCentres = {names.begin(), names.end()};
+}
+
 template<class Archive>
 void serialize(Archive &archive, ConfigurationMessage &message)
 {
-    archive(message.configuration.version, message.configuration.queues);
+    optionalField(archive, message.configuration);
+    optionalField(archive, message.evacuations);
 }
 
 template<class Archive>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -270,12 +270,13 @@
     const auto pools = candidates(offer, part.refusedBy, now);
     const auto planned = std::find_if(pools.begin(), pools.end(),
                                       [&](const Candidate &pool) { return pool.vm == part.vm; });
-    if (pools.empty() || part.refusedBy.size() >= options_.maxOffers) {
+    const size_t refusals = part.refusedBy.size() - part.evacuated;
+    if (pools.empty() || refusals >= options_.maxOffers) {
         if (!divideByCapabilities(number, now) && !offerToFallback(number, index, now))
             giveUp(number, index);
         return;
     }
-    part.isLastOffer = part.hasTasksWithoutMargin || (pools.size() == 1 && part.refusedBy.empty());
+    part.isLastOffer = part.hasTasksWithoutMargin || (pools.size() == 1 && refusals == 0);
     sendOffer(number, index, planned != pools.end() ? *planned : pools.front(), now);
 }
 
@@ -433,6 +434,13 @@
 void Router::onRefused(uint64_t number, size_t part, const JobAnswer &answer, Time now)
 {
     Request &request = requests_.at(number);
+    if (answer.isEvacuated) {
+        Part &evacuated = request.parts[part];
+        evacuated.refusedBy.push_back(evacuated.vm);
+        ++evacuated.evacuated;
+        offerPart(number, part, now);
+        return;
+    }
     const bool isFirst = request.retryAfter <= Duration::zero();
     request.retryAfter =
             isFirst ? answer.retryAfter : std::min(request.retryAfter, answer.retryAfter);
--- a/src/routing/vm_table.cpp
+++ b/src/routing/vm_table.cpp
@@ -118,9 +118,12 @@
         if (load && load->rate > 0)
             pools.push_back({vm, load, isLocal});
     };
-    addPool(vms.self().name, ownLoads, true);
+    const std::set<std::string> &evacuated = vms.evacuated();
+    if (!evacuated.contains(vms.self().dataCentre))
+        addPool(vms.self().name, ownLoads, true);
     for (auto &[name, row] : vms.rows()) {
-        if (vms.isReachable(row, now) && !row.report.isDraining)
+        if (vms.isReachable(row, now) && !row.report.isDraining
+            && !evacuated.contains(row.report.vm.dataCentre))
             addPool(name, row.report.loads, row.report.vm.dataCentre == vms.self().dataCentre);
     }
     return pools;
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -168,8 +168,16 @@
                  {"{{platform.keep_s|json}}", "300"},
                  {"{{bounds.grace_s|json}}", "6.5"}})
         text = replaced(text, from, to);
-    const auto settings = parseNodeSettings(text);
+    // A section is rendered once if its name has a value, and else not at all.
+    const std::string section = "{{#bounds.evacuate_ms}}\"evacuationLimitMs\": "
+                                "{{bounds.evacuate_ms|json}},{{/bounds.evacuate_ms}}";
+    const auto limited =
+            parseNodeSettings(replaced(text, section, R"("evacuationLimitMs": 5000,)"));
+    BOOST_REQUIRE(limited.has_value());
+    BOOST_TEST((limited.value().evacuationLimit == Duration(std::chrono::seconds(5))));
+    const auto settings = parseNodeSettings(replaced(text, section, ""));
     BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(!settings.value().evacuationLimit.has_value());
     BOOST_TEST(settings.value().cpuMilliCores == 250U);
     BOOST_TEST((settings.value().stopLimit == std::chrono::milliseconds(6500)));
     BOOST_TEST((settings.value().resubmitDelay == std::chrono::milliseconds(1400)));
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -333,6 +333,34 @@
     BOOST_TEST(responses.size() == 1U);
 }
 
+// Guards against a job that is refused because the pools of evacuated data centres use up its
+// offers, or because a router offers work to a data centre that it knows to be evacuated.
+BOOST_FIXTURE_TEST_CASE(refusals_by_evacuated_data_centres_do_not_count, RouterFixture)
+{
+    for (int vm = 0; vm < 6; ++vm)
+        report("evacuated" + std::to_string(vm), "dc1", 8);
+    report("known", "dc2", 8);
+    report("far", "dc3", 8);
+    report("farther", "dc4", 8);
+    table.setEvacuated({"dc2"});
+    submit(4);
+    for (size_t i = 0; i < 6; ++i) {
+        BOOST_REQUIRE_EQUAL(offers.size(), i + 1);
+        BOOST_TEST(offers[i].vm.starts_with("evacuated"));
+        JobAnswer answer {offers[i].offer.ticket, JobResult::Refused, "evacuated"};
+        answer.isEvacuated = true;
+        router.onAnswer(offers[i].vm, answer, now);
+        collect();
+    }
+    BOOST_REQUIRE_EQUAL(offers.size(), 7U);
+    answer(offers[6], JobResult::Refused);
+    BOOST_REQUIRE_EQUAL(offers.size(), 8U);
+    const std::set<std::string> last {offers[6].vm, offers[7].vm};
+    BOOST_TEST((last == std::set<std::string> {"far", "farther"}));
+    answer(offers[7], JobResult::Completed);
+    BOOST_REQUIRE_EQUAL(responses.size(), 1U);
+}
+
 // Guards against messages that change in encoding and decoding, against accepting truncated ones,
 // and against a decoder that crashes or allocates without bound on corrupted input.
 BOOST_AUTO_TEST_CASE(messages_round_trip_and_malformed_ones_are_rejected)
@@ -356,7 +384,9 @@
             WithdrawMessage {{"vm1", 9, 4, 2}},
             IntroductionMessage {{report.vm}},
             ConfigurationRequest {"vm1"},
-            ConfigurationMessage {configuration}};
+            ConfigurationMessage {configuration},
+            ConfigurationMessage {configuration, Evacuations {9, {"dc1", "dc2"}}},
+            ConfigurationMessage {std::nullopt, Evacuations {9, {}}}};
     Random random(3);
     for (const VmMessage &message : messages) {
         const std::string bytes = encodeMessage(message);
--- a/tests/vm_message_test.cpp
+++ b/tests/vm_message_test.cpp
@@ -56,7 +56,8 @@
         BOOST_TEST(!isOfferAccepted(offer));
         Queue queue {"n", "h", "/a/", "s"};
         queue.stretchFactor = odd;
-        BOOST_TEST(!decodeMessage(encodeMessage(ConfigurationMessage {{7, {queue}}})).has_value());
+        const ConfigurationMessage message {Configuration {7, {queue}}};
+        BOOST_TEST(!decodeMessage(encodeMessage(message)).has_value());
         VmReport report;
         report.loads = {{"s", 1, 2, odd, 4}};
         BOOST_TEST(!decodeMessage(encodeMessage(report)).has_value());
