Select shard holders by their processor shares

Cause: a data centre got one holder for every 32 servers, whatever the size of its VMs. On the S deployment 117 servers had four holders, two of them with 0.12 core, and these fell behind their input.

Change: a VM can hold 128 servers for each core (32 for 0.25 core, as before). requiredHolders() takes the shares in the order of selection and returns the smallest number for which an even share is within the capacity of the smallest holder: two of 0.5 core for 117 servers, or eight of 0.12 core when both are down. Of VMs with equal shares the current holders come first, so sites of equal VMs choose the same holders as before.

A holder gives its shards up when larger holders suffice without it, with a margin of a sixteenth of the servers, and have done so for 5 s. The delay doubles up to 60 s if it was needed again within 60 s. Each of the larger ones must be reachable and must report that the store has confirmed its membership within the lease, so a large VM that is cut off from the store does not count. The pool takes no new jobs meanwhile; the VM leaves the group when nothing runs, or after releaseTimeout. Reports have a flag for the confirmation, so the version of messages is 7.

The declarations of the holders have moved to lovage/routing/holders.h.

contacts_test: the fleet has VMs of 0.25 core, every third, in place of VMs of 0.5 core, every sixth, so that 108 servers need four holders again; "at least three holders are large" has become "all are large", and ten small VMs are expected after the loss of the large ones, not four.

--- a/include/lovage/contacts.h
+++ b/include/lovage/contacts.h
@@ -122,9 +122,15 @@
 
     // Returns whether this VM should hold shards. A holder that is not draining stays one. Another
     // VM becomes a holder if it is not draining, has had time to discover the VMs of its data
-    // centre, and the servers there need more holders than there are current holders and VMs ahead
-    // of it in HolderRank order. VMs that are draining or unresponsive do not count.
+    // centre, and is one of the VMs that requiredHolders() selects for the servers there. VMs are
+    // selected in HolderRank order, except that of VMs with equal processor shares the current
+    // holders come first. VMs that are draining or unresponsive do not count.
     bool shouldHoldShards(const ContactState &state, Time now) const;
+    // Returns whether this VM holds shards although larger VMs do so as well and are sufficient,
+    // with a margin. Each of the selected holders must be reachable and must have reported that the
+    // store has confirmed it. Of VMs with equal processor shares, none is surplus because of the
+    // others alone.
+    bool isSurplusHolder(const ContactState &state, Time now) const;
 
     // Returns the VMs that a new follower needs to know: the VMs of its data centre, the VMs of
     // this VM's data centre, and the VMs that this VM follows.
@@ -146,6 +152,17 @@
     };
     using VmNames = std::set<std::string>;
 
+    struct HolderCandidate
+    {
+        uint32_t cpuMilliCores = 0;
+        bool isHolder = false;
+        std::string_view name;
+    };
+    std::vector<HolderCandidate> holderCandidates(const VmNames &holders,
+                                                  const ContactState &state) const;
+    void keepNeeded(std::vector<HolderCandidate> &candidates, uint32_t servers) const;
+    bool isSelfIn(const std::vector<HolderCandidate> &candidates) const;
+
     void updatePlan(const ContactState &state, Time now);
     VmNames selectFollowed(const ContactState &state, Time now) const;
     void followLocal(const ContactState &state, Time now, VmNames &followed) const;
--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -220,8 +220,10 @@
     void request(KeeperRequest request, Duration deadline, StoredJobCallback respond);
     VmReport report() const;
     // State without the VMs that run jobs of this VM or whose jobs run here.
-    ContactState localState() const;
+    ContactState localState(Time now) const;
     ContactState contactState() const;
+    // Returns the number of backend servers of the data centre; 0 if this VM does not track them.
+    uint32_t knownServers(Time now) const;
     bool shouldHold(Time now) const;
     bool wantsShards(Time now) const;
     void removeSilentVms(Time now);
@@ -252,6 +254,7 @@
     std::unique_ptr<node::StoredJobs> storedJobs_;
     Configuration configuration_;
     bool hasConfiguration_ = false;
+    Time serversReadAt_ {}; // time at which the list of servers was last set
     std::unordered_map<uint64_t, Caller> callers_;
     uint64_t nextNumber_ = 1;
     bool isDraining_ = false;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -419,6 +419,8 @@
     void setGrants(const ShardGrants &grants, Time now);
     // Refuses all further jobs.
     void drain();
+    // Refuses further jobs while set, because this VM gives up its shards.
+    void setClosed(bool isClosed);
 
     void offer(JobOffer offer, Time now);
     // Drops a job and stops its runs, because its caller has disconnected or cancelled it. The
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "lovage/pool.h"
+#include "lovage/routing/holders.h"
 
 #include <functional>
 #include <map>
@@ -142,6 +143,9 @@
     // Renewal of the leases of the jobs that the receiver runs for the sender.
     std::optional<LeaseRenewal> renewal {};
     bool isHolder = false; // the sender holds shards or has requested them
+    // The store has confirmed within the lease of the group that the sender holds shards, and the
+    // sender does not give them up.
+    bool isHolderConfirmed = false;
     bool isDraining = false;
     uint64_t configurationVersion = 0;
     // Number of backend servers that the sender knows in its data centre; 0 if it tracks none.
@@ -510,78 +514,4 @@
     std::vector<RouterLogEntry> logEntries_;
 };
 
-struct HolderOptions
-{
-    // Number of backend servers per shard holder. A data centre with more servers gets more
-    // holders.
-    uint32_t serversPerHolder = 32;
-    // Delay after the start of the VM in which the reports of existing holders arrive.
-    Duration settleTime = std::chrono::milliseconds(400);
-    // Replaces settleTime if all VMs of the data centre have just started and still discover each
-    // other.
-    Duration coldStartSettleTime = std::chrono::milliseconds(500);
-    Duration joinInterval = std::chrono::milliseconds(250);
-    Duration groupLease = std::chrono::milliseconds(1000);
-    // A shard that is being released is dropped after this time even if tasks still run on it.
-    Duration releaseTimeout = std::chrono::seconds(3);
-};
-
-// Joins the group, or renews the membership and its lease.
-struct JoinGroup
-{
-    // Latest generation of the group whose shard assignment the member has carried out.
-    uint64_t generation = 0;
-    Duration lease {};
-};
-struct LeaveGroup
-{ };
-using GroupRequest = std::variant<JoinGroup, LeaveGroup>;
-
-// The store's reply to a member that joins: the shards that are assigned to it as of this
-// generation.
-struct GroupMembership
-{
-    uint64_t generation = 0;
-    std::vector<uint32_t> shards;
-
-    auto operator<=>(const GroupMembership &) const = default;
-};
-
-// Returns how many holders a data centre with this number of backend servers needs.
-uint32_t requiredHolders(uint32_t servers, const HolderOptions &options);
-
-// Membership of this VM in the group of shard holders of its data centre. The store assigns the
-// shards, and the generation of the group serves as the fencing token. Grants stay valid while the
-// store does not answer, since servers refuse a holder once another one has used a higher token.
-class ShardMembership
-{
-public:
-    ShardMembership(HolderOptions options, Time started) : options_(options), started_(started) { }
-
-    // Returns the request that is due, if any. The caller reports its result by one of the
-    // functions below before another request becomes due.
-    std::optional<GroupRequest> nextRequest(bool wantsShards, bool isReleaseReady, Time now);
-    // Returns whether the grants changed.
-    bool onJoined(const GroupMembership &membership, Time now);
-    void onJoinFailed(Time now);
-    void onLeft();
-
-    bool isMember() const { return isMember_; }
-    const ShardGrants &grants() const { return grants_; }
-
-private:
-    bool isReleasing() const;
-
-    HolderOptions options_;
-    Time started_;
-    bool isMember_ = false;
-    bool isRequestPending_ = false;
-    Time nextRequestAt_ {};
-    uint64_t acknowledgedGeneration_ = 0;
-    uint64_t latestGeneration_ = 0;
-    bool isReleaseSent_ = false; // whether the pending request acknowledges the release of shards
-    Time releaseStartedAt_ {};
-    ShardGrants grants_;
-};
-
 } // namespace lovage
--- a/src/contacts/contact_plan.cpp
+++ b/src/contacts/contact_plan.cpp
@@ -1,6 +1,8 @@
 #include "lovage/contacts.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 namespace lovage {
 
@@ -84,28 +86,87 @@
     });
 }
 
+// Returns the VMs of this VM's data centre that may hold shards, in the order in which they are
+// selected. Of VMs with equal processor shares, the current holders come first, so that no shard
+// changes hands between them.
+std::vector<ContactPlan::HolderCandidate>
+ContactPlan::holderCandidates(const VmNames &holders, const ContactState &state) const
+{
+    const VmInfo &self = vms_.self();
+    std::vector<HolderCandidate> candidates;
+    bool isSelfMissing = !state.isDraining;
+    const auto addSelf = [&] {
+        if (std::exchange(isSelfMissing, false))
+            candidates.push_back({self.cpuMilliCores, state.isHolder, self.name});
+    };
+    const auto ranked = byDataCentre_.find(self.dataCentre);
+    if (ranked != byDataCentre_.end()) {
+        for (const auto &[rank, name] : ranked->second) {
+            if (rankOf(self) < rank)
+                addSelf();
+            const VmTable::Row *row = vms_.find(name);
+            const bool isDraining = row && row->report.isDraining;
+            const bool isHolder = holders.contains(name);
+            if (isHolder || (!unresponsive_.contains(name) && !isDraining))
+                candidates.push_back({rank.cpuMilliCores, isHolder, name});
+        }
+    }
+    addSelf();
+    std::stable_sort(candidates.begin(), candidates.end(), [](const auto &left, const auto &right) {
+        return std::pair(left.cpuMilliCores, left.isHolder)
+                > std::pair(right.cpuMilliCores, right.isHolder);
+    });
+    return candidates;
+}
+
+// Reduces the candidates to those that are needed for this number of servers.
+void ContactPlan::keepNeeded(std::vector<HolderCandidate> &candidates, uint32_t servers) const
+{
+    std::vector<uint32_t> shares;
+    shares.reserve(candidates.size());
+    for (const HolderCandidate &candidate : candidates)
+        shares.push_back(candidate.cpuMilliCores);
+    const size_t needed = requiredHolders(servers, shares, holderOptions_);
+    if (needed < candidates.size())
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(needed),
+                         candidates.end());
+}
+
+bool ContactPlan::isSelfIn(const std::vector<HolderCandidate> &candidates) const
+{
+    return std::any_of(candidates.begin(), candidates.end(),
+                       [&](const auto &candidate) { return candidate.name == vms_.self().name; });
+}
+
 bool ContactPlan::shouldHoldShards(const ContactState &state, Time now) const
 {
     if (state.isDraining || state.isHolder)
         return !state.isDraining;
     if (!isDiscoveryComplete(now))
         return false;
-    const VmInfo &self = vms_.self();
-    const uint32_t wanted = requiredHolders(localServers(state, now), holderOptions_);
-    const VmNames holders = holdersOf(self.dataCentre, now);
-    size_t ahead = holders.size();
-    const auto ranked = byDataCentre_.find(self.dataCentre);
-    if (ranked == byDataCentre_.end())
-        return true;
-    for (const auto &[rank, name] : ranked->second) {
-        if (ahead >= wanted || rankOf(self) < rank)
-            break;
-        const VmTable::Row *row = vms_.find(name);
-        const bool isDraining = row && row->report.isDraining;
-        if (!holders.contains(name) && !unresponsive_.contains(name) && !isDraining)
-            ++ahead;
-    }
-    return ahead < wanted;
+    auto needed = holderCandidates(holdersOf(vms_.self().dataCentre, now), state);
+    keepNeeded(needed, localServers(state, now));
+    return isSelfIn(needed);
+}
+
+bool ContactPlan::isSurplusHolder(const ContactState &state, Time now) const
+{
+    if (state.isDraining || !state.isHolder || !isDiscoveryComplete(now))
+        return false;
+    auto needed = holderCandidates(holdersOf(vms_.self().dataCentre, now), state);
+    const uint32_t servers = localServers(state, now);
+    auto neededWithMargin = needed;
+    keepNeeded(neededWithMargin,
+               static_cast<uint32_t>(std::ceil(servers * (1 + holderOptions_.surplusMargin))));
+    keepNeeded(needed, servers);
+    if (isSelfIn(needed) || isSelfIn(neededWithMargin)
+        || needed.front().cpuMilliCores <= vms_.self().cpuMilliCores)
+        return false;
+    return std::all_of(needed.begin(), needed.end(), [&](const HolderCandidate &candidate) {
+        const VmTable::Row *row = vms_.find(std::string(candidate.name));
+        return row && vms_.isReachable(*row, now) && row->report.isHolderConfirmed
+                && !row->report.isDraining;
+    });
 }
 
 // Returns the holders that are reachable, and those that reachable VMs of the same data centre list
@@ -166,12 +227,28 @@
 {
     const VmInfo &self = vms_.self();
     const VmNames holders = holdersOf(self.dataCentre, now);
-    for (const std::string &holder : selectHolders(holders, options_.localPools))
+    auto needed = holderCandidates(holders, state);
+    keepNeeded(needed, localServers(state, now));
+    size_t missing = options_.standbys;
+    VmNames neededHolders;
+    for (const HolderCandidate &candidate : needed) {
+        if (!candidate.isHolder)
+            ++missing;
+        else if (candidate.name != self.name)
+            neededHolders.emplace(candidate.name);
+    }
+    // A holder that is not needed must receive the reports of all holders that are, because it
+    // keeps its shards otherwise.
+    const bool isSurplus = state.isHolder && !state.isDraining && !isSelfIn(needed);
+    const size_t limit = isSurplus ? neededHolders.size() : options_.localPools;
+    for (const std::string &holder : selectHolders(neededHolders, limit))
+        followed.insert(holder);
+    VmNames otherHolders;
+    std::set_difference(holders.begin(), holders.end(), neededHolders.begin(), neededHolders.end(),
+                        std::inserter(otherHolders, otherHolders.end()));
+    const size_t others = limit - std::min(limit, neededHolders.size());
+    for (const std::string &holder : selectHolders(otherHolders, others))
         followed.insert(holder);
-    const size_t present = holders.size() + (state.isHolder ? 1 : 0);
-    const size_t wanted = requiredHolders(localServers(state, now), holderOptions_);
-    size_t missing = wanted > present ? wanted - present : 0;
-    missing += options_.standbys;
     size_t probed = 0;
     const auto ranked = byDataCentre_.find(self.dataCentre);
     if (ranked == byDataCentre_.end())
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -23,6 +23,9 @@
 constexpr Duration idleTickInterval = std::chrono::milliseconds(50);
 // A longer gap between two ticks means that the process was paused.
 constexpr Duration pauseThreshold = std::chrono::milliseconds(500);
+// The list of servers of a VM that does not hold shards counts for this time. It is read every
+// 0.4 s while it is needed.
+constexpr Duration serverListLifetime = std::chrono::seconds(2);
 // A VM that knows of no pool reports that it is ready after this time nevertheless, because callers
 // get its refusals faster than they would get a timeout.
 constexpr Duration readyWithoutPoolAfter = std::chrono::seconds(3);
@@ -77,7 +80,7 @@
       peers_(std::make_unique<node::Peers>(settings_, holderOptions_, clock, peers, vms_,
                                            peerHandlers())),
       heldShards_(std::make_unique<node::HeldShards>(holderOptions_, clock, ports.holders, pool_,
-                                                     [this] { flush(); })),
+                                                     metrics, [this] { flush(); })),
       storedJobs_(std::make_unique<node::StoredJobs>(
               settings_, clock, vms_, pool_, ports.keepers, ports.journal,
               [this](const std::string &vm, const VmMessage &message) {
@@ -114,12 +117,17 @@
         pool_.renewLeases(self_.name, self_.incarnation, own->second);
     pool_.tick(now);
     router_.tick(now);
+    const bool isPoolChanged =
+            heldShards_->setSurplus(peers_->contacts().isSurplusHolder(localState(now), now), now);
     heldShards_->sendDueRequest(wantsShards(now), now);
     storedJobs_->setEligible(!isDraining_ && storedJobs_->jobsExist() && heldShards_->isMember());
     storedJobs_->tick(now);
     flush();
-    peers_->sendReports([this] { return contactState(); }, [this] { return report(); },
-                        [this] { return router_.leaseRenewals(); }, now);
+    if (isPoolChanged)
+        peers_->sendReportNow(contactState(), report(), router_.leaseRenewals(), now);
+    else
+        peers_->sendReports([this] { return contactState(); }, [this] { return report(); },
+                            [this] { return router_.leaseRenewals(); }, now);
 }
 
 Duration NodeLogic::tickInterval() const
@@ -265,7 +273,8 @@
         if (server.dataCentre == self_.dataCentre)
             own.push_back(server);
     }
-    pool_.setServers(own, clock_.now());
+    serversReadAt_ = clock_.now();
+    pool_.setServers(own, serversReadAt_);
     flush();
 }
 
@@ -313,30 +322,39 @@
 
 VmReport NodeLogic::report() const
 {
+    const Time now = clock_.now();
     VmReport report;
     report.vm = self_;
     report.isHolder = heldShards_->isMember();
     report.isDraining = isDraining_;
     report.configurationVersion = configuration_.version;
-    report.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
-    report.loads = pool_.load(clock_.now());
-    report.lostVms = vms_.recentlyLost(clock_.now());
+    report.isHolderConfirmed = !isDraining_ && heldShards_->isConfirmed(now);
+    report.knownServers = knownServers(now);
+    report.loads = pool_.load(now);
+    report.lostVms = vms_.recentlyLost(now);
     storedJobs_->addToReport(report);
     return report;
 }
 
-ContactState NodeLogic::localState() const
+// The list of a VM that does not hold shards any more is not updated and is soon out of date.
+uint32_t NodeLogic::knownServers(Time now) const
+{
+    const bool isUpToDate = heldShards_->isMember() || now < serversReadAt_ + serverListLifetime;
+    return isUpToDate ? static_cast<uint32_t>(pool_.knownServerCount()) : 0;
+}
+
+ContactState NodeLogic::localState(Time now) const
 {
     ContactState state;
     state.isHolder = heldShards_->isMember();
     state.isDraining = isDraining_;
-    state.knownServers = static_cast<uint32_t>(pool_.knownServerCount());
+    state.knownServers = knownServers(now);
     return state;
 }
 
 ContactState NodeLogic::contactState() const
 {
-    ContactState state = localState();
+    ContactState state = localState(clock_.now());
     state.offeredVms = router_.offeredVms();
     state.servedVms = pool_.servedVms();
     state.needsAllVms = storedJobs_->jobsExist();
@@ -345,7 +363,7 @@
 
 bool NodeLogic::shouldHold(Time now) const
 {
-    return peers_->contacts().shouldHoldShards(localState(), now);
+    return peers_->contacts().shouldHoldShards(localState(now), now);
 }
 
 // A draining VM leaves the group when nothing runs on its servers.
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -268,7 +268,7 @@
     keeper_.setLease(leaseUntil_);
     if (now >= leaseUntil_ && !keeper_.isIdle() && !areAllVmsReachable(now)) {
         keeper_.onLeaseLost(now);
-        membership_.onLeft();
+        membership_.onLeft(now);
     }
 }
 
@@ -297,7 +297,7 @@
             membership_.onJoinFailed(clock_.now());
             return;
         }
-        membership_.onLeft();
+        membership_.onLeft(clock_.now());
         leaseUntil_ = {};
         keeper_.setPartitions({}, 0, clock_.now());
         flush();
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -44,6 +44,11 @@
     implementation_->isDraining_ = true;
 }
 
+void Pool::setClosed(bool isClosed)
+{
+    implementation_->isClosed_ = isClosed;
+}
+
 void Pool::offer(JobOffer offer, Time now)
 {
     implementation_->offer(std::move(offer), now);
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -203,6 +203,7 @@
     std::vector<PoolLogEntry> logEntries_;
     PoolCounters counters_;
     bool isDraining_ = false;
+    bool isClosed_ = false;   // whether jobs are refused because the shards are given up
     Time startsHeldUntil_ {}; // no task is started before this time
 
     std::map<std::string, Server> servers_; // servers of this data centre, by id
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -57,8 +57,9 @@
     ++counters_.offered;
     Job job = pool::makeJob(nextJobNumber_++, std::move(offer), model_, now);
     const std::string &id = job.offer.job.id;
-    if (isDraining_ || now < startsHeldUntil_) {
-        answer(job, JobResult::Refused, isDraining_ ? "draining" : "paused", now);
+    if (isDraining_ || isClosed_ || now < startsHeldUntil_) {
+        const char *reason = isDraining_ ? "draining" : isClosed_ ? "shards-given-up" : "paused";
+        answer(job, JobResult::Refused, reason, now);
         return;
     }
     if (isDuplicate(job.offer) || hasLeftoverRuns(id)) {
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 6;
+constexpr uint8_t messageVersion = 7;
 
 } // namespace
 
@@ -89,8 +89,9 @@
 template<class Archive>
 void reportFlags(Archive &archive, VmReport &report)
 {
-    const std::array<bool *, 4> flags = {&report.isFollowing, &report.isReceiverFollower,
-                                         &report.isHolder, &report.isDraining};
+    const std::array<bool *, 5> flags = {&report.isFollowing, &report.isReceiverFollower,
+                                         &report.isHolder, &report.isDraining,
+                                         &report.isHolderConfirmed};
     uint8_t bits = 0;
     for (size_t i = 0; i < flags.size(); ++i)
         bits |= static_cast<uint8_t>(*flags.at(i) ? 1U << i : 0);
--- a/src/routing/membership.cpp
+++ b/src/routing/membership.cpp
@@ -4,10 +4,23 @@
 
 namespace lovage {
 
-uint32_t requiredHolders(uint32_t servers, const HolderOptions &options)
+uint32_t requiredHolders(uint32_t servers, std::span<const uint32_t> cpuMilliCores,
+                         const HolderOptions &options)
 {
-    const uint32_t wanted = (servers + options.serversPerHolder - 1) / options.serversPerHolder;
-    return std::max<uint32_t>(1, wanted);
+    constexpr uint64_t milliCoresPerCore = 1000;
+    uint32_t best = 1;
+    uint64_t bestCapacity = 0; // of `best` holders, each with the share of the smallest one
+    for (uint32_t count = 1; count <= cpuMilliCores.size(); ++count) {
+        const uint64_t capacity =
+                uint64_t {count} * cpuMilliCores[count - 1] * options.serversPerCore;
+        if (capacity >= servers * milliCoresPerCore)
+            return count;
+        if (capacity > bestCapacity) {
+            best = count;
+            bestCapacity = capacity;
+        }
+    }
+    return best;
 }
 
 bool ShardMembership::isReleasing() const
@@ -27,6 +40,8 @@
     nextRequestAt_ = now + options_.joinInterval;
     if (!wantsShards)
         return LeaveGroup {};
+    if (!isMember_)
+        updateSurplusDelay(now);
     isMember_ = true;
     const bool isReleaseDue = isReleaseReady || now > releaseStartedAt_ + options_.releaseTimeout;
     isReleaseSent_ = isReleasing() && isReleaseDue;
@@ -38,6 +53,7 @@
 bool ShardMembership::onJoined(const GroupMembership &membership, Time now)
 {
     isRequestPending_ = false;
+    confirmedAt_ = now;
     latestGeneration_ = membership.generation;
     ShardGrants grants;
     for (const uint32_t shard : membership.shards)
@@ -64,13 +80,51 @@
     nextRequestAt_ = now + options_.joinInterval;
 }
 
-void ShardMembership::onLeft()
+void ShardMembership::onLeft(Time now)
 {
+    if (isGivingUp(now))
+        gaveUpAt_ = now;
     isRequestPending_ = false;
     isMember_ = false;
     acknowledgedGeneration_ = 0;
     latestGeneration_ = 0;
+    surplusSince_.reset();
     grants_.clear();
 }
 
+void ShardMembership::setSurplus(bool isSurplus, Time now)
+{
+    if (!isSurplus)
+        surplusSince_.reset();
+    else if (!surplusSince_)
+        surplusSince_ = now;
+}
+
+// Called when this VM joins. A VM that is needed again soon after it has given up its shards waits
+// longer the next time.
+void ShardMembership::updateSurplusDelay(Time now)
+{
+    const bool isNeededAgain = gaveUpAt_ && now < *gaveUpAt_ + options_.maxSurplusDelay;
+    surplusDelay_ = isNeededAgain ? std::min(2 * surplusDelay_, options_.maxSurplusDelay)
+                                  : options_.surplusDelay;
+}
+
+bool ShardMembership::isGivingUp(Time now) const
+{
+    return isMember_ && surplusSince_ && now >= *surplusSince_ + surplusDelay_;
+}
+
+bool ShardMembership::isLeaveDue(bool isPoolIdle, Time now) const
+{
+    return isGivingUp(now)
+            && (isPoolIdle || now >= *surplusSince_ + surplusDelay_ + options_.releaseTimeout);
+}
+
+bool ShardMembership::isConfirmed(Time now) const
+{
+    const auto isHeld = [](const auto &grant) { return !grant.second.isReleasing; };
+    return isMember_ && !isGivingUp(now) && now < confirmedAt_ + options_.groupLease
+            && std::any_of(grants_.begin(), grants_.end(), isHeld);
+}
+
 } // namespace lovage
--- a/tests/contacts_test.cpp
+++ b/tests/contacts_test.cpp
@@ -17,8 +17,8 @@
 
 constexpr Duration tickInterval = milliseconds(10);
 constexpr Duration linkDelay = milliseconds(1);
-constexpr uint32_t largeMilliCores = 500;
-constexpr uint32_t smallMilliCores = 90;
+constexpr uint32_t largeMilliCores = 250; // can hold 32 servers
+constexpr uint32_t smallMilliCores = 90;  // can hold 11 servers
 
 struct Vm
 {
@@ -48,7 +48,7 @@
                        traffic.meanMessages, traffic.meanBytesSent, traffic.maxMessages);
 }
 
-// Simulated VMs in data centres of equal size, in which every sixth VM is large.
+// Simulated VMs in data centres of equal size, in which every third VM is large.
 class Fleet
 {
 public:
@@ -113,6 +113,7 @@
     Time now = fromUnixMillis(1'700'000'000'000);
     std::map<std::string, Vm> vms; // by address
     std::function<bool(const VmInfo &from, const VmInfo &to)> isLinkDown;
+    bool isConfirmedByStore = true;
 
 private:
     struct Message
@@ -125,7 +126,7 @@
     void add(const std::string &dataCentre, size_t index)
     {
         // In a fleet of five data centres, index / 5 is the index of the VM within its data centre.
-        const uint32_t milliCores = (index / 5) % 6 == 0 ? largeMilliCores : smallMilliCores;
+        const uint32_t milliCores = (index / 5) % 3 == 0 ? largeMilliCores : smallMilliCores;
         Vm vm;
         vm.info = {fmt::format("vm{}", index), dataCentre, addressOf(index),
                    static_cast<uint64_t>(now.time_since_epoch().count()), milliCores};
@@ -139,6 +140,7 @@
         VmReport report;
         report.vm = vm.info;
         report.isHolder = vm.state.isHolder;
+        report.isHolderConfirmed = vm.state.isHolder && isConfirmedByStore;
         report.isDraining = vm.state.isDraining;
         report.knownServers = vm.state.knownServers;
         report.holders = vm.plan->holdersToReport(now);
@@ -207,7 +209,7 @@
     std::deque<Message> inFlight_;
 };
 
-constexpr uint32_t serversEach = 108; // needs four holders
+constexpr uint32_t serversEach = 108; // needs four large holders, or ten small ones
 
 bool isReachableFrom(const Vm &vm, const std::string &name, Time now)
 {
@@ -243,10 +245,8 @@
     for (const char *dataCentre : {"dc0", "dc1", "dc2", "dc3", "dc4"}) {
         const auto holders = fleet.holdersOf(dataCentre);
         BOOST_TEST(holders.size() == 4U);
-        BOOST_TEST(std::count_if(
-                           holders.begin(), holders.end(),
-                           [](const Vm *vm) { return vm->info.cpuMilliCores == largeMilliCores; })
-                   >= 3);
+        for (const Vm *holder : holders)
+            BOOST_TEST(holder->info.cpuMilliCores == largeMilliCores);
     }
 }
 
@@ -309,7 +309,7 @@
     for (auto &[address, vm] : fleet.vms)
         vm.isUp = vm.info.dataCentre != "dc2" || vm.info.cpuMilliCores == smallMilliCores;
     fleet.run(seconds(3));
-    BOOST_TEST(fleet.holdersOf("dc2").size() >= 4U);
+    BOOST_TEST(fleet.holdersOf("dc2").size() >= 10U);
 }
 
 // Guards against abandoning work because a VM is no longer followed. Missing reports mean that a VM
@@ -366,6 +366,76 @@
     BOOST_TEST(plan.shouldHoldShards({}, now));
 }
 
+// Guards against a large VM that does not take part again after its return, against small VMs that
+// keep shards then or give them up before the store has confirmed the large ones, and against
+// holders that change repeatedly.
+BOOST_AUTO_TEST_CASE(small_holders_are_surplus_once_the_large_ones_are_confirmed)
+{
+    Fleet fleet(5, 20, serversEach);
+    fleet.run(seconds(4));
+    const auto setLarge = [&](bool isUp) {
+        for (auto &[address, vm] : fleet.vms) {
+            if (vm.info.dataCentre == "dc2" && vm.info.cpuMilliCores == largeMilliCores) {
+                vm.isUp = isUp;
+                vm.state.isHolder = false;
+            }
+        }
+    };
+    setLarge(false);
+    fleet.run(seconds(3));
+    const auto small = fleet.holdersOf("dc2");
+    setLarge(true);
+    fleet.isConfirmedByStore = false;
+    fleet.run(seconds(3));
+    BOOST_TEST(fleet.holdersOf("dc2").size() == small.size() + 4);
+    const auto areSurplus = [&] {
+        return std::count_if(small.begin(), small.end(), [&](const Vm *vm) {
+            return vm->plan->isSurplusHolder(vm->state, fleet.now);
+        });
+    };
+    BOOST_TEST(areSurplus() == 0);
+    fleet.isConfirmedByStore = true;
+    fleet.run(seconds(1));
+    BOOST_TEST(areSurplus() == static_cast<long>(small.size()));
+    for (Vm *vm : small)
+        vm->state.isHolder = false;
+    fleet.run(seconds(3));
+    const auto holders = fleet.holdersOf("dc2");
+    BOOST_TEST(holders.size() == 4U);
+    for (const Vm *vm : holders) {
+        BOOST_TEST(vm->info.cpuMilliCores == largeMilliCores);
+        BOOST_TEST(!vm->plan->isSurplusHolder(vm->state, fleet.now));
+    }
+}
+
+// Guards against holders of equal size that give up their shards in favour of each other, and
+// against holders that join and leave as the number of servers varies.
+BOOST_AUTO_TEST_CASE(holder_is_surplus_only_with_larger_holders_and_a_margin)
+{
+    const Time now = fromUnixMillis(1'700'000'000'000);
+    const auto isSurplus = [&](uint32_t otherMilliCores, uint32_t servers,
+                               bool isConfirmed = true) {
+        VmTable table {{}, {"vm1", "dc1", "10.0.0.1:7001", 1, 300}};
+        ContactPlan plan {{}, {}, table};
+        VmReport report;
+        report.vm = {"vm0", "dc1", "10.0.0.1:7000", 1, otherMilliCores};
+        report.isHolder = true;
+        report.isHolderConfirmed = isConfirmed;
+        report.knownServers = servers;
+        plan.addVms({report.vm});
+        table.addReport(report, now);
+        ContactState state;
+        state.isHolder = true;
+        return plan.isSurplusHolder(state, now);
+    };
+    BOOST_TEST(!isSurplus(300, 10));
+    BOOST_TEST(isSurplus(500, 10));
+    BOOST_TEST(!isSurplus(500, 10, false));
+    BOOST_TEST(isSurplus(500, 60));
+    BOOST_TEST(!isSurplus(500, 61)); // sufficient, but without the margin
+    BOOST_TEST(!isSurplus(500, 65));
+}
+
 // Guards against VMs that start while the store is unavailable and do not find the pools. Seed
 // addresses and introductions must be sufficient.
 BOOST_AUTO_TEST_CASE(pools_are_discovered_through_seeds)
--- a/tests/shard_membership_test.cpp
+++ b/tests/shard_membership_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace lovage;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -101,7 +102,89 @@
     const auto request = nextRequest(false);
     BOOST_REQUIRE(request.has_value());
     BOOST_TEST(std::holds_alternative<LeaveGroup>(*request));
-    membership.onLeft();
+    membership.onLeft(now);
     BOOST_TEST(membership.grants().empty());
     BOOST_TEST(!nextRequest(false).has_value());
 }
+
+// Guards against holders of the wrong number or size: the rule for the processor shares of the S
+// site, for sites of equal VMs, and for sites that are too small.
+BOOST_AUTO_TEST_CASE(required_holders_follow_from_the_processor_shares)
+{
+    const auto required = [](uint32_t servers, std::vector<uint32_t> shares) {
+        return requiredHolders(servers, shares, {});
+    };
+    const std::vector<uint32_t> small(10, 120);
+    std::vector<uint32_t> mixed {500, 500};
+    mixed.insert(mixed.end(), small.begin(), small.end());
+    BOOST_TEST(required(117, mixed) == 2U);
+    BOOST_TEST(required(117, small) == 8U);
+    BOOST_TEST(required(128, mixed) == 2U);
+    BOOST_TEST(required(129, mixed) == 9U);
+    // The former constant of 32 servers per holder.
+    const std::vector<uint32_t> equal(8, 250);
+    for (const uint32_t servers : {0U, 1U, 32U, 33U, 64U, 65U, 117U, 256U})
+        BOOST_TEST(required(servers, equal) == std::max(1U, (servers + 31) / 32));
+    // Without enough VMs, the lowest ratio of the share to the capacity decides.
+    BOOST_TEST(required(1000, equal) == 8U);
+    BOOST_TEST(required(1000, {500, 120, 120, 120}) == 1U);
+    BOOST_TEST(required(1000, {500, 120, 120, 120, 120}) == 5U);
+    BOOST_TEST(required(10, {}) == 1U);
+}
+
+// Guards against a holder that gives its shards up while jobs run there, or as soon as a larger VM
+// has joined, which may fail again.
+BOOST_FIXTURE_TEST_CASE(surplus_holder_leaves_after_a_delay_and_when_idle, MembershipFixture)
+{
+    joinGeneration();
+    membership.onJoined({3, {0}}, now);
+    BOOST_TEST(membership.isConfirmed(now));
+    membership.setSurplus(true, now);
+    now += seconds(4);
+    BOOST_TEST(!membership.isGivingUp(now));
+    membership.setSurplus(false, now); // the larger VM has failed again
+    membership.setSurplus(true, now);
+    now += seconds(4);
+    BOOST_TEST(!membership.isGivingUp(now));
+    now += seconds(1);
+    membership.setSurplus(true, now);
+    BOOST_TEST(membership.isGivingUp(now));
+    BOOST_TEST(!membership.isConfirmed(now));
+    BOOST_TEST(!membership.isLeaveDue(false, now));
+    BOOST_TEST(membership.isLeaveDue(true, now));
+    now += HolderOptions {}.releaseTimeout;
+    BOOST_TEST(membership.isLeaveDue(false, now));
+    membership.onLeft(now);
+    BOOST_TEST(!membership.isGivingUp(now));
+}
+
+// Guards against shards that change hands each time a large VM restarts that fails repeatedly.
+BOOST_FIXTURE_TEST_CASE(holder_that_is_needed_again_waits_longer, MembershipFixture)
+{
+    const auto delayBeforeGivingUp = [&] {
+        joinGeneration();
+        membership.onJoined({3, {0}}, now);
+        const Time since = now;
+        for (membership.setSurplus(true, now); !membership.isGivingUp(now); now += seconds(1)) { }
+        membership.onLeft(now);
+        return now - since;
+    };
+    BOOST_TEST((delayBeforeGivingUp() == seconds(5)));
+    BOOST_TEST((delayBeforeGivingUp() == seconds(10)));
+    now += seconds(90);
+    BOOST_TEST((delayBeforeGivingUp() == seconds(5)));
+}
+
+// Guards against large VMs that count as holders while the store does not confirm them.
+BOOST_FIXTURE_TEST_CASE(holder_is_confirmed_while_the_store_answers, MembershipFixture)
+{
+    joinGeneration();
+    BOOST_TEST(!membership.isConfirmed(now));
+    membership.onJoined({3, {}}, now);
+    BOOST_TEST(!membership.isConfirmed(now));
+    joinGeneration();
+    membership.onJoined({4, {0}}, now);
+    BOOST_TEST(membership.isConfirmed(now));
+    now += HolderOptions {}.groupLease;
+    BOOST_TEST(!membership.isConfirmed(now));
+}
