--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -430,6 +430,8 @@
     // started may start further tasks for evacuationGrace and are abandoned if that does not
     // suffice. Runs are not stopped unless their job is abandoned.
     void setEvacuated(bool isEvacuated, Time now);
+    // Refuses further jobs while set, because this VM gives up its shards.
+    void setClosed(bool isClosed);
 
     void offer(JobOffer offer, Time now);
     // Drops a job and stops its runs, because its caller has disconnected or cancelled it. The
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -49,6 +49,11 @@
     implementation_->setEvacuated(isEvacuated, now);
 }
 
+void Pool::setClosed(bool isClosed)
+{
+    implementation_->isClosed_ = isClosed;
+}
+
 void Pool::offer(JobOffer offer, Time now)
 {
     implementation_->offer(std::move(offer), now);
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -213,6 +213,7 @@
     std::vector<PoolLogEntry> logEntries_;
     PoolCounters counters_;
     bool isDraining_ = false;
+    bool isClosed_ = false;   // whether jobs are refused because the shards are given up
     Time startsHeldUntil_ {};         // no task is started before this time
     bool isEvacuationKnown_;          // whether nothing has to be known first about evacuations
     std::optional<Time> evacuatedAt_; // begin of the evacuation in force
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -91,7 +91,7 @@
     }
     std::vector<ServiceLoad> result;
     for (auto &[service, load] : loads) {
-        load.rate = isDraining_ || !isOpenForWork() ? 0 : rateOf(service, now);
+        load.rate = isDraining_ || isClosed_ || !isOpenForWork() ? 0 : rateOf(service, now);
         result.push_back(std::move(load));
     }
     return result;
