Bound the cost of a forecast

Each offer sorted the queue, built the timetable of all servers and searched them for each waiting task, with a formatted task name and a scan for the speed of the service per candidate. A pool on a small VM that was offered more than it could run spent its processor time on refusals.

- The plan of the queue is kept between offers.
It is rebuilt after a change once it is older than a limit that is proportional to the work of building it, so plans take a bounded share of the processor.
An accepted job is added to it at once.
- The tasks of a step share their candidates; only the server that a task was placed on is evaluated again.
Names are formatted only for tasks that have run before and for steps with requirements on their server.
- The speed of a service is calculated once per change.
- A placement pass leaves out a service without room for any waiting task.
Jobs that will not end in time are still refused at the next tick.

--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -126,6 +126,7 @@
 {
     implementation_->dropOverdueJobs(now);
     implementation_->pruneConfirmedRuns(now);
+    implementation_->isReviewDue_ = true;
     implementation_->isPlacementDue_ = true;
 }
 
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -57,6 +57,7 @@
     using Server = pool::LeasedServer;
     using Job = pool::Job;
     using JobNumber = pool::JobNumber;
+    using QueueKey = pool::QueueKey;
 
     // Speed of a service: the mean logarithm of the slowness of its servers, and the slowness of
     // its fastest server. A task is rejected as too long only if it is too long for the fastest
@@ -74,19 +75,55 @@
         uint32_t inTime = 0;           // number of tasks that end in time
         uint32_t inTimeWithMargin = 0; // part of inTime that ends in time with some margin
     };
+    // Cores of a server that the forecast has set aside for a waiting task.
+    struct PlannedTask
+    {
+        size_t place = 0; // index in the timetable
+        Demand demand;
+        Time start;
+        Time end;
+    };
+    struct PlannedJob
+    {
+        QueueKey key;
+        std::vector<PlannedTask> tasks {};
+        std::optional<ForecastSpan> span {}; // nullopt if the job cannot run here
+    };
+    // The expected course of the queue of a service. Forecasts share it, because its calculation
+    // takes far longer than the placement of one more job.
+    struct QueuePlan
+    {
+        Time madeAt {};
+        uint64_t placementPass = 0;      // number of placement passes before it was made
+        Duration maxAge {};              // age up to which it is used after a change
+        pool::Timetable timetable {};    // without the waiting jobs
+        std::vector<PlannedJob> jobs {}; // in the order of the queue
+    };
     // Forecast for a new job in the queue.
     struct Forecast
     {
-        std::optional<ForecastSpan> jobSpan; // nullopt if the job cannot run here
+        std::optional<ForecastSpan> jobSpan {}; // nullopt if the job cannot run here
         // Whether an accepted job would miss its objective because of the new job.
         bool delaysAcceptedJobs = false;
+        size_t position = 0; // place of the job in the plan
+        // The job and the jobs behind it, as they are planned with it.
+        std::vector<PlannedJob> replanned {};
     };
 
     ServiceSpeed speedOf(const std::string &service) const;
+    ServiceSpeed calculateSpeed(const std::string &service) const;
     double rateOf(const std::string &service, Time now) const;
+
+    // Forecasts (pool_forecast.cpp).
     Forecast forecast(const Job &job, Time now);
-    std::optional<ForecastSpan> simulate(const Job &job, pool::Timetable &timetable, size_t &budget,
-                                         Time now) const;
+    const QueuePlan &planOf(const std::string &service, Time now);
+    QueuePlan makePlan(const std::string &service, Time now);
+    void insertIntoPlan(const std::string &service, Forecast forecast);
+    // Drops what is derived from the set of servers and refers to them.
+    void forgetPlans();
+    PlannedJob simulate(const QueueKey &key, const Job &job, pool::Timetable &timetable,
+                        Time now) const;
+    bool isLate(const Job &job, const ForecastSpan &span, Time now) const;
 
     void applyGrant(Server &server, Time now);
     void logRunOver(const Server &server, const std::string &task, const pool::Run &run,
@@ -123,7 +160,7 @@
     void requeue(const std::string &task, const pool::Run &run, Time now);
     Job *activeJobOf(const pool::Run &run);
 
-    void admit(Job job, const ForecastSpan &span, bool delaysAcceptedJobs, Time now);
+    void admit(Job job, Forecast forecast, Time now);
     void completeTask(Job &job, size_t task, Time now);
     void answer(Job &job, JobResult result, std::string reason, Time now,
                 Duration retryAfter = Duration::zero());
@@ -145,10 +182,28 @@
     // Cores of the latest task of each service, used as the unit of free capacity in load().
     std::map<std::string, uint32_t> typicalMilliCores_;
 
+    // A server that may run the tasks of a step, and what a task there would mean.
+    struct PlaceOption
+    {
+        size_t place = 0; // index in the timetable
+        Duration run {};  // expected run time there
+        Time start {};    // earliest start there
+        bool isUsable = false;
+    };
+    // The options of the tasks of one step that differ in their index only. The options of a server
+    // change when a task is placed there.
+    struct StepPlaces
+    {
+        const Job *job = nullptr;
+        uint32_t step = 0;
+        double margin = 1; // factor of the run time that leaves a margin for its error
+        std::vector<PlaceOption> options {};
+    };
     // A server, and the times at which a task would start and end there.
     struct Choice
     {
-        pool::ServerTimetable *place = nullptr;
+        size_t option = 0; // index in StepPlaces::options
+        size_t place = 0;  // index in the timetable
         Time start;
         Time end;
     };
@@ -182,13 +237,24 @@
                                       Time now) const;
     bool isWorthMoving(const Move &move, Duration needed, Time now) const;
 
+    // `hasRun` is whether the task may have a run on some server.
+    PlaceOption optionOf(const Job &job, const pool::Task &task, bool hasRun,
+                         const pool::ServerTimetable &place, Time now) const;
+    void findPlaces(const Job &job, const pool::Task &task, const pool::Timetable &timetable,
+                    StepPlaces &places, Time now) const;
     std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
-                                      pool::Timetable &timetable, Time now) const;
+                                      const pool::Timetable &timetable, StepPlaces &places,
+                                      Time now) const;
+    // Reserves the chosen place. `places` are those from which it was chosen.
+    void reserve(const Job &job, const pool::Task &task, const Choice &choice,
+                 pool::Timetable &timetable, StepPlaces &places, Time now) const;
     struct PlacementResult
     {
         bool isComplete = true; // whether no task is left in the queue
         Time expectedEnd {};    // latest expected end of the tasks that were queued
     };
+    bool hasRoomForAny(const std::string &service, const std::vector<QueueKey> &keys,
+                       Time now) const;
     PlacementResult placeJob(Job &job, pool::Timetable &timetable, Time now);
     double optimisticFactor(const Job &job) const;
     Time conservativeEnd(const Job &job, Time start, Time end, Time now) const;
@@ -206,6 +272,10 @@
     Time startsHeldUntil_ {}; // no task is started before this time
 
     std::map<std::string, Server> servers_; // servers of this data centre, by id
+    // Speeds that were calculated since the latest change. Each takes a scan of all servers.
+    mutable std::map<std::string, ServiceSpeed> speeds_;
+    std::map<std::string, QueuePlan> plans_; // by service
+    uint64_t placementPasses_ = 0;
     pool::RunTimeModel model_;
     ShardGrants grants_;
     std::unordered_map<JobNumber, Job> jobs_;
@@ -235,6 +305,9 @@
     std::map<uint32_t, uint64_t> keeperEpochs_;
     bool expectsStoredJobs_ = true;
     bool isPlacementDue_ = false;
+    // Whether the next placement pass includes the services without room for any waiting task, to
+    // refuse the jobs that will not end in time.
+    bool isReviewDue_ = false;
 };
 
 } // namespace lovage
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -76,27 +76,34 @@
         answer(job, JobResult::Refused, "stale-offer", now);
         return;
     }
-    const Forecast forecast = this->forecast(job, now);
+    Forecast forecast = this->forecast(job, now);
     if (!forecast.jobSpan) {
         logEvent("job-refused", id, fmt::format("queue={} cause=no-server", job.offer.queue));
         answer(job, JobResult::Refused, "no-server", now, minRetryAfter);
         return;
     }
-    admit(std::move(job), *forecast.jobSpan, forecast.delaysAcceptedJobs, now);
+    admit(std::move(job), std::move(forecast), now);
+}
+
+// Returns whether the job has to wait and would then probably end too late.
+bool Pool::Implementation::isLate(const Job &job, const ForecastSpan &span, Time now) const
+{
+    // The span covers only the queued steps. Later steps add the rest of the critical path.
+    const Time end = span.end + (job.criticalPathTime - pool::longestQueuedRunTime(job));
+    const Time target = std::min(job.objectiveAt, job.deadlineAt);
+    return span.lastStart > now && likelyEnd(job, span.lastStart, end, now) > target;
 }
 
 // Accepts the job if it is forecast to be in time and to delay no accepted job beyond its
 // objective. A job that can start immediately is accepted even if it is predicted to be late,
 // because predictions are often wrong and no other job needs the capacity.
-void Pool::Implementation::admit(Job job, const ForecastSpan &span, bool delaysAcceptedJobs,
-                                 Time now)
+void Pool::Implementation::admit(Job job, Forecast forecast, Time now)
 {
-    // The span covers only the queued steps. Later steps add the rest of the critical path.
+    const ForecastSpan span = *forecast.jobSpan;
     const Time end = span.end + (job.criticalPathTime - pool::longestQueuedRunTime(job));
     const Duration wait = span.lastStart - now;
-    const Time target = std::min(job.objectiveAt, job.deadlineAt);
-    const bool isLate =
-            wait > Duration::zero() && likelyEnd(job, span.lastStart, end, now) > target;
+    const bool isLate = this->isLate(job, span, now);
+    const bool delaysAcceptedJobs = forecast.delaysAcceptedJobs;
     const std::string inputs = fmt::format(
             "queue={} tasks={} wait_ms={:.0f} end_ms={:.0f} objective_ms={:.0f} deadline_ms={:.0f}",
             job.offer.queue, job.tasks.size(), toMillis(wait), toMillis(end - now),
@@ -119,6 +126,7 @@
              fmt::format("vm={} number={} part={} {}", job.offer.ticket.vm, job.offer.ticket.number,
                          job.offer.ticket.part, inputs));
     job.hadToWait = wait > Duration::zero();
+    insertIntoPlan(job.offer.service, std::move(forecast));
     jobsByTicket_.emplace(job.offer.ticket, job.number);
     jobsById_.emplace(job.offer.job.id, job.number);
     earliestLeaseEnd_ = std::min(earliestLeaseEnd_, job.leaseUntil);
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -1,4 +1,4 @@
-// Assigns queued tasks to servers and forecasts the wait of new jobs.
+// Assigns queued tasks to servers.
 #include "durations.h"
 #include "pool_impl.h"
 
@@ -11,7 +11,6 @@
 namespace lovage {
 
 using pool::Ownership;
-using pool::QueueKey;
 using pool::Run;
 using pool::scaled;
 using pool::Task;
@@ -19,7 +18,6 @@
 
 namespace {
 
-constexpr double milliCoreMicrosPerCoreSecond = 1e9;
 // A placement pass ends when more than this number of jobs could not be placed completely.
 constexpr size_t maxUnplacedJobs = 32;
 // Average share of a server's cores that is in use when no further task fits.
@@ -29,14 +27,28 @@
 // Retry time for a job that is refused after it was accepted. Its queue is then full of more urgent
 // work.
 constexpr Duration retryAfterOverload = std::chrono::seconds(1);
-// Maximum number of tasks that a forecast places. A longer queue is too long for any new job.
-constexpr size_t maxForecastTasks = 1000;
 // Cores of a typical task until the first job of a service has been placed.
 constexpr uint32_t defaultMilliCores = 1000;
 
+// Returns whether isAllowed() depends on the server for tasks of this step.
+bool hasRequirements(const Step &step)
+{
+    return !step.requiredLabel.empty() || step.usesSpareCores || step.isServing
+            || step.maxPerServer > 0;
+}
+
 } // namespace
 
 Pool::Implementation::ServiceSpeed Pool::Implementation::speedOf(const std::string &service) const
+{
+    auto known = speeds_.find(service);
+    if (known == speeds_.end())
+        known = speeds_.emplace(service, calculateSpeed(service)).first;
+    return known->second;
+}
+
+Pool::Implementation::ServiceSpeed
+Pool::Implementation::calculateSpeed(const std::string &service) const
 {
     std::vector<const Server *> known;
     for (const auto &[id, server] : servers_) {
@@ -71,93 +83,43 @@
 std::vector<ServiceLoad> Pool::Implementation::load(Time now) const
 {
     std::map<std::string, ServiceLoad> loads;
+    ServiceLoad *load = nullptr; // that of the previous server or job, which most others share
+    uint32_t portion = defaultMilliCores;
     for (const auto &[id, server] : servers_) {
         if (!server.isOpen(now))
             continue;
         const std::string &service = server.info().service;
-        ServiceLoad &load = loads[service];
-        load.service = service;
-        ++load.servers;
-        const auto typical = typicalMilliCores_.find(service);
-        const uint32_t portion =
-                typical == typicalMilliCores_.end() ? defaultMilliCores : typical->second;
-        load.freeMilliCores += uint64_t {server.freeMilliCores() / portion} * portion;
+        if (!load || load->service != service) {
+            load = &loads[service];
+            load->service = service;
+            const auto typical = typicalMilliCores_.find(service);
+            portion = typical == typicalMilliCores_.end() ? defaultMilliCores : typical->second;
+        }
+        ++load->servers;
+        load->freeMilliCores += uint64_t {server.freeMilliCores() / portion} * portion;
     }
     for (const auto &[number, job] : jobs_) {
-        const auto load = loads.find(job.offer.service);
-        if (load != loads.end())
-            load->second.queuedWork += pool::queuedCoreSeconds(job);
+        if (!load || load->service != job.offer.service) {
+            const auto found = loads.find(job.offer.service);
+            if (found == loads.end())
+                continue;
+            load = &found->second;
+        }
+        load->queuedWork += pool::queuedCoreSeconds(job);
     }
     std::vector<ServiceLoad> result;
-    for (auto &[service, load] : loads) {
-        load.rate = isDraining_ ? 0 : rateOf(service, now);
-        result.push_back(std::move(load));
+    for (auto &[service, entry] : loads) {
+        entry.rate = isDraining_ ? 0 : rateOf(service, now);
+        result.push_back(std::move(entry));
     }
     return result;
 }
 
-// Simulates placement of the current queue, with this job in it, on the current capacity.
-Pool::Implementation::Forecast Pool::Implementation::forecast(const Job &job, Time now)
-{
-    const double minSlowness = speedOf(job.offer.service).minSlowness;
-    std::vector<std::pair<QueueKey, const Job *>> queue {{queueKey(job, minSlowness, now), &job}};
-    for (const auto &[number, other] : jobs_) {
-        if (other.queued > 0 && other.offer.service == job.offer.service)
-            queue.emplace_back(queueKey(other, minSlowness, now), &other);
-    }
-    std::sort(queue.begin(), queue.end(),
-              [](const auto &left, const auto &right) { return left.first < right.first; });
-    Forecast forecast;
-    pool::Timetable timetable = makeTimetable(job.offer.service, now);
-    reserveForMoves(movesOf(job.offer.service, now), timetable, now);
-    std::optional<pool::Timetable> timetableWithoutJob;
-    size_t budget = maxForecastTasks;
-    for (const auto &[key, waiting] : queue) {
-        if (waiting == &job) {
-            timetableWithoutJob = timetable;
-            forecast.jobSpan = simulate(job, timetable, budget, now);
-            continue;
-        }
-        const auto span = simulate(*waiting, timetable, budget, now);
-        if (!timetableWithoutJob || !span)
-            continue;
-        const auto undelayed = simulate(*waiting, *timetableWithoutJob, budget, now);
-        forecast.delaysAcceptedJobs |= undelayed && undelayed->end <= waiting->objectiveAt
-                && span->end > undelayed->end
-                && likelyEnd(*waiting, span->lastStart, span->end, now) > waiting->objectiveAt;
-    }
-    return forecast;
-}
-
-// Reserves capacity for the queued tasks of a job. Returns nullopt if a task fits no server or if
-// the budget of tasks is used up.
-std::optional<Pool::Implementation::ForecastSpan>
-Pool::Implementation::simulate(const Job &job, pool::Timetable &timetable, size_t &budget,
-                               Time now) const
-{
-    const Time target = std::min(job.objectiveAt, job.deadlineAt);
-    ForecastSpan span {now, now};
-    for (const Task &task : job.tasks) {
-        if (task.state != TaskState::Queued)
-            continue;
-        const auto choice = choosePlace(job, task, timetable, now);
-        if (!choice || budget == 0)
-            return std::nullopt;
-        --budget;
-        choice->place->reserve(job.stepOf(task).demand, choice->start, choice->end);
-        span.lastStart = std::max(span.lastStart, choice->start);
-        span.end = std::max(span.end, choice->end);
-        if (likelyEnd(job, choice->start, choice->end, now) <= target)
-            ++span.inTime;
-        if (conservativeEnd(job, choice->start, choice->end, now) <= target)
-            ++span.inTimeWithMargin;
-    }
-    return span;
-}
-
 void Pool::Implementation::placeQueued(Time now)
 {
     isPlacementDue_ = false;
+    const bool isReview = std::exchange(isReviewDue_, false);
+    ++placementPasses_;
     std::map<std::string, std::vector<QueueKey>> waiting; // keys of the queued jobs, by service
     for (const auto &[number, job] : jobs_) {
         std::vector<QueueKey> &keys = waiting[job.offer.service];
@@ -167,7 +129,7 @@
     std::vector<JobNumber> unachievable;
     for (auto &[service, keys] : waiting) {
         const std::vector<Move> moves = movesOf(service, now);
-        if (keys.empty() && moves.empty())
+        if (moves.empty() && (keys.empty() || !(isReview || hasRoomForAny(service, keys, now))))
             continue;
         std::sort(keys.begin(), keys.end());
         pool::Timetable timetable = makeTimetable(service, now);
@@ -187,6 +149,22 @@
         answer(jobs_.at(number), JobResult::Refused, "no-room-in-time", now, retryAfterOverload);
 }
 
+// Returns whether some server has enough free cores for the smallest task of the waiting jobs.
+bool Pool::Implementation::hasRoomForAny(const std::string &service,
+                                         const std::vector<QueueKey> &keys, Time now) const
+{
+    uint32_t smallest = UINT32_MAX;
+    for (const QueueKey &key : keys) {
+        for (const Step &step : jobs_.at(key.job).offer.job.steps)
+            smallest = std::min(smallest, step.demand.milliCores);
+    }
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto &entry) {
+        const Server &server = entry.second;
+        return server.freeMilliCores() >= smallest && server.info().service == service
+                && server.isOpen(now);
+    });
+}
+
 pool::Timetable Pool::Implementation::makeTimetable(const std::string &service, Time now)
 {
     const double meanLogSlowness = speedOf(service).meanLogSlowness;
@@ -210,6 +188,7 @@
 Pool::Implementation::placeJob(Job &job, pool::Timetable &timetable, Time now)
 {
     PlacementResult placed;
+    StepPlaces places;
     for (size_t i = 0; i < job.tasks.size() && job.queued > 0; ++i) {
         if (job.tasks[i].state != TaskState::Queued)
             continue;
@@ -217,61 +196,97 @@
             placed.isComplete = false;
             continue;
         }
-        const auto choice = choosePlace(job, job.tasks[i], timetable, now);
+        const auto choice = choosePlace(job, job.tasks[i], timetable, places, now);
         if (!choice) {
             placed.isComplete = false;
             return placed;
         }
         placed.expectedEnd = std::max(placed.expectedEnd, choice->end);
-        if (choice->start > now) {
-            choice->place->reserve(job.stepOf(job.tasks[i]).demand, choice->start, choice->end);
+        if (choice->start > now)
             placed.isComplete = false;
-            continue;
-        }
-        choice->place->reserve(job.stepOf(job.tasks[i]).demand, now, choice->end);
-        orderTask(choice->place->server(), job, i, now);
+        else
+            orderTask(timetable[choice->place].server(), job, i, now);
+        reserve(job, job.tasks[i], *choice, timetable, places, now);
     }
     return placed;
 }
 
+Pool::Implementation::PlaceOption Pool::Implementation::optionOf(const Job &job, const Task &task,
+                                                                 bool hasRun,
+                                                                 const pool::ServerTimetable &place,
+                                                                 Time now) const
+{
+    const Step &step = job.stepOf(task);
+    const Server &server = place.server();
+    PlaceOption option;
+    if (server.info().capacity.milliCores < step.demand.milliCores)
+        return option;
+    if (hasRun || hasRequirements(step)) {
+        const std::string name = toString(TaskName {job.offer.job.id, 0, task.step, task.index});
+        if ((hasRun && server.runs().contains(name)) || !isAllowed(server, step, name))
+            return option;
+    }
+    // A server never shortens its lease, so the run might outlive the lease of its job.
+    if (server.leaseEnd() > runsEndBy(job))
+        return option;
+    option.start = std::max(place.earliestStart(step.demand), now);
+    if (option.start <= now && !server.fits(step.demand))
+        return option; // lacks memory or accelerators
+    option.run = scaled(job.predictedFor(task), place.slowness());
+    if (server.info().id == task.avoidedServer
+        || (!step.dataRack.empty() && !pool::hasLabel(server.info(), step.dataRack)))
+        option.run *= 2;
+    option.isUsable = true;
+    return option;
+}
+
+// Calculates the options of all servers unless they are known from a task of the same step.
+void Pool::Implementation::findPlaces(const Job &job, const Task &task,
+                                      const pool::Timetable &timetable, StepPlaces &places,
+                                      Time now) const
+{
+    const bool hasRun = task.lastRun > 0;
+    if (!hasRun && places.job == &job && places.step == task.step)
+        return;
+    places.job = hasRun ? nullptr : &job;
+    places.step = task.step;
+    places.margin = std::exp(marginDeviations * model_.deviation(job.offer.queue));
+    places.options.clear();
+    for (size_t i = 0; i < timetable.size(); ++i) {
+        PlaceOption option = optionOf(job, task, hasRun, timetable[i], now);
+        option.place = i;
+        if (option.isUsable)
+            places.options.push_back(option);
+    }
+}
+
 // Prefers the slowest server that is free now and on which the task would end in time with a
 // margin, because this leaves faster servers to work that needs them. The second choice is the free
 // server on which the task would end first, if that is in time. Otherwise the task waits for the
 // server on which it would end first.
 std::optional<Pool::Implementation::Choice>
-Pool::Implementation::choosePlace(const Job &job, const Task &task, pool::Timetable &timetable,
+Pool::Implementation::choosePlace(const Job &job, const Task &task,
+                                  const pool::Timetable &timetable, StepPlaces &places,
                                   Time now) const
 {
-    const Step &step = job.stepOf(task);
-    const double margin = std::exp(marginDeviations * model_.deviation(job.offer.queue));
-    const std::string name = toString(TaskName {job.offer.job.id, 0, task.step, task.index});
+    findPlaces(job, task, timetable, places, now);
     const Time target = std::min(job.objectiveAt, job.deadlineAt);
     std::optional<Choice> earliest;    // earliest end on any server
     std::optional<Choice> earliestNow; // earliest end on a server that is free now
     std::optional<Choice> withMargin;  // latest end with a margin on a server that is free now
-    for (pool::ServerTimetable &place : timetable) {
-        const Server &server = place.server();
-        if (server.info().capacity.milliCores < step.demand.milliCores
-            || server.runs().contains(name) || !isAllowed(server, step, name))
+    for (size_t i = 0; i < places.options.size(); ++i) {
+        const PlaceOption &option = places.options[i];
+        if (!option.isUsable)
             continue;
-        // A server never shortens its lease, so the run might outlive the lease of its job.
-        if (server.leaseEnd() > runsEndBy(job))
-            continue;
-        Choice choice {&place, place.earliestStart(step.demand), {}};
-        const bool isNow = choice.start <= now;
-        if (isNow && !server.fits(step.demand))
-            continue; // lacks memory or accelerators
-        Duration run = scaled(job.predictedFor(task), place.slowness());
-        if (server.info().id == task.avoidedServer
-            || (!step.dataRack.empty() && !pool::hasLabel(server.info(), step.dataRack)))
-            run *= 2;
-        choice.end = choice.start + run;
+        const Choice choice {i, option.place, option.start, option.start + option.run};
         if (!earliest || choice.end < earliest->end)
             earliest = choice;
-        if (isNow && (!earliestNow || choice.end < earliestNow->end))
+        if (choice.start > now)
+            continue;
+        if (!earliestNow || choice.end < earliestNow->end)
             earliestNow = choice;
-        if (isNow && now + scaled(run, margin) <= target
-            && (!withMargin || choice.end > withMargin->end))
+        if ((!withMargin || choice.end > withMargin->end)
+            && now + scaled(option.run, places.margin) <= target)
             withMargin = choice;
     }
     if (withMargin)
@@ -279,6 +294,18 @@
     return earliestNow && earliestNow->end <= target ? earliestNow : earliest;
 }
 
+void Pool::Implementation::reserve(const Job &job, const Task &task, const Choice &choice,
+                                   pool::Timetable &timetable, StepPlaces &places, Time now) const
+{
+    pool::ServerTimetable &place = timetable[choice.place];
+    place.reserve(job.stepOf(task).demand, choice.start, choice.end);
+    if (places.job != &job)
+        return; // the options are those of this task only
+    PlaceOption &option = places.options[choice.option];
+    option = optionOf(job, task, false, place, now);
+    option.place = choice.place;
+}
+
 // Returns whether the requirements of the step, other than its demand, permit the task on the
 // server.
 bool Pool::Implementation::isAllowed(const Server &server, const Step &step,
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -66,6 +66,7 @@
     if (isOverdue && !run.isSlowRecorded) {
         run.isSlowRecorded = true;
         pool::recordSlowRun(server, predicted, total);
+        speeds_.clear();
     }
     const Time end = run.confirmedAt + total;
     const Time target = std::min(job.objectiveAt, job.deadlineAt);
@@ -145,14 +146,15 @@
     std::vector<Move> due;
     for (const Move &move : moves) {
         const Task &task = move.job->tasks[move.run->task];
-        const auto choice = choosePlace(*move.job, task, timetable, now);
+        StepPlaces places;
+        const auto choice = choosePlace(*move.job, task, timetable, places, now);
         if (!choice)
             continue;
         const Duration wait = std::max(choice->start - now, options_.stopTime);
         const Duration needed = wait + (choice->end - choice->start);
         if (move.run->state != RunState::Stopping && !isWorthMoving(move, needed, now))
             continue;
-        choice->place->reserve(move.job->stepOf(task).demand, choice->start, choice->end);
+        reserve(*move.job, task, *choice, timetable, places, now);
         if (move.run->state != RunState::Stopping && choice->start <= now + options_.stopTime)
             due.push_back(move);
     }
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -36,6 +36,7 @@
 
 void Pool::Implementation::setServers(const std::vector<ServerInfo> &servers, Time now)
 {
+    forgetPlans();
     for (auto &[id, server] : servers_)
         server.isRegistered = false;
     for (const ServerInfo &info : servers) {
@@ -64,6 +65,7 @@
 
 void Pool::Implementation::setGrants(const ShardGrants &grants, Time now)
 {
+    forgetPlans();
     grants_ = grants;
     for (auto &[id, server] : servers_)
         applyGrant(server, now);
@@ -159,6 +161,7 @@
                  fmt::format("server={} address={} runs={}", server.info().id, server.pollAddress,
                              server.runs().size()));
         server.ownership = Ownership::TakingOver;
+        forgetPlans();
     }
     server.replacedDelay = std::clamp(server.replacedDelay * 2, reconnectDelay, maxReconnectDelay);
     server.nextPollAt = now + server.replacedDelay;
@@ -172,6 +175,7 @@
 void Pool::Implementation::onServerLost(Server &server, std::string_view cause, Time now)
 {
     ++counters_.serversLost;
+    forgetPlans();
     logEvent("server-lost", {},
              fmt::format("server={} cause={} token={} runs={}", server.info().id, cause,
                          server.token, server.runs().size()));
@@ -348,6 +352,7 @@
     reconcile(server, reply, sentAt, now);
     if (server.ownership == Ownership::TakingOver) {
         server.ownership = Ownership::Held;
+        forgetPlans();
         logEvent("server-taken", {},
                  fmt::format("server={} token={} foreign_runs={}", server.info().id, server.token,
                              server.runs().size()));
@@ -529,6 +534,7 @@
     // The speed is learned from the original prediction and not from the projected run time, which
     // depends on the learned speed itself.
     pool::recordSuccess(server, job.predicted[task.step], ran);
+    speeds_.clear();
     model_.observe(job.offer.queue, job.stepOf(task).estimate, ran, logRatio);
     completeTask(job, run.task, now);
 }
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -226,6 +226,7 @@
         const double logRatio =
                 std::log(pool::slownessOf(server, speedOf(server.info().service).meanLogSlowness));
         pool::recordSuccess(server, origin.predicted, ran);
+        speeds_.clear();
         model_.observe(origin.queue, origin.declared, ran, logRatio);
     }
     if (row.end == RunEnd::Failed && pool::recordFault(server, origin.job, options_, now))
