Test evacuations in fleets and in the soak

The fleet in virtual time has the operators' records, and VMs that are cut off from them.

A test of the follower covers a withdrawal that is deleted by a compaction before it is read.

--- a/src/node/evacuation_watch.cpp
+++ b/src/node/evacuation_watch.cpp
@@ -32,17 +32,20 @@
         logEvent(LogLevel::Info, "evacuation-ended",
                  {{"data_centre", dataCentre}, {"version", version}});
     }
-    if (change.begun.contains(dataCentre_) || change.ended.contains(dataCentre_))
-        isEmpty_ = false;
+    if (!change.begun.contains(dataCentre_) && !change.ended.contains(dataCentre_))
+        return;
+    isEmpty_ = false;
+    if (runs_)
+        runs_->set(0);
 }
 
 void EvacuationWatch::recordRuns(size_t runs, Time begun, Time now)
 {
-    metrics_.gauge("lovage_evacuated_runs",
-                   "runs of this VM's pool at the latest time at which its data centre was "
-                   "evacuated",
-                   {{"data_centre", dataCentre_}})
-            .set(static_cast<int64_t>(runs));
+    if (!runs_)
+        runs_ = &metrics_.gauge("lovage_evacuated_runs",
+                                "runs of this VM's pool while its data centre is evacuated",
+                                {{"data_centre", dataCentre_}});
+    runs_->set(static_cast<int64_t>(runs));
     const bool isEmpty = runs == 0;
     if (isEmpty && !isEmpty_)
         logEvent(LogLevel::Info, "evacuation-emptied",
--- a/src/node/evacuation_watch.h
+++ b/src/node/evacuation_watch.h
@@ -19,6 +19,7 @@
 
     void recordChange(const EvacuationState::Change &change, uint64_t version, Time now);
     // Records the number of runs that this VM's pool has while its own data centre is evacuated.
+    // Called for as long as the pool has servers.
     void recordRuns(size_t runs, Time begun, Time now);
 
 private:
@@ -26,6 +27,7 @@
 
     Metrics &metrics_;
     std::string dataCentre_; // of this VM
+    Gauge *runs_ = nullptr;  // created when it is needed first
     bool isEmpty_ = false;   // whether the end of the last run has been logged
 };
 
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -289,7 +289,7 @@
 void NodeLogic::watchEvacuation(Time now)
 {
     const auto since = evacuations_.since(self_.dataCentre);
-    if (since)
+    if (since && pool_.serverCount() > 0)
         evacuationWatch_->recordRuns(pool_.runCount(), *since, now);
 }
 
--- a/tests/fleet_faults.h
+++ b/tests/fleet_faults.h
@@ -20,7 +20,8 @@
 {
 public:
     FleetFaults(FleetWorld &world, const FleetOptions &fleet, FleetFaultOptions options)
-        : world_(world), fleet_(fleet), options_(options), random_(fleet.seed)
+        : world_(world), fleet_(fleet), options_(options), random_(fleet.seed),
+          evacuationRandom_(~fleet.seed)
     { }
 
     // Runs the load and the faults, and then waits for the answers.
@@ -28,6 +29,8 @@
     {
         scheduleJob();
         scheduleFault();
+        if (fleet_.evacuationLimit)
+            scheduleEvacuation();
         world_.time.runFor(options_.duration);
         isOver_ = true;
         world_.time.runFor(drainTime);
@@ -90,6 +93,46 @@
         });
     }
 
+    // Requests and withdraws evacuations and cuts VMs off from the operators' records. The numbers
+    // have a generator of their own, so that they don't change the other faults of a seed.
+    void scheduleEvacuation()
+    {
+        constexpr double meanIntervalUs = 1'200'000;
+        const auto wait =
+                Duration(static_cast<int64_t>(evacuationRandom_.exponential(meanIntervalUs)));
+        world_.time.scheduleAfter(wait, [this] {
+            if (isOver_)
+                return;
+            if (evacuationRandom_.unit() < 0.4)
+                changeEvacuation();
+            else
+                cutFromStore();
+            scheduleEvacuation();
+        });
+    }
+    void changeEvacuation()
+    {
+        const std::string name = fmt::format("dc{}", evacuationRandom_.below(fleet_.dataCentres));
+        const bool isEvacuated = world_.operators.evacuations.dataCentres.contains(name);
+        world_.time.note(name + (isEvacuated ? " is used again" : " is evacuated"));
+        if (isEvacuated)
+            world_.operators.withdraw(name);
+        else
+            world_.operators.evacuate(name, world_.time.now());
+        if (evacuationRandom_.unit() < 0.2) { // changed twice in a row
+            world_.operators.withdraw(name);
+            world_.operators.evacuate(name, world_.time.now());
+        }
+    }
+    void cutFromStore()
+    {
+        FleetVm &vm = world_.vm(evacuationRandom_.below(world_.vmCount()));
+        world_.time.note(vm.name() + " is cut off from the store");
+        vm.setStoreCut(true);
+        const auto time = Duration(static_cast<int64_t>(evacuationRandom_.exponential(3e6)));
+        world_.time.scheduleAfter(time, [&vm] { vm.setStoreCut(false); });
+    }
+
     void injectFault()
     {
         static const std::vector<void (FleetFaults::*)()> faults = {
@@ -231,6 +274,7 @@
     FleetOptions fleet_;
     FleetFaultOptions options_;
     Random random_;
+    Random evacuationRandom_;
     size_t nextJob_ = 0;
     bool isOver_ = false;
 };
--- a/tests/fleet_scenarios.h
+++ b/tests/fleet_scenarios.h
@@ -54,7 +54,7 @@
 
 // Runs load and random faults. LOVAGE_FLEET_FIRST_SEED and LOVAGE_FLEET_LAST_SEED select other
 // seeds.
-inline void runRandomFaults(FleetOptions options)
+inline void runRandomFaults(FleetOptions options, const FleetFaultOptions &faults = {})
 {
     const uint64_t last = seedFrom("LOVAGE_FLEET_LAST_SEED", 6);
     for (uint64_t seed = seedFrom("LOVAGE_FLEET_FIRST_SEED", 1); seed <= last; ++seed) {
@@ -62,11 +62,12 @@
         {
             options.seed = seed;
             FleetWorld world(options);
-            FleetFaults(world, options, {}).run();
-            BOOST_TEST_MESSAGE(
-                    fmt::format("seed {}: {} jobs, {} completed, {} ended, {} violations", seed,
-                                world.callers.jobCount(), world.callers.completedCount(),
-                                world.callers.endedCount(), world.violations.size()));
+            FleetFaults(world, options, faults).run();
+            BOOST_TEST_MESSAGE(fmt::format(
+                    "seed {}: {} jobs, {} completed, {} ended, {} violations, {} starts in "
+                    "evacuated data centres",
+                    seed, world.callers.jobCount(), world.callers.completedCount(),
+                    world.callers.endedCount(), world.violations.size(), world.startsInEvacuated));
             BOOST_TEST(world.callers.endedCount() == world.callers.jobCount());
             checkRules(world);
         }
--- a/tests/fleet_store.h
+++ b/tests/fleet_store.h
@@ -10,6 +10,26 @@
 
 namespace lovage::test {
 
+// The operators' requests to evacuate data centres, as the store has them.
+struct FleetOperators
+{
+    Evacuations evacuations {1, {}};
+    std::map<std::string, Time> requestedAt; // by data centre
+
+    void evacuate(const std::string &dataCentre, Time now)
+    {
+        ++evacuations.version;
+        if (evacuations.dataCentres.insert(dataCentre).second)
+            requestedAt[dataCentre] = now;
+    }
+    void withdraw(const std::string &dataCentre)
+    {
+        ++evacuations.version;
+        evacuations.dataCentres.erase(dataCentre);
+        requestedAt.erase(dataCentre);
+    }
+};
+
 class FleetGroup
 {
 public:
--- a/tests/fleet_vm.h
+++ b/tests/fleet_vm.h
@@ -20,6 +20,7 @@
     FleetServers &servers;
     std::map<std::string, FleetGroup> &holders; // by data centre
     bool &isStoreDown;
+    FleetOperators &operators;
 };
 
 // Handles one event at a time. Events that arrive while the process is paused wait until it wakes
@@ -43,6 +44,14 @@
     {
         return isUp() && !isPaused_ && sliceInterval_ == Duration::zero() && delayedUntil_ <= time;
     }
+    // Cuts this VM off from the operators' records.
+    void setStoreCut(bool isCut) { isStoreCut_ = isCut; }
+    // Returns whether the VM has been in touch with the platform since this time.
+    bool isInTouchSince(Time time) const
+    {
+        return isPromptSince(time) && startedAt_ <= time && !isStoreCut_
+                && !environment_.isStoreDown && storeLostAt_ <= time;
+    }
     uint64_t generation() const { return generation_; }
     NodeLogic &node() { return *node_; }
 
@@ -55,8 +64,11 @@
                 clock_, metrics_);
         node_->setConfiguration(configuration);
         node_->start();
+        startedAt_ = environment_.time.now();
         scheduleTick();
         scheduleServerList();
+        if (settings_.evacuationLimit)
+            scheduleOperatorRecords();
     }
     void kill(bool losesPower)
     {
@@ -211,6 +223,7 @@
     // Processor time of one event.
     static constexpr Duration eventTime = std::chrono::microseconds(20);
     static constexpr Duration serverListInterval = std::chrono::milliseconds(100);
+    static constexpr Duration recordsInterval = std::chrono::milliseconds(100);
 
     Time nextSlice(Time time) const
     {
@@ -269,6 +282,21 @@
         });
     }
 
+    // A read of the operators' records is answered when the store has new ones, or fails.
+    void scheduleOperatorRecords()
+    {
+        if (environment_.isStoreDown || isStoreCut_)
+            storeLostAt_ = environment_.time.now();
+        else
+            post([this, evacuations = environment_.operators.evacuations] {
+                node_->setEvacuations(evacuations);
+            });
+        environment_.time.scheduleAfter(recordsInterval, [this, generation = generation_] {
+            if (generation == generation_)
+                scheduleOperatorRecords();
+        });
+    }
+
     FleetEnvironment environment_;
     NodeSettings settings_;
     SkewedClock clock_;
@@ -286,6 +314,9 @@
     bool isTickMissed_ = false;
     Duration sliceInterval_ {};
     Time delayedUntil_ {}; // end of the last pause or starvation
+    Time startedAt_ {};
+    bool isStoreCut_ = false;
+    Time storeLostAt_ {}; // latest time at which the operators' records could not be read
 };
 
 } // namespace lovage::test
--- a/tests/fleet_world.h
+++ b/tests/fleet_world.h
@@ -16,6 +16,8 @@
     size_t serversEach = 4;
     uint32_t serverMilliCores = 4000;
     uint64_t seed = 1;
+    // Time limit of the evacuation of a data centre, if data centres are evacuated.
+    std::optional<Duration> evacuationLimit {};
 };
 
 class FleetWorld
@@ -23,11 +25,16 @@
 public:
     explicit FleetWorld(const FleetOptions &options = {})
         : network(time, options.seed), servers(time, network),
-          callers(time, vms_, violations, options.seed), random_(options.seed)
+          callers(time, vms_, violations, options.seed), random_(options.seed),
+          evacuationLimit_(options.evacuationLimit)
     {
         setLogLevel(LogLevel::Error);
         servers.kindOf = [this](const std::string &job) { return callers.kindOf(job); };
-        servers.onStart = [this](const RunStart &start) { callers.recordStart(start); };
+        servers.onStart = [this](const RunStart &start) {
+            callers.recordStart(start);
+            if (evacuationLimit_)
+                checkEvacuation(start);
+        };
         configuration_.version = 1;
         configuration_.queues.push_back(callers.queue);
         for (size_t dataCentre = 0; dataCentre < options.dataCentres; ++dataCentre)
@@ -49,6 +56,8 @@
 public:
     FleetCallers callers;
     bool isStoreDown = false;
+    FleetOperators operators;
+    size_t startsInEvacuated = 0; // starts in a data centre while it is evacuated
 
     size_t vmCount() const { return vms_.size(); }
     FleetVm &vm(size_t index) { return *vms_[index]; }
@@ -140,9 +149,10 @@
             settings.name = fmt::format("vm{}", vms_.size());
             settings.dataCentre = name;
             settings.peer = {fmt::format("10.0.0.{}", vms_.size() + 1), 7000};
+            settings.evacuationLimit = options.evacuationLimit;
             vms_.push_back(std::make_unique<FleetVm>(
-                    FleetEnvironment {time, network, servers, holders_, isStoreDown}, settings,
-                    nextClock()));
+                    FleetEnvironment {time, network, servers, holders_, isStoreDown, operators},
+                    settings, nextClock()));
         }
     }
     // The clocks of VMs and servers differ by seconds, and their rates by up to 2%.
@@ -154,6 +164,22 @@
         return {time, std::chrono::duration_cast<Duration>(std::chrono::duration<double>(offset)),
                 1 + (random_.unit() * 2 - 1) * maxRateError};
     }
+    // A VM in touch with the platform must not start a task in an evacuated data centre later than
+    // the limit after the request.
+    void checkEvacuation(const RunStart &start)
+    {
+        constexpr Duration stableTime = std::chrono::seconds(4);
+        const FleetVm &vm = *vms_[indexOf(start.vm)];
+        const auto requested = operators.requestedAt.find(vm.dataCentre());
+        if (requested == operators.requestedAt.end())
+            return;
+        ++startsInEvacuated;
+        if (time.now() > requested->second + *evacuationLimit_
+            && vm.isInTouchSince(time.now() - stableTime))
+            violations.push_back(fmt::format("{} ms: {} starts {} in evacuated {}",
+                                             time.elapsedMs(), start.vm, start.task,
+                                             vm.dataCentre()));
+    }
     // The store lists the VMs that are up.
     void introduceVms()
     {
@@ -167,6 +193,7 @@
     }
 
     Random random_;
+    std::optional<Duration> evacuationLimit_;
     Configuration configuration_;
     std::map<std::string, FleetGroup> holders_;
 };
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -1,6 +1,7 @@
 // Injects random faults one after the other, and undoes them.
 #pragma once
 
+#include "evacuations.h"
 #include "ledger.h"
 #include "network_faults.h"
 #include "process_faults.h"
@@ -16,7 +17,8 @@
     FaultInjector(const Options &options, Fleet &fleet, Platform &platform)
         : options_(options), fleet_(fleet), random_(options.seed), serverRandom_(~options.seed),
           processFaults_(fleet, platform, schedule_), networkFaults_(options, fleet, schedule_),
-          serverFaults_(platform, schedule_)
+          serverFaults_(platform, schedule_), evacuationRandom_(options.seed ^ 0xe),
+          evacuations_(options, platform)
     { }
 
     // Injects faults until the duration of the soak has passed. Faults that are still in force then
@@ -31,6 +33,8 @@
                 inject(networkFaults_, random_);
             if (options_.hasServerFaults)
                 injectServerFaults();
+            if (options_.hasEvacuations && evacuationRandom_.unit() < evacuationShare)
+                inject(evacuations_, evacuationRandom_);
             fleet_.startAll();
         }
     }
@@ -44,6 +48,7 @@
 private:
     static constexpr double networkFaultShare = 0.6; // network faults per process fault
     static constexpr double serverFaultShare = 0.6;  // faults of 8 servers per process fault
+    static constexpr double evacuationShare = 0.4;   // requests or withdrawals per process fault
 
     // The number of faults grows with the number of servers.
     void injectServerFaults()
@@ -78,6 +83,9 @@
     ProcessFaults processFaults_;
     NetworkFaults networkFaults_;
     ServerFaults serverFaults_;
+    // A generator of its own, for the same reason.
+    Random evacuationRandom_;
+    EvacuationFaults evacuations_;
     uint64_t faultCount_ = 0;
 };
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -90,12 +90,13 @@
         for (size_t seed = 0; seed < options_.vms; ++seed)
             seeds += fmt::format(R"({}{{"address":"{}:1"}})", seed > 0 ? "," : "",
                                  addresses_.proxy(seed));
+        const char *limit = options_.hasEvacuations ? R"(,"evacuationLimitMs":5000)" : "";
         return fmt::format(R"({{"name":"{}","dataCentre":"{}","http":"{}:{}","readiness":"{}:{}",)"
                            R"("peer":"{}:{}","peerAdvertised":"{}:{}","store":"127.0.0.1:{}",)"
-                           R"("seeds":[{}],"stopLimitS":4}})",
+                           R"("seeds":[{}],"stopLimitS":4{}}})",
                            nameOf(vm), dataCentreName(dataCentreOf(vm)), address, httpPort, address,
                            readinessPort, address, peerPort, addresses_.proxy(vm), peerPort,
-                           storeProxies_[vm]->port(), seeds);
+                           storeProxies_[vm]->port(), seeds, limit);
     }
 
     const Options &options_;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -104,6 +104,10 @@
                       fmt::format(
                               "task {} run {} starts after a success of the task was acknowledged",
                               task, run));
+        if (closedServers_.contains(server) && currentTime() >= closedFrom_)
+            addLocked(job,
+                      fmt::format("task {} run {} starts on {}, whose data centre is evacuated",
+                                  task, run, server));
         entry.runningOn.emplace(server, currentTime());
         ++entry.starts;
         entry.lastStartedRun = run;
@@ -128,6 +132,13 @@
                       fmt::format("task {} run {} was acknowledged after run {} had started", task,
                                   run, entry.lastStartedRun));
     }
+    // From this time on, no task may start on the servers.
+    void forbidStarts(std::set<std::string> servers, Time from)
+    {
+        const std::lock_guard lock(mutex_);
+        closedServers_ = std::move(servers);
+        closedFrom_ = from;
+    }
     void addViolation(const std::string &job, const std::string &what)
     {
         const std::lock_guard lock(mutex_);
@@ -192,6 +203,8 @@
     std::map<std::string, Task> tasks_;
     std::set<std::string> succeeded_;
     std::vector<Violation> violations_;
+    std::set<std::string> closedServers_;
+    Time closedFrom_ {};
 };
 
 } // namespace lovage::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -23,6 +23,7 @@
 ABSL_FLAG(
         bool, server_faults, false,
         "also inject late calls, restarts in quick succession and odd entries of backend servers");
+ABSL_FLAG(bool, evacuations, false, "also evacuate data centres");
 ABSL_FLAG(std::vector<std::string>, except, {}, "names of faults that are not injected");
 ABSL_FLAG(std::string, folder, "/tmp/lovage-soak",
           "folder for the settings and logs of the daemons");
@@ -64,6 +65,8 @@
         callers_.start();
         faults_.run();
         faults_.undoAll();
+        if (options_.hasEvacuations)
+            evacuateUndisturbed(options_, platform_, ledger_);
         callers_.stop();
         checkOutcomes();
         return report();
@@ -164,6 +167,7 @@
     options.storedShare = absl::GetFlag(FLAGS_stored_share);
     options.hasNetworkFaults = absl::GetFlag(FLAGS_network);
     options.hasServerFaults = absl::GetFlag(FLAGS_server_faults);
+    options.hasEvacuations = absl::GetFlag(FLAGS_evacuations);
     const auto excluded = absl::GetFlag(FLAGS_except);
     options.excludedFaults = {excluded.begin(), excluded.end()};
     return options;
--- a/tests/soak/options.h
+++ b/tests/soak/options.h
@@ -19,6 +19,7 @@
     double storedShare = 0.5; // share of the jobs that are stored
     bool hasNetworkFaults = false;
     bool hasServerFaults = false;
+    bool hasEvacuations = false;
     std::set<std::string> excludedFaults; // names of faults that are not injected
 
     auto operator<=>(const Options &) const = default;
--- a/tests/soak/platform.h
+++ b/tests/soak/platform.h
@@ -58,6 +58,12 @@
         crashServer(server);
         bootServer(server);
     }
+    // Requests the evacuation of a data centre, or withdraws the request.
+    void setEvacuated(const std::string &dataCentre, bool isEvacuated)
+    {
+        store_.put("keyed.op", "evacuate/" + dataCentre, isEvacuated ? "{}" : "");
+    }
+    void compactOperatorRecords() { store_.compact("keyed.op"); }
     void publishConfig()
     {
         store_.put("keyed.op", "config",
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE store_client
 #include "support/platform_standin.h"
 
+#include "records.h"
 #include "store.h"
 
 #include <boost/test/unit_test.hpp>
@@ -129,6 +130,45 @@
     BOOST_TEST(waitForCount(21));
 }
 
+// Guards against an evacuation that goes on because the record that withdrew it was deleted before
+// it was read, against one that ends by the compaction, and against a version that goes back.
+BOOST_FIXTURE_TEST_CASE(withdrawn_evacuation_ends_after_compaction, StoreFixture)
+{
+    std::atomic<uint64_t> version = 0;
+    std::mutex stateMutex;
+    std::vector<Evacuations> states;
+    platform::TopicFollower *reader = nullptr;
+    platform::TopicFollower operators {
+            threads, store, "keyed.op", 100ms, 5ms, [&](const auto &records) {
+                const std::lock_guard lock(stateMutex);
+                states.push_back(platform::decodeEvacuations(records, reader->nextOffset()));
+                version = states.back().version;
+            }};
+    reader = &operators;
+    const auto waitForVersion = [&](uint64_t expected) {
+        for (int i = 0; i < 500 && version < expected; ++i)
+            std::this_thread::sleep_for(10ms);
+        const std::lock_guard lock(stateMutex);
+        BOOST_REQUIRE(version == expected);
+        return states.back().dataCentres;
+    };
+    fake.put("keyed.op", "evacuate/a", "{}");
+    fake.put("keyed.op", "evacuate/b", "\xff");
+    threads.post(0, [&] { operators.start(); });
+    BOOST_TEST((waitForVersion(2) == std::set<std::string> {"a", "b"}));
+    fake.setDown(true);
+    fake.put("keyed.op", "evacuate/a", "");
+    fake.put("keyed.op", "evacuate/c", "{}");
+    fake.compact("keyed.op");
+    fake.setDown(false);
+    BOOST_TEST((waitForVersion(4) == std::set<std::string> {"b", "c"}));
+    fake.put("keyed.op", "evacuate/b", "");
+    BOOST_TEST((waitForVersion(5) == std::set<std::string> {"c"}));
+    threads.stop();
+    for (size_t i = 1; i < states.size(); ++i)
+        BOOST_TEST(states[i].version >= states[i - 1].version);
+}
+
 // Guards against a follower that gives up after its calls were refused.
 BOOST_FIXTURE_TEST_CASE(follower_recovers_from_refused_calls, StoreFixture)
 {
