Report the lag of a VM's input and shed offers that are read late

Cause: a pool's VM that is behind its input received as many offers as one that is in time, and computed a forecast for each offer that it read, also for those that could not be started in time any more.

Change: the lag of the event loop, less the interval of its ticks, is part of a pool's load; values below 20 ms count as zero. Routers add it to the expected wait and give such a pool no part of a divided job. An offer carries the time at which it was made, on the pool's clock, and the time for its answer: a sixth of the time left to the deadline, from 150 to 350 ms. The pool deducts the time on the way from the deadline, and refuses without a forecast an offer that is read after the time for its answer or that cannot end in time (cause=late-offer).

The version of messages is 8. Metrics lovage_input_lag_us and lovage_late_offers_total.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -166,6 +166,9 @@
     // after tickInterval().
     void tick();
     Duration tickInterval() const;
+    // Sets the time up to which the event loop has handled its input (EventLoopLag). Callers set it
+    // before each tick and each message of a peer.
+    void setInputHandledThrough(Time time);
 
     // Handles a datagram or a frame of a peer.
     void onPeerBytes(std::string_view bytes);
@@ -228,6 +231,8 @@
     bool wantsShards(Time now) const;
     void removeSilentVms(Time now);
     void detectPause(Time now);
+    // Returns the time for which input waits; zero if the event loop is in time.
+    Duration inputLag(Time now) const;
 
     void flush();
     void writeLogEntries();
@@ -254,6 +259,7 @@
     std::unique_ptr<node::StoredJobs> storedJobs_;
     Configuration configuration_;
     bool hasConfiguration_ = false;
+    std::optional<Time> inputHandledThrough_;
     Time serversReadAt_ {}; // time at which the list of servers was last set
     std::unordered_map<uint64_t, Caller> callers_;
     uint64_t nextNumber_ = 1;
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -65,7 +65,19 @@
     auto operator<=>(const LeaseRenewal &) const = default;
 };
 
-// A job offered to a pool. All times but the lease are relative, because the clocks of VMs differ.
+// When an offer was made and must be answered, on the clock of the pool's VM. As with the lease,
+// the time is a lower bound, so an offer counts as older than it is rather than as younger.
+struct OfferTiming
+{
+    Time offeredAt {};
+    // The pool refuses the offer if it reads it later than this after `offeredAt`.
+    Duration answerWithin {};
+
+    auto operator<=>(const OfferTiming &) const = default;
+};
+
+// A job offered to a pool. All times but the lease and the timing are relative, because the clocks
+// of VMs differ.
 struct JobOffer
 {
     JobTicket ticket;
@@ -82,9 +94,10 @@
     // Whether no other pool will be asked. If not, a pool that would meet the objective without a
     // margin refuses, since another pool may have faster servers free.
     bool isLastOffer = true;
-    Duration elapsed {};              // time since the caller submitted the job
-    Duration deadline {};             // time left until the caller stops waiting
-    std::optional<JobLease> lease {}; // without a lease, the job ends together with the pool
+    Duration elapsed {};                  // time since the caller submitted the job
+    Duration deadline {};                 // time left until the caller stops waiting
+    std::optional<OfferTiming> timing {}; // absent for an offer to the pool on the same VM
+    std::optional<JobLease> lease {};     // without a lease, the job ends together with the pool
 
     auto operator<=>(const JobOffer &) const = default;
 };
@@ -307,6 +320,8 @@
     uint64_t freeMilliCores = 0;
     double queuedWork = 0; // core-seconds of work that is not started yet
     double rate = 0;       // core-seconds of work per second at full load
+    // Time for which input of the pool's VM waits until it is handled; zero if the VM is in time.
+    Duration inputLag {};
 
     auto operator<=>(const ServiceLoad &) const = default;
 };
@@ -382,6 +397,7 @@
     uint64_t completed = 0;
     uint64_t failed = 0;
     uint64_t abandoned = 0;
+    uint64_t offersLate = 0;    // offers refused because they were read too late
     uint64_t leasesExpired = 0; // jobs whose lease was not renewed in time
     uint64_t starts = 0;
     uint64_t startsRejected = 0;
@@ -417,6 +433,8 @@
     // Sets the currently registered servers of this data centre.
     void setServers(const std::vector<ServerInfo> &servers, Time now);
     void setGrants(const ShardGrants &grants, Time now);
+    // Sets the time for which input of this VM waits. It becomes part of the load.
+    void setInputLag(Duration lag);
     // Refuses all further jobs.
     void drain();
     // Refuses further jobs while set, because this VM gives up its shards.
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -348,6 +348,13 @@
     size_t maxOffers = 3;
     // Round-trip time that is added to the expected wait of a pool in another data centre.
     Duration remotePenalty = std::chrono::milliseconds(4);
+    // A pool must answer an offer within this part of the time that is left until the caller's
+    // deadline, between the two limits. A VM that is in time answers within some milliseconds. The
+    // lower limit is for a VM whose processor share makes it run in slices of 100 ms; after the
+    // upper one a VM that does not report counts as unreachable.
+    int answersWithinDeadline = 6;
+    Duration minAnswerTime = std::chrono::milliseconds(150);
+    Duration maxAnswerTime = std::chrono::milliseconds(350);
     // Retry-after time of a refused job if no pool gave an estimate.
     Duration retryAfter = std::chrono::seconds(1);
 };
@@ -486,6 +493,7 @@
     // Offers the part to its fallback pool. Returns false if there is none.
     bool offerToFallback(uint64_t number, size_t part, Time now);
     void join(uint64_t number, Request &open, const JobOffer &offer);
+    std::optional<OfferTiming> timingOf(const std::string &vm, Duration deadline, Time now) const;
     JobLease leaseAt(const std::string &vm, Time connectedAt) const;
     Time connectedAt(const Request &request) const;
     void sendOffer(uint64_t number, size_t part, Candidate pool, Time now);
--- a/src/node/job_metrics.cpp
+++ b/src/node/job_metrics.cpp
@@ -23,6 +23,9 @@
     : submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
       stale_(metrics.counter("lovage_stale_requests_total",
                              "jobs refused because their requests may have waited too long")),
+      lateOffers_(metrics.counter("lovage_late_offers_total",
+                                  "offers that the pool refused because it read them too late")),
+      inputLag_(metrics.gauge("lovage_input_lag_us", "time for which input of the VM waits")),
       latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
 {
     for (size_t result = 0; result < resultCount; ++result) {
--- a/src/node/job_metrics.h
+++ b/src/node/job_metrics.h
@@ -17,6 +17,9 @@
 
     void recordSubmitted() { submitted_.add(); }
     void recordStale() { stale_.add(); }
+    void setInputLag(Duration lag) { inputLag_.set(lag.count()); }
+    // Sets the number of offers that the pool of this VM has refused because it read them too late.
+    void setLateOffers(uint64_t count) { lateOffers_.add(count - lateOffers_.value()); }
     void recordAnswered(JobResult result, size_t tasks, Duration latency);
 
 private:
@@ -25,6 +28,8 @@
 
     Counter &submitted_;
     Counter &stale_;
+    Counter &lateOffers_;
+    Gauge &inputLag_;
     std::array<std::array<Counter *, taskCountClasses>, resultCount> answered_ {};
     LatencyHistogram &latency_;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,7 +25,11 @@
     Result<void> open(const Endpoint &endpoint)
     {
         return sockets_.open(
-                threads_, endpoint, [this](std::string_view bytes) { logic_.onPeerBytes(bytes); },
+                threads_, endpoint,
+                [this](std::string_view bytes) {
+                    logic_.setInputHandledThrough(threads_.lag(0).handledThrough());
+                    logic_.onPeerBytes(bytes);
+                },
                 [this](const FrameClient::Lost &lost) { logic_.onFramesLost(lost); });
     }
 
@@ -42,6 +46,7 @@
     {
         threads_.postAfter(0, logic_.tickInterval(), [this] {
             const ScopeGuard scheduleNext([this] { scheduleTick(); });
+            logic_.setInputHandledThrough(threads_.lag(0).handledThrough());
             logic_.tick();
         });
     }
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -26,6 +26,8 @@
 // The list of servers of a VM that does not hold shards counts for this time. It is read every
 // 0.4 s while it is needed.
 constexpr Duration serverListLifetime = std::chrono::seconds(2);
+// An event loop with less lag is in time. Its bound is inaccurate by the duration of some turns.
+constexpr Duration minInputLag = std::chrono::milliseconds(20);
 // A VM that knows of no pool reports that it is ready after this time nevertheless, because callers
 // get its refusals faster than they would get a timeout.
 constexpr Duration readyWithoutPoolAfter = std::chrono::seconds(3);
@@ -116,6 +118,7 @@
     if (own != renewals.end())
         pool_.renewLeases(self_.name, self_.incarnation, own->second);
     pool_.tick(now);
+    metrics_->setLateOffers(pool_.counters().offersLate);
     router_.tick(now);
     const bool isPoolChanged =
             heldShards_->setSurplus(peers_->contacts().isSurplusHolder(localState(now), now), now);
@@ -136,6 +139,22 @@
     return isBusy ? busyTickInterval : idleTickInterval;
 }
 
+void NodeLogic::setInputHandledThrough(Time time)
+{
+    inputHandledThrough_ = time;
+    const Duration lag = inputLag(clock_.now());
+    pool_.setInputLag(lag);
+    metrics_->setInputLag(lag);
+}
+
+Duration NodeLogic::inputLag(Time now) const
+{
+    if (!inputHandledThrough_)
+        return Duration::zero();
+    const Duration lag = now - *inputHandledThrough_ - EventLoopLag::tickInterval;
+    return lag < minInputLag ? Duration::zero() : lag;
+}
+
 void NodeLogic::removeSilentVms(Time now)
 {
     const VmTable::RemovedVms removed = vms_.removeSilent(now);
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -39,6 +39,11 @@
     implementation_->setGrants(grants, now);
 }
 
+void Pool::setInputLag(Duration lag)
+{
+    implementation_->inputLag_ = lag;
+}
+
 void Pool::drain()
 {
     implementation_->isDraining_ = true;
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -135,6 +135,8 @@
     Time giveUpTime(const Job &job) const;
     Time runsEndBy(const Job &job) const;
     // Returns whether a job with this id is open for another request.
+    // Refuses an offer that was read too late. Returns false if it was not.
+    bool refuseLate(Job &job, Duration waited, Time now);
     bool isDuplicate(const JobOffer &offer) const;
     bool hasLeftoverRuns(const std::string &jobId) const;
     bool hasRuns(const std::string &task) const;
@@ -202,6 +204,7 @@
     std::vector<PoolAction> actions_;
     std::vector<PoolLogEntry> logEntries_;
     PoolCounters counters_;
+    Duration inputLag_ {};
     bool isDraining_ = false;
     bool isClosed_ = false;   // whether jobs are refused because the shards are given up
     Time startsHeldUntil_ {}; // no task is started before this time
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -32,6 +32,17 @@
 // Time for reading the messages that other VMs and callers sent during a pause.
 constexpr Duration startDelayAfterPause = std::chrono::milliseconds(50);
 
+// An offer that waited for less than this is not checked for lateness before the forecast, because
+// a VM that is in time handles every message sooner.
+constexpr Duration minLateWait = std::chrono::milliseconds(20);
+
+// Returns the time for which an offer was on its way and unread.
+Duration waitOf(const JobOffer &offer, Time now)
+{
+    return offer.timing ? std::max(now - offer.timing->offeredAt, Duration::zero())
+                        : Duration::zero();
+}
+
 double toMillis(Duration duration)
 {
     return static_cast<double>(duration.count()) / 1000;
@@ -55,6 +66,9 @@
 void Pool::Implementation::offer(JobOffer offer, Time now)
 {
     ++counters_.offered;
+    const Duration waited = waitOf(offer, now);
+    offer.elapsed += waited;
+    offer.deadline -= waited;
     Job job = pool::makeJob(nextJobNumber_++, std::move(offer), model_, now);
     const std::string &id = job.offer.job.id;
     if (isDraining_ || isClosed_ || now < startsHeldUntil_) {
@@ -77,6 +91,8 @@
         answer(job, JobResult::Refused, "stale-offer", now);
         return;
     }
+    if (refuseLate(job, waited, now))
+        return;
     const Forecast forecast = this->forecast(job, now);
     if (!forecast.jobSpan) {
         logEvent("job-refused", id, fmt::format("queue={} cause=no-server", job.offer.queue));
@@ -86,6 +102,22 @@
     admit(std::move(job), *forecast.jobSpan, forecast.delaysAcceptedJobs, now);
 }
 
+// Refuses without a forecast, whose cost would put a VM that is behind further behind.
+bool Pool::Implementation::refuseLate(Job &job, Duration waited, Time now)
+{
+    if (waited < minLateWait)
+        return false;
+    const bool isOverdue = job.offer.timing && waited >= job.offer.timing->answerWithin;
+    if (!isOverdue && canEndBy(job, job.criticalPathTime, giveUpTime(job), now))
+        return false;
+    ++counters_.offersLate;
+    logEvent("job-refused", job.offer.job.id,
+             fmt::format("queue={} cause=late-offer vm={} waited_ms={:.0f} overdue={}",
+                         job.offer.queue, job.offer.ticket.vm, toMillis(waited), isOverdue));
+    answer(job, JobResult::Refused, "late-offer", now);
+    return true;
+}
+
 // Accepts the job if it is forecast to be in time and to delay no accepted job beyond its
 // objective. A job that can start immediately is accepted even if it is predicted to be late,
 // because predictions are often wrong and no other job needs the capacity.
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -91,6 +91,7 @@
     std::vector<ServiceLoad> result;
     for (auto &[service, load] : loads) {
         load.rate = isDraining_ || isClosed_ ? 0 : rateOf(service, now);
+        load.inputLag = inputLag_;
         result.push_back(std::move(load));
     }
     return result;
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 7;
+constexpr uint8_t messageVersion = 8;
 
 } // namespace
 
@@ -27,6 +27,13 @@
     timeField(archive, lease.until);
 }
 
+template<class Archive>
+void serialize(Archive &archive, OfferTiming &timing)
+{
+    timeField(archive, timing.offeredAt);
+    durationField(archive, timing.answerWithin);
+}
+
 template<class Archive>
 void serialize(Archive &archive, JobOffer &offer)
 {
@@ -37,6 +44,7 @@
     flagField(archive, offer.isLastOffer);
     durationField(archive, offer.elapsed);
     durationField(archive, offer.deadline);
+    optionalField(archive, offer.timing);
     optionalField(archive, offer.lease);
 }
 
@@ -70,6 +78,10 @@
     constexpr double maxCoreSeconds = 1e12;
     limitedField(archive, load.queuedWork, maxCoreSeconds);
     limitedField(archive, load.rate, maxCoreSeconds);
+    auto lagMicros = static_cast<uint32_t>(
+            std::clamp(load.inputLag, Duration::zero(), Duration(UINT32_MAX)).count());
+    archive(lagMicros);
+    load.inputLag = Duration(lagMicros);
 }
 
 template<class Archive>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -19,8 +19,9 @@
     return sum;
 }
 
-// Estimates the time until a pool has started every task that can start at once.
-Duration expectedWait(const ServiceLoad &load, const JobSpec &job)
+// Estimates the time until a pool has started every task that can start at once, not counting the
+// lag of its VM.
+Duration queueWait(const ServiceLoad &load, const JobSpec &job)
 {
     const uint64_t need = initialMilliCores(job);
     if (load.queuedWork == 0 && load.freeMilliCores >= need)
@@ -31,6 +32,11 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(work / load.rate));
 }
 
+Duration expectedWait(const ServiceLoad &load, const JobSpec &job)
+{
+    return load.inputLag + queueWait(load, job);
+}
+
 // Updates the local copy of a pool's load for a job that is offered to the pool after its last
 // report.
 void accountForOffer(ServiceLoad &load, const JobSpec &job)
@@ -137,6 +143,18 @@
             VmTable::clockOf(*row, connectedAt) + options_.resubmission.jobLease()};
 }
 
+// The time to answer leaves room for offers to other pools and for the run itself.
+std::optional<OfferTiming> Router::timingOf(const std::string &vm, Duration deadline,
+                                            Time now) const
+{
+    const VmTable::Row *row = vms_.find(vm);
+    if (!row)
+        return std::nullopt;
+    return OfferTiming {VmTable::clockOf(*row, now),
+                        std::clamp(deadline / options_.answersWithinDeadline,
+                                   options_.minAnswerTime, options_.maxAnswerTime)};
+}
+
 void Router::offerWaiting(Time now)
 {
     for (const uint64_t number : std::exchange(waiting_, {})) {
@@ -230,6 +248,10 @@
     std::vector<Part> parts;
     uint32_t nextIndex = 0;
     for (const Candidate &pool : pools) {
+        // Every part must be started for the job to be in time, so no part goes to a pool that is
+        // behind.
+        if (pool.load->inputLag > Duration::zero())
+            continue;
         const auto freeSlots =
                 static_cast<uint32_t>(pool.load->freeMilliCores / step.demand.milliCores);
         const uint32_t count = std::min(freeSlots, step.count - nextIndex);
@@ -285,6 +307,7 @@
     Part &part = request.parts[index];
     JobOffer offer = makePartOffer(request, index, now);
     offer.lease = leaseAt(pool.vm, connectedAt(request));
+    offer.timing = timingOf(pool.vm, offer.deadline, now);
     accountForOffer(*pool.load, offer.job);
     part.vm = pool.vm;
     part.isOffered = true;
--- a/tests/fleet_vm.h
+++ b/tests/fleet_vm.h
@@ -105,7 +105,10 @@
 
     void onBytes(std::string bytes) override
     {
-        post([this, bytes = std::move(bytes)] { node_->onPeerBytes(bytes); });
+        post([this, bytes = std::move(bytes)] {
+            updateHandledThrough();
+            node_->onPeerBytes(bytes);
+        });
     }
     void onFramesLost(const FrameClient::Lost &lost) override { node_->onFramesLost(lost); }
     void sendDatagram(const Endpoint &to, const std::string &bytes) override
@@ -251,11 +254,19 @@
     void postTick()
     {
         post([this] {
+            updateHandledThrough();
             node_->tick();
             scheduleTick();
         });
     }
 
+    void updateHandledThrough()
+    {
+        const Time now = environment_.time.now();
+        const Duration lag = inbox_.empty() ? Duration::zero() : now - inbox_.front().arrivedAt;
+        node_->setInputHandledThrough(clock_.now() - lag);
+    }
+
     // The list of servers changes only in the data centres of VMs that need it.
     void scheduleServerList()
     {
--- a/tests/pool_lease_test.cpp
+++ b/tests/pool_lease_test.cpp
@@ -144,3 +144,26 @@
     pauseFor(milliseconds(150) + ResubmissionLimits {}.stopAllowance());
     BOOST_TEST(!isRunning("job2.0.0.0"));
 }
+
+// Guards against forecasts for offers that waited too long to be started in time, whose cost puts
+// an overloaded VM further behind, and against jobs that end after their callers' deadline because
+// the time on the way is not counted.
+BOOST_FIXTURE_TEST_CASE(offer_that_waited_too_long_is_refused_without_a_forecast, OneServer)
+{
+    const auto offerAfter = [&](const std::string &id, Duration waited, Duration deadline) {
+        JobOffer late = makeOffer(id, 1, 14000, milliseconds(400), deadline);
+        late.timing = OfferTiming {now - waited, milliseconds(250)};
+        offer(late);
+        runFor(milliseconds(10));
+        return pool.counters().offersLate;
+    };
+    BOOST_TEST(offerAfter("late", milliseconds(250), seconds(2)) == 1U);
+    BOOST_TEST((resultOf("late") == JobResult::Refused));
+    BOOST_TEST(offerAfter("hopeless", milliseconds(200), milliseconds(350)) == 2U);
+    BOOST_TEST((resultOf("hopeless") == JobResult::Refused));
+    BOOST_TEST(starts == 0U);
+    BOOST_TEST(offerAfter("in-time", milliseconds(100), seconds(2)) == 2U);
+    BOOST_TEST(starts == 1U);
+    runFor(milliseconds(1900)); // the run of four seconds is given up at the caller's deadline
+    BOOST_TEST((resultOf("in-time") == JobResult::Abandoned));
+}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -85,6 +85,20 @@
     BOOST_TEST((responses[0].answer.result == JobResult::Completed));
 }
 
+// Guards against offers to a pool whose VM is behind its input: the answer would come late.
+BOOST_FIXTURE_TEST_CASE(pool_that_is_behind_is_avoided, RouterFixture)
+{
+    report("near", "dc1", 8);
+    report("far", "dc2", 8);
+    table.updateLoads("near", {{"work", 10, 8 * taskMilliCores, 0, 300, milliseconds(90)}});
+    submit(4);
+    BOOST_REQUIRE_EQUAL(offers.size(), 1U);
+    BOOST_TEST(offers[0].vm == "far");
+    BOOST_REQUIRE(offers[0].offer.timing.has_value());
+    BOOST_TEST((offers[0].offer.timing->offeredAt <= now));
+    BOOST_TEST((offers[0].offer.timing->answerWithin == milliseconds(250)));
+}
+
 // Guards against refusing a job while another pool has free capacity.
 BOOST_FIXTURE_TEST_CASE(refused_job_is_offered_to_the_next_pool, RouterFixture)
 {
