--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -111,6 +111,7 @@
     std::vector<ServiceLoad> result;
     for (auto &[service, entry] : loads) {
         entry.rate = isDraining_ || isClosed_ || !isOpenForWork() ? 0 : rateOf(service, now);
+        entry.inputLag = inputLag_;
         result.push_back(std::move(entry));
     }
     return result;
