--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -282,7 +282,7 @@
     PoolCounters counters_;
     Duration inputLag_ {};
     bool isDraining_ = false;
-    bool isClosed_ = false;   // whether jobs are refused because the shards are given up
+    bool isClosed_ = false;           // whether jobs are refused because the shards are given up
     Time startsHeldUntil_ {};         // no task is started before this time
     bool isEvacuationKnown_;          // whether nothing has to be known first about evacuations
     std::optional<Time> evacuatedAt_; // begin of the evacuation in force
