--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -274,10 +274,12 @@
 void NodeLogic::setEvacuations(Evacuations evacuations)
 {
     const Time now = clock_.now();
+    const bool isFirst = !evacuations_.isKnown();
     const EvacuationState::Change change = evacuations_.merge(std::move(evacuations), now);
+    if (change.isEmpty() && !isFirst)
+        return;
     evacuationWatch_->recordChange(change, evacuations_.current().version, now);
-    if (!change.isEmpty())
-        vms_.setEvacuated(evacuations_.current().dataCentres);
+    vms_.setEvacuated(evacuations_.current().dataCentres);
     pool_.setEvacuated(evacuations_.isEvacuated(self_.dataCentre), now);
     flush();
     const bool isOwn =
