Tell the runs of long jobs from those on slow servers

Cause: a run that is slower than predicted was blamed on its server. The run of a job that is inherently long was moved again and again, its work was lost each time, and the speed of its servers and the predictions of its queue were learned from it.

Change: src/pool/slow_run.* weighs the evidence (siblings, other runs on the server, an earlier move, the learned share of long jobs, the error of the projection) and decides to keep the run, to move it (at most once) or to give the job up. Progress is projected from the clock of the server, so that late lists do not count.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -389,9 +389,13 @@
     uint64_t stops = 0;
     uint64_t polls = 0;
     uint64_t pollsUnanswered = 0;
-    uint64_t serversLost = 0; // servers whose shard another VM took over or whose grant ended
-    uint64_t runsLost = 0;    // runs whose lease lapsed or that the server no longer lists
-    uint64_t outcomes = 0;    // reports of outcomes of runs of stored jobs, including repeated ones
+    uint64_t serversLost = 0;      // servers whose shard another VM took over or whose grant ended
+    uint64_t runsLost = 0;         // runs whose lease lapsed or that the server no longer lists
+    uint64_t runsMovedSlow = 0;    // runs stopped and started elsewhere because they were slow
+    uint64_t runsMovedHanging = 0; // the same for runs without progress
+    uint64_t runsKeptSlow = 0;     // runs that are too slow and stay on their servers
+    uint64_t jobsGivenUpSlow = 0;  // jobs given up because a run cannot end in time on any server
+    uint64_t outcomes = 0; // reports of outcomes of runs of stored jobs, including repeated ones
 };
 
 // A decision of the pool, with its inputs, for the log.
--- a/src/pool/health.cpp
+++ b/src/pool/health.cpp
@@ -25,19 +25,8 @@
 constexpr double largeDeviation = 0.9;
 constexpr double fastLearningRate = 0.4;
 
-void updateSlowness(LeasedServer &server, Duration predicted, Duration ran)
-{
-    if (predicted < minSample || ran < minSample)
-        return;
-    const double ratio =
-            std::log(static_cast<double>(ran.count()) / static_cast<double>(predicted.count()));
-    ++server.samples;
-    const double deviation = ratio - server.logSlowness;
-    const double rate = std::abs(deviation) > largeDeviation ? fastLearningRate : learningRate;
-    const double weight = std::max(rate, 1.0 / server.samples);
-    server.logSlowness =
-            std::clamp(server.logSlowness + weight * deviation, -maxLogSlowness, maxLogSlowness);
-}
+// Number of ended runs that are remembered for each server.
+constexpr size_t maxEndedRuns = 4;
 
 } // namespace
 
@@ -52,16 +41,38 @@
     return scaled(predicted, slownessOf(server, meanLogSlowness));
 }
 
-void recordSuccess(LeasedServer &server, Duration predicted, Duration ran)
+void recordSuccess(LeasedServer &server)
 {
     server.consecutiveFaults = 0;
     server.avoidance = {};
-    updateSlowness(server, predicted, ran);
 }
 
-void recordSlowRun(LeasedServer &server, Duration predicted, Duration total)
+double recordRunTime(LeasedServer &server, Duration predicted, Duration ran)
+{
+    if (predicted < minSample || ran < minSample)
+        return 0;
+    const double ratio =
+            std::log(static_cast<double>(ran.count()) / static_cast<double>(predicted.count()));
+    ++server.samples;
+    const double deviation = ratio - server.logSlowness;
+    const double rate = std::abs(deviation) > largeDeviation ? fastLearningRate : learningRate;
+    const double weight = std::max(rate, 1.0 / server.samples);
+    const double before = server.logSlowness;
+    server.logSlowness = std::clamp(before + weight * deviation, -maxLogSlowness, maxLogSlowness);
+    return server.logSlowness - before;
+}
+
+void retractRunTime(LeasedServer &server, double change)
+{
+    server.logSlowness = std::clamp(server.logSlowness - change, -maxLogSlowness, maxLogSlowness);
+}
+
+void rememberEndedRun(LeasedServer &server, EndedRun run)
 {
-    updateSlowness(server, predicted, total);
+    std::erase_if(server.endedRuns, [&](const EndedRun &other) { return other.job == run.job; });
+    if (server.endedRuns.size() == maxEndedRuns)
+        server.endedRuns.erase(server.endedRuns.begin());
+    server.endedRuns.push_back(std::move(run));
 }
 
 bool recordFault(LeasedServer &server, const std::string &job, const PoolOptions &options, Time now)
--- a/src/pool/health.h
+++ b/src/pool/health.h
@@ -13,11 +13,15 @@
 double slownessOf(const LeasedServer &server, double meanLogSlowness);
 Duration expectedRunTime(const LeasedServer &server, Duration predicted, double meanLogSlowness);
 
-// Records that a run succeeded after `ran`; `predicted` is its run time on an ordinary server.
-void recordSuccess(LeasedServer &server, Duration predicted, Duration ran);
-// Records that a run, which has not ended yet, is projected to take `total`, much longer than
-// expected.
-void recordSlowRun(LeasedServer &server, Duration predicted, Duration total);
+// Records that a run has succeeded.
+void recordSuccess(LeasedServer &server);
+// Learns the speed of the server from a run that took `ran`, or is projected to take that long;
+// `predicted` is its run time on an ordinary server. Returns the change of the learned slowness.
+double recordRunTime(LeasedServer &server, Duration predicted, Duration ran);
+// Takes back a change that was learned from a run that was as slow on another server.
+void retractRunTime(LeasedServer &server, double change);
+// Remembers the time of an ended run for the comparison with later ones.
+void rememberEndedRun(LeasedServer &server, EndedRun run);
 // Records a fault: an order that the server did not execute or a run that failed there. After
 // several consecutive faults of different jobs the server is avoided for a while; faults of one job
 // alone may be caused by the job itself. Returns whether the server is avoided from now on.
--- a/src/pool/jobs.h
+++ b/src/pool/jobs.h
@@ -6,12 +6,22 @@
 #include "leased_server.h"
 #include "run_time_model.h"
 
+#include <optional>
 #include <set>
 
 namespace lovage::pool {
 
 enum class TaskState { Blocked, Queued, Active, Done };
 
+// Run of a task for which there is a projection or that has ended.
+struct TaskRun
+{
+    std::string server {};
+    double logRatio = 0; // logarithm of the ratio of its time to the prediction
+    double error = 0;    // standard deviation of logRatio
+    double learned = 0;  // change of the server's logSlowness because of it
+};
+
 struct Task
 {
     uint32_t step = 0;
@@ -23,6 +33,8 @@
     Duration longestStall {}; // longest time for which a run made no progress before it was stopped
     Duration projectedRunTime {}; // run time on an ordinary server, projected from the progress
                                   // of a run; zero if there is no projection
+    std::optional<TaskRun> latestRun {}; // nullopt before there is a projection
+    std::optional<TaskRun> movedRun {};  // the run that was moved because it was slow
 };
 
 struct Job
--- a/src/pool/leased_server.cpp
+++ b/src/pool/leased_server.cpp
@@ -254,6 +254,8 @@
             wait = std::min(wait, minPollWait);
             continue;
         }
+        if (run.checkAt > now)
+            wait = std::min(wait, std::max(run.checkAt - now, minPollWait));
         if (run.expected >= minCheckedRunTime) {
             for (const double share : progressCheckShares) {
                 const Time check = run.confirmedAt + scaled(run.expected, share);
--- a/src/pool/leased_server.h
+++ b/src/pool/leased_server.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <set>
+#include <vector>
 
 namespace lovage::pool {
 
@@ -52,8 +53,17 @@
     bool isIncarnationProven = false;
     Duration expected {};        // predicted run time on this server
     bool isSlowRecorded = false; // whether the run counted against the speed of the server
-    uint32_t percent = 0;        // percentage of its work that is done, as of the latest poll
-    bool needsMove = false;      // whether the run would end too late on this server
+    // Server's clock when it answered the start; nullopt if the answer did not tell.
+    ServerClock startClockMs {};
+    // Logarithm of the ratio of the projected run time to the prediction for an ordinary server,
+    // and its standard deviation; nullopt before there is a projection.
+    std::optional<double> logRatio {};
+    double logRatioError = 0;
+    Time checkAt {};                // time at which to check the progress again; zero: none
+    uint32_t percent = 0;           // percentage of its work that is done, as of the latest poll
+    bool needsMove = false;         // whether the run would end too late on this server
+    std::string_view moveReason {}; // reason for needsMove
+    bool isKeepRecorded = false;    // whether it was logged that the run is slow but stays
     bool isRefused = false; // whether the server has answered that it does not execute the start
     bool isStopPending = false;
     Time stopSentAt {};
@@ -76,6 +86,15 @@
     Held,       // this VM may place work on the server
 };
 
+// Run that ended on a server.
+struct EndedRun
+{
+    JobNumber job = foreignJob;
+    std::string queue {};
+    Time endedAt {};
+    double logRatio = 0; // logarithm of the ratio of its time to the prediction
+};
+
 // Time after which an unanswered order can no longer be executed.
 constexpr Duration maxOrderDelay = std::chrono::seconds(15);
 
@@ -218,7 +237,9 @@
     // State of the health estimation in health.cpp.
     // Logarithm of the ratio of the server's run times to run times on an ordinary server.
     double logSlowness = 0;
-    uint32_t samples = 0; // number of runs from which logSlowness was learned
+    uint32_t samples = 0;               // number of runs from which logSlowness was learned
+    std::vector<EndedRun> endedRuns {}; // latest successful runs, one for each job
+    ServerClock listClockMs {};         // clock in the latest list; nullopt if it had none
     uint32_t consecutiveFaults = 0;
     std::string lastFaultJob;
     Time avoidUntil {};
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -5,6 +5,7 @@
 #include "jobs.h"
 #include "leased_server.h"
 #include "run_time_model.h"
+#include "slow_run.h"
 #include "timetable.h"
 
 #include <unordered_map>
@@ -107,8 +108,20 @@
     void stopForeignRun(Server &server, const std::string &task, uint32_t run, Time now);
     void onRunEnded(Server &server, const EndedRow &row, Time now);
     void checkProgress(Server &server, const RunningRow &row, pool::Run &run, Time now);
-    void handleLateRun(Server &server, const RunningRow &row, const pool::Run &run, Job &job,
-                       Duration total, Time now);
+    static pool::ListedTime listedTime(const Server &server, const pool::Run &run, Time now);
+    pool::SlowRunEvidence serverEvidence(const Server &server, const pool::Run &run,
+                                         const std::string &queue, Duration predicted,
+                                         const pool::Projection &total, Time now) const;
+    pool::SlowRunEvidence slowRunEvidence(const Server &server, const pool::Run &run,
+                                          const Job &job, const pool::Projection &total,
+                                          Time now) const;
+    void handleSlowRun(Server &server, pool::Run &run, Job &job, const pool::Projection &total,
+                       Duration elapsed, Time now);
+    void learnFromSlowRun(Server &server, pool::Run &run, Job &job,
+                          const pool::SlowRunDecision &decision, Duration total);
+    void learnFromSuccess(Server &server, const pool::Run &run, const std::string &queue,
+                          Duration declared, uint32_t tasks, const pool::SlowRunEvidence &evidence,
+                          Time now);
     void confirmServerFault(const std::string &serverId, Time now);
     void moveRun(Server &server, const std::string &task, pool::Run &run, std::string_view cause,
                  Time now);
@@ -180,6 +193,7 @@
     std::vector<Move> movesOf(const std::string &service, Time now);
     std::vector<Move> reserveForMoves(const std::vector<Move> &moves, pool::Timetable &timetable,
                                       Time now) const;
+    void moveSlowRun(const Move &move, Time now);
     bool isWorthMoving(const Move &move, Duration needed, Time now) const;
 
     std::optional<Choice> choosePlace(const Job &job, const pool::Task &task,
--- a/src/pool/pool_orders.cpp
+++ b/src/pool/pool_orders.cpp
@@ -46,6 +46,8 @@
         noteClock(server, clock, run->orderedAt, now);
     }
     if (result == OrderResult::Done) {
+        if (run->orderedTo == server.incarnationCount())
+            run->startClockMs = clock;
         run->confirmedAt = now;
         if (run->state != RunState::Stopping)
             run->state = RunState::Running;
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -172,7 +172,7 @@
         std::sort(keys.begin(), keys.end());
         pool::Timetable timetable = makeTimetable(service, now);
         for (const Move &move : reserveForMoves(moves, timetable, now))
-            moveRun(*move.server, move.task, *move.run, "slow", now);
+            moveSlowRun(move, now);
         size_t unplacedJobs = 0;
         for (const QueueKey &key : keys) {
             Job &job = jobs_.at(key.job);
--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -21,35 +21,47 @@
 constexpr double hangFactor = 1.2;
 constexpr Duration hangSlack = std::chrono::milliseconds(50);
 constexpr uint32_t hangPercent = 5;
-// Below these values the progress is too small to project the total run time from it.
-constexpr Duration minElapsedToProject = std::chrono::milliseconds(40);
-constexpr uint32_t minPercentToProject = 3;
-// Correction of a reported percentage, which servers round down to a whole number.
-constexpr double halfPercent = 0.5;
-// Minimum progress for a projection to be reliable enough to give a job up.
-constexpr uint32_t minPercentToGiveUp = 10;
-// Maximum relative error of a run time that is projected from its progress.
-constexpr double projectionError = 0.1;
-// Standard deviations of the run time beyond which a slow run is blamed on the server and no longer
-// on the prediction.
-constexpr double implausibleDeviations = 2.5;
+// A run that is too slow for a projection is listed again after this time at the latest.
+constexpr Duration minCheckInterval = std::chrono::milliseconds(20);
+// Logarithm of the ratio to the expected run time from which on a run is examined even if it ends
+// in time, because it shows that the server is slow.
+constexpr double suspiciousLogRatio = 0.8;
+// Period for which ended runs tell about the present speed of their server.
+constexpr Duration endedRunsPeriod = std::chrono::seconds(10);
+// Probability from which on a slow run counts as evidence against its server.
+constexpr double minProbabilityToLearn = 0.5;
 // A run is moved to another server only if it then ends in time with this relative margin.
 constexpr double moveMargin = 0.1;
 
 } // namespace
 
-// Moves a run that hangs to another server immediately, and marks a run that will end too late to
-// be moved once a server that could still end it in time is free. A job that can no longer end in
-// time is answered now.
+// Returns how long the run had been executed when the server made its list. The list and the answer
+// to the start may have arrived late, or may have waited while this VM was paused. The server's own
+// clock tells the time between the two; without it, the list was made after its poll was sent.
+pool::ListedTime Pool::Implementation::listedTime(const Server &server, const Run &run, Time now)
+{
+    const Duration longest = now - run.orderedAt;
+    if (run.startClockMs && server.listClockMs && run.orderedTo == server.incarnationCount()
+        && *server.listClockMs >= *run.startClockMs) {
+        const Duration between = std::chrono::milliseconds(*server.listClockMs - *run.startClockMs);
+        return {std::min(between, longest), std::min(between, longest)};
+    }
+    const Duration shortest = std::max(server.pollSentAt - run.confirmedAt, Duration::zero());
+    return {shortest, std::max(now - run.confirmedAt, shortest)};
+}
+
+// Moves a run that hangs to another server immediately, and examines a run that takes longer than
+// expected.
 void Pool::Implementation::checkProgress(Server &server, const RunningRow &row, Run &run, Time now)
 {
     run.percent = row.percent;
-    const Duration elapsed = now - run.confirmedAt;
+    const pool::ListedTime listed = listedTime(server, run, now);
     const bool isOverdue = run.expected > Duration::zero()
-            && elapsed >= scaled(run.expected, hangFactor) + hangSlack;
+            && listed.likely >= scaled(run.expected, hangFactor) + hangSlack;
     const auto found = jobs_.find(run.job);
     const bool isOpen = run.stored || found != jobs_.end();
     if (isOpen && isOverdue && row.percent < hangPercent) {
+        ++counters_.runsMovedHanging;
         pool::avoid(server, options_, now);
         logEvent("server-avoided", {}, fmt::format("server={} cause=hanging", server.info().id));
         moveRun(server, row.task, run, "hanging", now);
@@ -58,48 +70,175 @@
     if (found == jobs_.end())
         return;
     Job &job = found->second;
-    if (elapsed < minElapsedToProject || row.percent < minPercentToProject)
+    const auto total = pool::projectRunTime(listed, row.percent);
+    if (!total) {
+        run.checkAt = now + std::max(listed.likely, minCheckInterval);
         return;
-    const Duration total = scaled(elapsed, 100 / (row.percent + halfPercent));
-    run.expected = total;
-    const Duration predicted = job.predicted[job.tasks[run.task].step];
-    if (isOverdue && !run.isSlowRecorded) {
-        run.isSlowRecorded = true;
-        pool::recordSlowRun(server, predicted, total);
     }
-    const Time end = run.confirmedAt + total;
+    run.expected = total->likely;
+    Task &task = job.tasks[run.task];
+    const Duration predicted = std::max(job.predicted[task.step], Duration(1));
+    run.logRatio = pool::logRatioOf(total->likely, predicted);
+    run.logRatioError = total->error;
+    const double learned = task.latestRun && task.latestRun->server == server.info().id
+            ? task.latestRun->learned
+            : 0;
+    task.latestRun = {server.info().id, *run.logRatio, total->error, learned};
     const Time target = std::min(job.objectiveAt, job.deadlineAt);
-    run.needsMove = end > target;
-    if (run.needsMove)
-        handleLateRun(server, row, run, job, total, now);
+    const bool isLate = now + total->low - listed.likely > target;
+    run.needsMove = false;
+    if (isLate || *run.logRatio > suspiciousLogRatio)
+        handleSlowRun(server, run, job, *total, listed.likely, now);
+}
+
+// Collects what is known about a run of this queue from its server.
+pool::SlowRunEvidence Pool::Implementation::serverEvidence(const Server &server, const Run &run,
+                                                           const std::string &queue,
+                                                           Duration predicted,
+                                                           const pool::Projection &total,
+                                                           Time now) const
+{
+    pool::SlowRunEvidence evidence;
+    evidence.total = total;
+    evidence.predicted = std::max(predicted, Duration(1));
+    evidence.spread = model_.spread(queue);
+    evidence.slowness = pool::slownessOf(server, speedOf(server.info().service).meanLogSlowness);
+    evidence.serverSamples = server.samples;
+    std::set<pool::JobNumber> seenJobs {run.job};
+    const double logSlowness = std::log(evidence.slowness);
+    for (const auto &[name, other] : server.runs()) {
+        const auto found = jobs_.find(other.job);
+        if (other.logRatio && found != jobs_.end() && seenJobs.insert(other.job).second)
+            evidence.neighbours.push_back({{*other.logRatio - logSlowness, other.logRatioError},
+                                           model_.spread(found->second.offer.queue)});
+    }
+    for (const pool::EndedRun &ended : server.endedRuns) {
+        if (now - ended.endedAt < endedRunsPeriod && seenJobs.insert(ended.job).second)
+            evidence.neighbours.push_back(
+                    {{ended.logRatio - logSlowness, 0, ended.endedAt > run.orderedAt},
+                     model_.spread(ended.queue)});
+    }
+    return evidence;
+}
+
+// Collects what is known about a run from its server and from the other tasks of its step.
+pool::SlowRunEvidence Pool::Implementation::slowRunEvidence(const Server &server, const Run &run,
+                                                            const Job &job,
+                                                            const pool::Projection &total,
+                                                            Time now) const
+{
+    const Task &task = job.tasks[run.task];
+    pool::SlowRunEvidence evidence =
+            serverEvidence(server, run, job.offer.queue, job.predicted[task.step], total, now);
+    const ServiceSpeed speed = speedOf(job.offer.service);
+    evidence.wasMoved = task.movedRun.has_value();
+    evidence.untilObjective = job.objectiveAt - now;
+    evidence.untilDeadline = job.deadlineAt - now;
+    evidence.stopTime = options_.stopTime;
+    evidence.fastestSlowness = speed.minSlowness;
+    std::set<std::string> seenServers {server.info().id};
+    const auto addSibling = [&](const std::optional<pool::TaskRun> &other) {
+        if (!other || !seenServers.insert(other->server).second)
+            return;
+        const auto found = servers_.find(other->server);
+        const double slowness = found == servers_.end()
+                ? 1
+                : pool::slownessOf(found->second, speed.meanLogSlowness);
+        evidence.siblings.push_back({other->logRatio - std::log(slowness), other->error});
+    };
+    addSibling(task.movedRun);
+    const uint32_t first = job.firstTask[task.step];
+    for (uint32_t i = first; i < first + job.offer.job.steps[task.step].count; ++i)
+        addSibling(job.tasks[i].latestRun);
+    return evidence;
+}
+
+// Handles a run that is projected to take `total`, which is too long or much longer than predicted.
+void Pool::Implementation::handleSlowRun(Server &server, Run &run, Job &job,
+                                         const pool::Projection &total, Duration elapsed, Time now)
+{
+    pool::SlowRunEvidence evidence = slowRunEvidence(server, run, job, total, now);
+    evidence.elapsed = elapsed;
+    const pool::SlowRunDecision decision = pool::decideSlowRun(evidence);
+    const std::string inputs = fmt::format(
+            "reason={} server={} slowness={:.2f} slow_server={:.2f} siblings={} neighbours={} "
+            "percent={} elapsed_us={} total_us={}",
+            toString(decision.cause()), server.info().id, evidence.slowness,
+            decision.slowServerProbability, evidence.siblings.size(), evidence.neighbours.size(),
+            run.percent, elapsed.count(), total.likely.count());
+    Task &task = job.tasks[run.task];
+    task.projectedRunTime = decision.ordinaryRunTime;
+    learnFromSlowRun(server, run, job, decision, total.likely);
+    if (std::holds_alternative<pool::GiveUpJob>(decision.action)) {
+        ++counters_.jobsGivenUpSlow;
+        if (decision.isStepLong)
+            model_.observe(job.offer.queue, job.stepOf(task).estimate, decision.ordinaryRunTime, 0,
+                           job.stepOf(task).count);
+        logGivenUp(job, "progress", decision.ordinaryRunTime, inputs, now);
+        answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
+        return;
+    }
+    run.needsMove = std::holds_alternative<pool::MoveRun>(decision.action);
+    if (run.needsMove) {
+        run.moveReason = toString(decision.cause());
+        isPlacementDue_ = true;
+    } else if (decision.cause() != pool::SlowRunCause::InTime
+               && !std::exchange(run.isKeepRecorded, true)) {
+        ++counters_.runsKeptSlow;
+        logEvent("run-kept", job.offer.job.id,
+                 fmt::format("task={} run={} {}", toString(job.nameOf(run.task)), run.number,
+                             inputs));
+    }
 }
 
-// Handles a run whose progress shows that it takes `total`, which is too long on this server.
-void Pool::Implementation::handleLateRun(Server &server, const RunningRow &row, const Run &run,
-                                         Job &job, Duration total, Time now)
+// Learns the speed of the server if it is the cause. If the run belongs to a long job, the waiting
+// tasks of its step will take as long, and a server from which the task was moved was not to blame.
+void Pool::Implementation::learnFromSlowRun(Server &server, Run &run, Job &job,
+                                            const pool::SlowRunDecision &decision, Duration total)
 {
-    const Duration predicted = job.predicted[job.tasks[run.task].step];
-    const double meanLogSlowness = speedOf(job.offer.service).meanLogSlowness;
-    // A run that takes far longer than any other of its queue is slow because of the server and not
-    // because of the job.
-    const Duration longest =
-            scaled(predicted, std::exp(implausibleDeviations * model_.deviation(job.offer.queue)));
-    const Duration ordinaryRunTime =
-            std::min(scaled(total, 1 / pool::slownessOf(server, meanLogSlowness)), longest);
-    job.tasks[run.task].projectedRunTime = ordinaryRunTime;
-    isPlacementDue_ = true;
-    const Duration fastestRunTime = scaled(ordinaryRunTime, speedOf(job.offer.service).minSlowness);
-    const bool couldBeMoved = now + options_.stopTime + fastestRunTime <= job.deadlineAt;
-    const Time certainlyLateAt = job.deadlineAt + scaled(total, projectionError);
-    if (couldBeMoved || row.percent < minPercentToGiveUp
-        || run.confirmedAt + total <= certainlyLateAt)
+    Task &task = job.tasks[run.task];
+    if (decision.slowServerProbability >= minProbabilityToLearn) {
+        if (!std::exchange(run.isSlowRecorded, true))
+            task.latestRun->learned = pool::recordRunTime(server, job.predicted[task.step], total);
         return;
-    logGivenUp(job, "progress", ordinaryRunTime,
-               fmt::format("server={} slowness={:.2f} percent={} elapsed_us={} total_us={}",
-                           server.info().id, pool::slownessOf(server, meanLogSlowness), row.percent,
-                           (now - run.confirmedAt).count(), total.count()),
-               now);
-    answer(job, JobResult::Abandoned, "cannot-end-in-time", now);
+    }
+    if (!decision.isStepLong)
+        return;
+    if (task.movedRun) {
+        const auto first = servers_.find(task.movedRun->server);
+        if (first != servers_.end())
+            pool::retractRunTime(first->second, std::exchange(task.movedRun->learned, 0));
+    }
+    const uint32_t first = job.firstTask[task.step];
+    for (uint32_t i = first; i < first + job.stepOf(task).count; ++i) {
+        if (job.tasks[i].state == pool::TaskState::Queued)
+            job.tasks[i].projectedRunTime = decision.ordinaryRunTime;
+    }
+}
+
+// Learns the run times of the queue and the speed of the server from a run that has succeeded. A
+// run far from its prediction tells only about one of the two. The speed is learned from the
+// original prediction and not from the projected run time, which depends on the learned speed
+// itself.
+void Pool::Implementation::learnFromSuccess(Server &server, const Run &run,
+                                            const std::string &queue, Duration declared,
+                                            uint32_t tasks, const pool::SlowRunEvidence &evidence,
+                                            Time now)
+{
+    const Duration ran = evidence.total.likely;
+    const double logRatio = pool::logRatioOf(ran, evidence.predicted);
+    const double logSlowness = std::log(evidence.slowness);
+    const bool isSuspicious = logRatio - logSlowness > suspiciousLogRatio;
+    const bool isServerSlow =
+            isSuspicious && pool::slowServerProbability(evidence) >= minProbabilityToLearn;
+    const bool isLongJob =
+            isSuspicious && pool::longJobProbability(evidence) >= minProbabilityToLearn;
+    pool::recordSuccess(server);
+    if (!isLongJob)
+        pool::recordRunTime(server, evidence.predicted, ran);
+    if (!isServerSlow)
+        model_.observe(queue, declared, ran, logSlowness, tasks);
+    pool::rememberEndedRun(server, {run.job, queue, now, logRatio});
 }
 
 // Returns the runs that are to be started on another server: first those that are being stopped,
@@ -170,19 +309,27 @@
     return end <= move.job->deadlineAt && pool::expectedEnd(*move.run, now) > move.job->deadlineAt;
 }
 
-void Pool::Implementation::moveRun(Server &server, const std::string &task, Run &run,
+void Pool::Implementation::moveSlowRun(const Move &move, Time now)
+{
+    ++counters_.runsMovedSlow;
+    Task &task = jobs_.at(move.run->job).tasks[move.run->task];
+    task.movedRun = task.latestRun;
+    moveRun(*move.server, move.task, *move.run, move.run->moveReason, now);
+}
+
+void Pool::Implementation::moveRun(Server &server, const std::string &name, Run &run,
                                    std::string_view cause, Time now)
 {
     const auto job = jobs_.find(run.job);
     logEvent("run-moved", job == jobs_.end() ? run.stored->job : job->second.offer.job.id,
-             fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", task,
+             fmt::format("task={} run={} server={} cause={} percent={} elapsed_us={}", name,
                          run.number, server.info().id, cause, run.percent,
                          (now - run.confirmedAt).count()));
     if (job != jobs_.end()) {
         ++job->second.moves;
         job->second.tasks[run.task].avoidedServer = server.info().id;
     }
-    sendStop(server, task, run, now);
+    sendStop(server, name, run, now);
 }
 
 } // namespace lovage
--- a/src/pool/pool_servers.cpp
+++ b/src/pool/pool_servers.cpp
@@ -343,6 +343,7 @@
     server.commitPollAck();
     server.onListed(sentAt);
     server.setClock(reply.clock, sentAt, now);
+    server.listClockMs = reply.clock;
     for (const EndedRow &row : reply.ended)
         onRunEnded(server, row, now);
     reconcile(server, reply, sentAt, now);
@@ -523,13 +524,12 @@
     if (!task.avoidedServer.empty())
         confirmServerFault(task.avoidedServer, now);
     const Duration ran = now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt);
-    const double logRatio =
-            std::log(pool::slownessOf(server, speedOf(job.offer.service).meanLogSlowness));
-    job.longestRun = std::max(job.longestRun, pool::scaled(ran, std::exp(-logRatio)));
-    // The speed is learned from the original prediction and not from the projected run time, which
-    // depends on the learned speed itself.
-    pool::recordSuccess(server, job.predicted[task.step], ran);
-    model_.observe(job.offer.queue, job.stepOf(task).estimate, ran, logRatio);
+    const pool::SlowRunEvidence evidence =
+            slowRunEvidence(server, run, job, {ran, ran, ran, 0}, now);
+    job.longestRun = std::max(job.longestRun, pool::scaled(ran, 1 / evidence.slowness));
+    learnFromSuccess(server, run, job.offer.queue, job.stepOf(task).estimate,
+                     job.stepOf(task).count, evidence, now);
+    task.latestRun = {server.info().id, pool::logRatioOf(ran, evidence.predicted), 0, 0};
     completeTask(job, run.task, now);
 }
 
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -223,10 +223,10 @@
     const pool::StoredOrigin &origin = *run.stored;
     if (row.end == RunEnd::Succeeded && run.expected > Duration::zero() && run.checkpoint.empty()) {
         const Duration ran = now - (run.confirmedAt != Time {} ? run.confirmedAt : run.orderedAt);
-        const double logRatio =
-                std::log(pool::slownessOf(server, speedOf(server.info().service).meanLogSlowness));
-        pool::recordSuccess(server, origin.predicted, ran);
-        model_.observe(origin.queue, origin.declared, ran, logRatio);
+        learnFromSuccess(server, run, origin.queue, origin.declared, 1,
+                         serverEvidence(server, run, origin.queue, origin.predicted,
+                                        {ran, ran, ran, 0}, now),
+                         now);
     }
     if (row.end == RunEnd::Failed && pool::recordFault(server, origin.job, options_, now))
         logEvent("server-avoided", {}, fmt::format("server={} cause=failures", server.info().id));
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -66,6 +66,7 @@
     std::function<bool(const std::string &task)> isStopLost = [](const std::string &) {
         return false;
     };
+    std::function<void(const PoolLogEntry &)> onLogEntry = [](const PoolLogEntry &) { };
     // Entries that differ from what the servers are, by server id. An empty entry is missing from
     // the list of servers.
     std::map<std::string, std::optional<ServerInfo>> oddEntries;
@@ -281,7 +282,8 @@
             for (PoolAction &action : actions)
                 std::visit([this](auto &&order) { execute(order); }, action);
         }
-        pool.takeLogEntries();
+        for (const PoolLogEntry &entry : pool.takeLogEntries())
+            onLogEntry(entry);
     }
 
     void execute(const OrderStart &order)
