Give a job up as soon as its slow run is certainly late

Cause: the error allowed for uneven progress was a tenth of the whole projected time, so a run that was certainly late counted as such only near the deadline.

Change: the error applies to the rest of the run only.

--- a/src/pool/slow_run.cpp
+++ b/src/pool/slow_run.cpp
@@ -18,7 +18,7 @@
 constexpr double halfPercent = 0.5;
 // Time that a server may take before a run makes progress.
 constexpr Duration startAllowance = std::chrono::milliseconds(30);
-// Maximum relative error of a projection that is caused by uneven progress.
+// Maximum relative error of the projected rest of a run that is caused by uneven progress.
 constexpr double projectionError = 0.1;
 
 // Standard deviation of the logarithm of the run times of the tasks of one step.
@@ -75,8 +75,11 @@
     if (listed.likely < minElapsedToProject || percent < minPercentToProject)
         return std::nullopt;
     Projection projection;
-    projection.minimum = scaled(std::max(listed.minimum - startAllowance, Duration::zero()),
-                                100.0 / (percent + 1) * (1 - projectionError));
+    // The progress counts from a late begin, and the rest may go faster.
+    const Duration working = std::max(listed.minimum - startAllowance, Duration::zero());
+    projection.minimum = listed.minimum
+            + scaled(working,
+                     (100.0 - std::min(percent + 1, 100U)) / (percent + 1) * (1 - projectionError));
     projection.likely = scaled(listed.likely, 100 / (percent + halfPercent));
     // The true percentage is evenly distributed between the reported one and the next.
     projection.error = std::log((percent + 1.0) / percent) / std::sqrt(12);
