--- a/tests/soak/daemon.h
+++ b/tests/soak/daemon.h
@@ -40,6 +40,7 @@
     Daemon &operator=(const Daemon &) = delete;
 
     const std::string &log() const { return files_.log; }
+    pid_t pid() const { return pid_; } // 0 if no process runs
 
     void start()
     {
