Bound what clients can make a process hold

Cause: the reader of HTTP requests parsed chunk lines and trailers as a whole without a limit, reserved the announced length of a body, and had no limit on the bytes of all connections together. Accepting went on until no descriptor was left, and then kept the thread busy. Unfinished frames had no common limit either.

Change: - HttpRequestReader bounds the unparsed input (header, chunk line, trailers), the number of header fields, the body and all bytes of a request. HttpConnection waits without a buffer and frees its memory between requests. - ByteBudget decides without I/O who is refused when the connections of the process hold too many bytes: the largest, the newest among equals, with a reserve for ordinary requests. Both servers share one budget; frames of other VMs have their own. - A refused client is answered (400, 408, 413, 431 or 503) with the verdict "not run". What it sends meanwhile is dropped up to 256 KB for 0.5 s, and then the connection is closed. - When connections or descriptors run out, accepting pauses for 100 ms, and connections that have been idle for 1 s are closed, first those that have sent nothing.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -3,9 +3,14 @@
 
 #include "lovage/core.h"
 
+#include <array>
 #include <functional>
+#include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace lovage {
@@ -24,6 +29,8 @@
 // Parses "address:port"; IPv6 addresses are in brackets.
 std::optional<Endpoint> parseEndpoint(std::string_view text);
 bool isLoopback(const Endpoint &endpoint);
+// Number of descriptors that the process may have open.
+size_t descriptorLimit();
 
 // Tells how far an event loop is behind its input. Without I/O and not thread safe: the loop
 // reports its progress, from its own thread.
@@ -130,29 +137,131 @@
     std::string_view header(std::string_view name) const;
 };
 
+// Decides which of many holders must give up their bytes when all together hold too many. Without
+// I/O and not thread safe.
+//
+// A holder is an unfinished request, an answer that is being sent, or an unfinished frame. If the
+// budget is exceeded, the largest holder is refused first, and the newest among equals. Large
+// holders cannot use the reserve, so ordinary callers find room while large requests compete.
+class ByteBudget
+{
+public:
+    struct Limits
+    {
+        size_t maxBytes = 64U << 20;
+        size_t reservedBytes = 16U << 20;
+        size_t ordinaryBytes = 64U << 10; // a holder of more bytes is large
+    };
+    using Holder = uint64_t;
+
+    explicit ByteBudget(const Limits &limits) : limits_(limits) { }
+
+    Holder open();
+    void close(Holder holder);
+    // Sets the number of bytes of a holder. Returns the holders that are refused, which may include
+    // this one; they are closed. Has no effect on a closed holder.
+    std::vector<Holder> hold(Holder holder, size_t bytes);
+    size_t heldBytes() const { return total_; }
+
+private:
+    bool isLarge(size_t bytes) const { return bytes > limits_.ordinaryBytes; }
+    bool isExceeded() const;
+    void subtract(size_t bytes, Holder holder);
+
+    Limits limits_;
+    Holder lastHolder_ = 0;
+    std::map<Holder, size_t> held_;
+    std::set<std::pair<size_t, Holder>> bySize_;
+    size_t total_ = 0;
+    size_t largeTotal_ = 0;
+};
+
+// A ByteBudget that the connections of several servers share. Thread safe.
+class ConnectionBudget
+{
+public:
+    explicit ConnectionBudget(const ByteBudget::Limits &limits) : budget_(limits) { }
+
+    // `refuse` is called when the holder must free its bytes: once, on the thread of the holder
+    // that exceeded the budget. It must not call this object.
+    uint64_t open(std::function<void()> refuse);
+    void hold(uint64_t holder, size_t bytes);
+    void close(uint64_t holder);
+    size_t heldBytes() const;
+
+private:
+    mutable std::mutex mutex_;
+    ByteBudget budget_;
+    std::map<uint64_t, std::function<void()>> refuse_;
+};
+
 struct HttpLimits
 {
     size_t maxBodyBytes = 8U << 20;
+    // Limit of the header, of each chunk line with its extensions, and of the trailers.
     size_t maxHeaderBytes = 16U << 10;
+    size_t maxHeaderFields = 256; // with the trailers
+    // Limit of all bytes of one request: header, chunk lines, body and trailers.
+    size_t maxRequestBytes = 16U << 20;
     size_t maxConnections = 4096;
     Duration idleTimeout = std::chrono::seconds(60); // between two requests of one connection
     Duration readTimeout = std::chrono::seconds(10); // from the first byte of a request to its last
     Duration writeTimeout = std::chrono::seconds(10);
+    // A connection that the server ends stays open for this time, so that the client can read the
+    // last answer; of what the client sends meanwhile, this many bytes are read and dropped.
+    Duration lingerTimeout = std::chrono::milliseconds(500);
+    size_t maxLingerBytes = 256U << 10;
+    // Bytes held by connections; shared by all servers that have the same budget. Without one, the
+    // server has a budget of its own.
+    std::shared_ptr<ConnectionBudget> budget {};
+};
+
+// Why the server refused a request or closed a connection, and the answer that it gave.
+struct HttpRefusal
+{
+    enum class Cause {
+        Malformed,
+        Header,     // the header, a chunk line or the trailers are too large
+        Body,       // the body is too large
+        Request,    // all parts together are too large
+        Timeout,    // the request was not received in time
+        Budget,     // the connections of the process held too many bytes
+        Answer,     // the answer was not read in time, or was the largest when bytes ran out
+        Connection, // closed without a request, to make room for a new connection
+        Count_
+    };
+
+    Cause cause = Cause::Malformed;
+    int status = 0;
+    ErrorCode code = ErrorCode::MalformedBody;
+    std::string reason;
 };
 
+std::string_view toString(HttpRefusal::Cause cause);
+
 // Counters of one server, for metrics. Read with relaxed ordering.
 struct HttpServerStats
 {
     std::atomic<uint64_t> connections = 0; // open now
     std::atomic<uint64_t> accepted = 0;
-    std::atomic<uint64_t> rejectedConnections = 0; // above maxConnections
     std::atomic<uint64_t> requests = 0;
     std::atomic<uint64_t> badRequests = 0;       // malformed, too large or not received in time
     std::atomic<uint64_t> abandonedRequests = 0; // the client had closed the connection already
+    // Times at which accepting stopped for a while, for want of descriptors or of connections.
+    std::atomic<uint64_t> acceptPauses = 0;
+    std::array<std::atomic<uint64_t>, static_cast<size_t>(HttpRefusal::Cause::Count_)> refused {};
+
+    uint64_t refusedFor(HttpRefusal::Cause cause) const
+    {
+        return refused[static_cast<size_t>(cause)].load(std::memory_order_relaxed);
+    }
 };
 
-// HTTP/1.1 server. The server itself answers malformed, oversized and slow requests with 4xx; they
-// never reach the handler.
+// HTTP/1.1 server. The server itself answers malformed, oversized and slow requests with 4xx, and
+// requests for which there is no memory with 503; they never reach the handler.
+//
+// While there are maxConnections, or no descriptor is free, new connections wait in the queue of
+// the kernel, and the server closes idle connections to make room.
 class HttpServer
 {
 public:
@@ -248,12 +357,27 @@
 struct FrameOptions
 {
     size_t maxFrameBytes = 32U << 20;
-    size_t maxQueuedBytes = 64U << 20; // per endpoint; further frames are dropped and counted
+    size_t maxQueuedBytes = 64U << 20;       // per endpoint; further frames are dropped and counted
+    size_t maxTotalQueuedBytes = 256U << 20; // of all endpoints
     Duration connectTimeout = std::chrono::milliseconds(500);
     // Time without an acknowledgement after which the kernel aborts a connection; 0 for the
     // default of the kernel.
     Duration ackTimeout {};
     std::string localAddress;
+    // Of a server: a connection is closed if its first frame, or the rest of a frame after its
+    // length, takes longer, or if the unfinished frame is the one that the budget refuses. Without
+    // a budget, the server has one of its own.
+    Duration readTimeout = std::chrono::seconds(10);
+    size_t maxConnections = 4096;
+    std::shared_ptr<ConnectionBudget> budget {};
+};
+
+// Counters of one server, for metrics. Read with relaxed ordering.
+struct FrameServerStats
+{
+    std::atomic<uint64_t> connections = 0; // open now
+    std::atomic<uint64_t> refused = 0;     // closed by the server
+    std::atomic<uint64_t> acceptPauses = 0;
 };
 
 // Sends length-prefixed frames over one persistent TCP connection per endpoint. Delivery is not
@@ -298,6 +422,7 @@
     FrameServer &operator=(const FrameServer &) = delete;
 
     uint16_t port() const;
+    const FrameServerStats &stats() const;
 
 private:
     class Implementation;
--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -28,6 +28,29 @@
 struct PeerHandlers;
 } // namespace node
 
+// Limits on what clients and other VMs may make a VM hold. The defaults fit the smallest VM, of
+// 120 MB. The widest job that the product accepts has 1,900 tasks in 64 steps and a spec of
+// 4,000 bytes, which is below 100 KB as JSON.
+struct NodeLimits
+{
+    size_t memoryMb = 120; // memory of the VM
+    size_t maxBodyBytes = 1U << 20;
+    size_t maxHeaderBytes = 16U << 10; // also of each chunk line and of the trailers
+    size_t maxRequestBytes = 4U << 20; // all parts of a request
+    // Bytes of unfinished requests and answers on all connections; the same again for frames of
+    // other VMs. 0 for an eighth of the memory.
+    size_t maxHeldBytes = 0;
+    size_t maxConnections = 1024;
+    size_t maxFrameBytes = 4U << 20;
+    Duration idleTimeout = std::chrono::seconds(60);
+    Duration readTimeout = std::chrono::seconds(10);
+    Duration writeTimeout = std::chrono::seconds(10);
+
+    size_t heldBytes() const { return maxHeldBytes > 0 ? maxHeldBytes : (memoryMb << 20) / 8; }
+
+    auto operator<=>(const NodeLimits &) const = default;
+};
+
 struct NodeSettings
 {
     std::string name;
@@ -59,6 +82,7 @@
     // The store drops journal records that are older than this.
     Duration journalHistory = std::chrono::seconds(300);
     LogLevel logLevel = LogLevel::Info;
+    NodeLimits limits;
 
     auto operator<=>(const NodeSettings &) const = default;
 };
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
@@ -13,6 +14,8 @@
 
 #include <deque>
 #include <map>
+#include <optional>
+#include <utility>
 
 namespace lovage {
 
@@ -44,19 +47,23 @@
 {
 public:
     FrameSender(asio::io_context &context, Endpoint to, FrameOptions options,
-                std::shared_ptr<std::atomic<uint64_t>> dropped, FrameClient::LostHandler onLost)
+                std::shared_ptr<std::atomic<uint64_t>> dropped,
+                std::shared_ptr<size_t> totalQueuedBytes, FrameClient::LostHandler onLost)
         : stream_(context), to_(std::move(to)), options_(std::move(options)),
-          dropped_(std::move(dropped)), onLost_(std::move(onLost))
+          dropped_(std::move(dropped)), totalQueuedBytes_(std::move(totalQueuedBytes)),
+          onLost_(std::move(onLost))
     { }
 
     void send(std::string frame)
     {
         if (frame.size() > options_.maxFrameBytes
-            || queuedBytes_ + frame.size() > options_.maxQueuedBytes) {
+            || queuedBytes_ + frame.size() > options_.maxQueuedBytes
+            || *totalQueuedBytes_ + frame.size() > options_.maxTotalQueuedBytes) {
             dropped_->fetch_add(1, std::memory_order_relaxed);
             return;
         }
         queuedBytes_ += frame.size();
+        *totalQueuedBytes_ += frame.size();
         queue_.push_back(std::move(frame));
         if (state_ == State::Closed)
             connect();
@@ -146,8 +153,10 @@
                 [self = shared_from_this(), generation = generation_](error_code error, size_t) {
                     if (generation != self->generation_)
                         return;
-                    for (const std::string &frame : self->writing_)
+                    for (const std::string &frame : self->writing_) {
                         self->queuedBytes_ -= frame.size();
+                        *self->totalQueuedBytes_ -= frame.size();
+                    }
                     if (error) {
                         self->reset();
                         return;
@@ -170,6 +179,7 @@
                 writing_.size()};
         queue_.clear();
         writing_.clear();
+        *totalQueuedBytes_ -= queuedBytes_;
         queuedBytes_ = 0;
         ++generation_;
         stream_.close();
@@ -182,6 +192,7 @@
     Endpoint to_;
     FrameOptions options_;
     std::shared_ptr<std::atomic<uint64_t>> dropped_;
+    std::shared_ptr<size_t> totalQueuedBytes_; // of all endpoints
     FrameClient::LostHandler onLost_;
     State state_ = State::Closed;
     uint64_t generation_ = 0;
@@ -205,7 +216,8 @@
             auto &sender = self->senders_[to];
             if (!sender)
                 sender = std::make_shared<FrameSender>(self->context_, to, self->options_,
-                                                       self->dropped_, self->onLost_);
+                                                       self->dropped_, self->totalQueuedBytes_,
+                                                       self->onLost_);
             sender->send(std::move(frame));
         });
     }
@@ -225,6 +237,7 @@
     FrameOptions options_;
     LostHandler onLost_;
     std::shared_ptr<std::atomic<uint64_t>> dropped_;
+    std::shared_ptr<size_t> totalQueuedBytes_ = std::make_shared<size_t>(0);
     std::map<Endpoint, std::shared_ptr<FrameSender>> senders_;
 };
 
@@ -249,29 +262,57 @@
     return implementation_->dropped();
 }
 
-// One accepted connection; reads frames until the connection ends or a frame is too long.
+// One accepted connection; reads frames until the connection ends, a frame is too long or does not
+// arrive in time, or its bytes are more than the budget has room for.
 class FrameReceiver : public std::enable_shared_from_this<FrameReceiver>
 {
 public:
-    FrameReceiver(tcp::socket socket, size_t maxFrameBytes, FrameServer::Handler handler)
-        : socket_(std::move(socket)), maxFrameBytes_(maxFrameBytes), handler_(std::move(handler))
-    { }
+    FrameReceiver(tcp::socket socket, std::shared_ptr<const FrameOptions> options,
+                  FrameServer::Handler handler, std::shared_ptr<FrameServerStats> stats)
+        : socket_(std::move(socket)), timer_(socket_.get_executor()), options_(std::move(options)),
+          handler_(std::move(handler)), stats_(std::move(stats))
+    {
+        stats_->connections.fetch_add(1, std::memory_order_relaxed);
+    }
+    ~FrameReceiver()
+    {
+        releaseHeld();
+        stats_->connections.fetch_sub(1, std::memory_order_relaxed);
+    }
 
+    // The first frame must arrive within the read timeout. Later, the connection may be idle.
+    void start()
+    {
+        startTimer();
+        readHeader();
+    }
+    // Closes the connection if no frame has arrived on it yet.
+    void closeIfUnused()
+    {
+        if (!hasReceived_)
+            refuse();
+    }
+
+private:
     void readHeader()
     {
         asio::async_read(socket_, asio::buffer(header_),
                          [self = shared_from_this()](error_code error, size_t) {
-                             if (!error)
+                             if (error)
+                                 self->close();
+                             else
                                  self->readBody(decodeLength(self->header_));
                          });
     }
 
-private:
     void readBody(size_t length)
     {
-        if (length > maxFrameBytes_)
+        if (length > options_->maxFrameBytes) {
+            refuse();
             return;
+        }
         frame_.clear();
+        startTimer();
         readChunk(length);
     }
 
@@ -282,28 +323,83 @@
         const size_t chunk = std::min(remaining, maxChunkBytes);
         const size_t offset = frame_.size();
         frame_.resize(offset + chunk);
+        if (remaining > chunk || offset > 0)
+            hold(frame_.capacity());
         asio::async_read(
                 socket_, asio::buffer(frame_.data() + offset, chunk),
                 [self = shared_from_this(), left = remaining - chunk](error_code error, size_t) {
-                    if (error)
+                    if (error) {
+                        self->close();
                         return;
+                    }
                     if (left > 0) {
                         self->readChunk(left);
                         return;
                     }
-                    self->handler_(std::move(self->frame_));
-                    self->frame_ = {};
-                    self->readHeader();
+                    self->finishFrame();
                 });
     }
 
+    void finishFrame()
+    {
+        timer_.cancel();
+        releaseHeld();
+        hasReceived_ = true;
+        const ScopeGuard readNext([this] { readHeader(); });
+        handler_(std::exchange(frame_, {}));
+    }
+
+    void startTimer()
+    {
+        timer_.expires_after(options_->readTimeout);
+        timer_.async_wait([self = shared_from_this()](error_code error) {
+            if (!error)
+                self->refuse();
+        });
+    }
+
+    void hold(size_t bytes)
+    {
+        if (!heldAs_)
+            heldAs_ = options_->budget->open([weak = weak_from_this()] {
+                if (const auto self = weak.lock())
+                    asio::post(self->socket_.get_executor(), [self] { self->refuse(); });
+            });
+        options_->budget->hold(*heldAs_, bytes);
+    }
+
+    void releaseHeld()
+    {
+        if (heldAs_)
+            options_->budget->close(*heldAs_);
+        heldAs_.reset();
+    }
+
+    void refuse()
+    {
+        if (socket_.is_open())
+            stats_->refused.fetch_add(1, std::memory_order_relaxed);
+        close();
+    }
+
+    void close()
+    {
+        timer_.cancel();
+        error_code ignored;
+        socket_.close(ignored);
+    }
+
     static constexpr size_t maxChunkBytes = 256U << 10;
 
     tcp::socket socket_;
-    size_t maxFrameBytes_;
+    asio::steady_timer timer_;
+    std::shared_ptr<const FrameOptions> options_;
     FrameServer::Handler handler_;
+    std::shared_ptr<FrameServerStats> stats_;
     FrameHeader header_ {};
     std::string frame_;
+    std::optional<uint64_t> heldAs_; // in the budget
+    bool hasReceived_ = false;
 };
 
 class FrameServer::Implementation : public std::enable_shared_from_this<Implementation>
@@ -312,27 +408,33 @@
     Implementation(IoThreads &threads, tcp::acceptor acceptor, FrameOptions options,
                    Handler handler)
         : threads_(threads), acceptor_(std::move(acceptor)),
-          port_(acceptor_.local_endpoint().port()), options_(std::move(options)),
-          handler_(std::move(handler))
-    { }
+          port_(acceptor_.local_endpoint().port()), pauseTimer_(acceptor_.get_executor()),
+          options_(std::make_shared<FrameOptions>(std::move(options))),
+          handler_(std::move(handler)), stats_(std::make_shared<FrameServerStats>())
+    {
+        if (!options_->budget)
+            options_->budget = std::make_shared<ConnectionBudget>(ByteBudget::Limits {});
+    }
 
     void accept()
     {
+        if (stats_->connections.load(std::memory_order_relaxed) >= options_->maxConnections) {
+            pause();
+            return;
+        }
         auto &context = contextOf(threads_, nextThread_++);
-        acceptor_.async_accept(
-                context, [self = shared_from_this()](error_code error, tcp::socket socket) {
-                    if (error == asio::error::operation_aborted)
-                        return;
-                    if (!error) {
-                        const auto executor = socket.get_executor();
-                        asio::post(executor, [self, socket = std::move(socket)]() mutable {
-                            std::make_shared<FrameReceiver>(
-                                    std::move(socket), self->options_.maxFrameBytes, self->handler_)
-                                    ->readHeader();
-                        });
-                    }
-                    self->accept();
-                });
+        acceptor_.async_accept(context,
+                               [self = shared_from_this()](error_code error, tcp::socket socket) {
+                                   if (error == asio::error::operation_aborted)
+                                       return;
+                                   if (isShortage(error)) {
+                                       self->pause();
+                                       return;
+                                   }
+                                   if (!error)
+                                       self->openConnection(std::move(socket));
+                                   self->accept();
+                               });
     }
 
     void close()
@@ -340,17 +442,60 @@
         asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
             error_code ignored;
             self->acceptor_.close(ignored);
+            self->pauseTimer_.cancel();
         });
     }
 
     uint16_t port() const { return port_; }
+    const FrameServerStats &stats() const { return *stats_; }
 
 private:
+    // Delay after which accepting is tried again when there was no room.
+    static constexpr Duration acceptPause = std::chrono::milliseconds(100);
+
+    struct Opened
+    {
+        std::weak_ptr<FrameReceiver> receiver;
+        tcp::socket::executor_type executor;
+    };
+
+    void openConnection(tcp::socket socket)
+    {
+        const auto executor = socket.get_executor();
+        const auto receiver =
+                std::make_shared<FrameReceiver>(std::move(socket), options_, handler_, stats_);
+        opened_.push_back({receiver, executor});
+        if (opened_.size() > options_->maxConnections)
+            opened_.pop_front();
+        asio::post(executor, [receiver] { receiver->start(); });
+    }
+
+    // New connections wait in the queue of the kernel meanwhile. The connections on which nothing
+    // has arrived since the last pause are closed to make room.
+    void pause()
+    {
+        stats_->acceptPauses.fetch_add(1, std::memory_order_relaxed);
+        const std::deque<Opened> opened = std::exchange(opened_, {});
+        pauseTimer_.expires_after(acceptPause);
+        pauseTimer_.async_wait([self = shared_from_this(), opened](error_code error) {
+            if (error)
+                return;
+            for (const Opened &entry : opened) {
+                if (const auto receiver = entry.receiver.lock())
+                    asio::post(entry.executor, [receiver] { receiver->closeIfUnused(); });
+            }
+            self->accept();
+        });
+    }
+
     IoThreads &threads_;
     tcp::acceptor acceptor_;
     uint16_t port_;
-    FrameOptions options_;
+    asio::steady_timer pauseTimer_;
+    std::shared_ptr<FrameOptions> options_;
     Handler handler_;
+    std::shared_ptr<FrameServerStats> stats_;
+    std::deque<Opened> opened_; // the last connections; they may have ended
     size_t nextThread_ = 0;
 };
 
@@ -381,4 +526,9 @@
     return implementation_->port();
 }
 
+const FrameServerStats &FrameServer::stats() const
+{
+    return implementation_->stats();
+}
+
 } // namespace lovage
--- a/src/net/httpserver.cpp
+++ b/src/net/httpserver.cpp
@@ -1,365 +1,179 @@
+#include "httpconnection.h"
 #include "iothreads.h"
 
 #include "lovage/telemetry.h"
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
-#include <fmt/format.h>
-
-#include <sys/socket.h>
-
-#include <cerrno>
-#include <map>
-#include <mutex>
+#include <algorithm>
 
 namespace lovage {
 
 namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
-class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
-{
-public:
-    Implementation(IoThreads &threads, asio::ip::tcp::acceptor acceptor, HttpLimits limits,
-                   Handler handler, ErrorBody errorBody)
-        : threads_(threads), acceptor_(std::move(acceptor)),
-          port_(acceptor_.local_endpoint().port()), limits_(limits), handler_(std::move(handler)),
-          errorBody_(std::move(errorBody))
-    { }
-
-    void accept();
-    void acceptPending();
-    void openConnection(asio::ip::tcp::socket socket, const EventLoopLag &lag);
-    void closeAfterAnswers() { isClosing_ = true; }
-    void closeIdle();
-    // `close` may be called from any thread while the connection is idle.
-    void registerIdle(const void *connection, std::function<void()> close)
-    {
-        const std::lock_guard lock(idleMutex_);
-        idle_[connection] = std::move(close);
-    }
-    void unregisterIdle(const void *connection)
-    {
-        const std::lock_guard lock(idleMutex_);
-        idle_.erase(connection);
-    }
-    void stopAccepting();
-
-    uint16_t port() const { return port_; }
-    HttpServerStats &stats() { return stats_; }
-    const HttpLimits &limits() const { return limits_; }
-    bool isStopping() const { return isStopping_.load(std::memory_order_relaxed); }
-    bool isClosing() const { return isClosing_.load(std::memory_order_relaxed) || isStopping(); }
-    void handle(HttpRequest request, Reply reply)
-    {
-        handler_(std::move(request), std::move(reply));
-    }
-    std::string errorBody(const Error &error) const;
-
-private:
-    IoThreads &threads_;
-    asio::ip::tcp::acceptor acceptor_;
-    uint16_t port_;
-    HttpLimits limits_;
-    Handler handler_;
-    ErrorBody errorBody_;
-    HttpServerStats stats_;
-    std::atomic<bool> isStopping_ = false;
-    std::atomic<bool> isClosing_ = false;
-    std::mutex idleMutex_;
-    std::map<const void *, std::function<void()>> idle_;
-    size_t nextThread_ = 0;
-};
-
 namespace {
 
 // Thread that accepts connections. They are shared between all threads.
 constexpr size_t acceptThread = 0;
+// Delay after which accepting is tried again when there was no room.
+constexpr Duration acceptPause = std::chrono::milliseconds(100);
+// A connection is closed to make room only if it has been idle for longer: the request of an
+// ordinary caller arrives soon after its connection.
+constexpr Duration minIdleTime = std::chrono::seconds(1);
+constexpr Duration refusalLogInterval = std::chrono::seconds(1);
 
-// Response status, code and reason for a request that could not be read.
-struct ParseFailure
-{
-    http::status status;
-    ErrorCode code;
-    std::string reason;
-};
+} // namespace
 
-ParseFailure describe(const error_code &error)
+std::string_view toString(HttpRefusal::Cause cause)
 {
-    if (error == http::error::body_limit)
-        return {http::status::payload_too_large, ErrorCode::BodyTooLarge,
-                "request body is larger than the limit"};
-    if (error == http::error::header_limit)
-        return {http::status::request_header_fields_too_large, ErrorCode::MalformedBody,
-                "request header is larger than the limit"};
-    if (error == beast::error::timeout)
-        return {http::status::request_timeout, ErrorCode::Timeout,
-                "request was not received in time"};
-    return {http::status::bad_request, ErrorCode::MalformedBody,
-            fmt::format("malformed HTTP request: {}", error.message())};
+    switch (cause) {
+    case HttpRefusal::Cause::Malformed:
+        return "malformed";
+    case HttpRefusal::Cause::Header:
+        return "header";
+    case HttpRefusal::Cause::Body:
+        return "body";
+    case HttpRefusal::Cause::Request:
+        return "request";
+    case HttpRefusal::Cause::Timeout:
+        return "timeout";
+    case HttpRefusal::Cause::Budget:
+        return "budget";
+    case HttpRefusal::Cause::Answer:
+        return "answer";
+    case HttpRefusal::Cause::Connection:
+        return "connection";
+    case HttpRefusal::Cause::Count_:
+        break;
+    }
+    return "unknown";
 }
 
-} // namespace
+HttpServerState::HttpServerState(HttpLimits limits, HttpServer::Handler handler,
+                                 HttpServer::ErrorBody errorBody)
+    : limits_(std::move(limits)), handler_(std::move(handler)), errorBody_(std::move(errorBody))
+{
+    if (!limits_.budget)
+        limits_.budget = std::make_shared<ConnectionBudget>(ByteBudget::Limits {});
+}
 
-// One accepted connection. Its pending operations own it.
-template<class Server>
-class HttpConnection : public std::enable_shared_from_this<HttpConnection<Server>>
+std::string HttpServerState::errorBody(const Error &error) const
 {
-public:
-    // The connection may have waited in the accept queue since `pendingSince`, with a request.
-    HttpConnection(asio::ip::tcp::socket socket, std::shared_ptr<Server> server,
-                   const EventLoopLag &lag, Time pendingSince)
-        : stream_(std::move(socket)), server_(std::move(server)), lag_(lag),
-          readTimer_(stream_.get_executor()), unreadSince_(pendingSince)
-    {
-        server_->stats().connections.fetch_add(1, std::memory_order_relaxed);
-    }
-    ~HttpConnection()
-    {
-        server_->unregisterIdle(this);
-        server_->stats().connections.fetch_sub(1, std::memory_order_relaxed);
-    }
+    return errorBody_ ? errorBody_(error) : error.reason;
+}
 
-    // Waits for the first byte of a request under the idle timeout, then for the rest under the
-    // read timeout, so that a slow sender cannot hold the connection open for long.
-    void readRequest()
+void HttpServerState::reportRefusal(const HttpRefusal &refusal, const std::string &client)
+{
+    const auto cause = static_cast<size_t>(refusal.cause);
+    const uint64_t count = stats_.refused[cause].fetch_add(1, std::memory_order_relaxed) + 1;
+    const Time now = currentTime();
     {
-        parser_.emplace();
-        parser_->body_limit(server_->limits().maxBodyBytes);
-        parser_->header_limit(static_cast<uint32_t>(server_->limits().maxHeaderBytes));
-        isReading_ = true;
-        if (buffer_.size() > 0) {
-            readWholeRequest();
+        const std::lock_guard lock(mutex_);
+        if (now - loggedAt_[cause] < refusalLogInterval)
             return;
-        }
-        if (unreadSince_ && peek() == PeekResult::Empty)
-            unreadSince_.reset();
-        server_->registerIdle(this, [weak = this->weak_from_this()] {
-            if (const auto self = weak.lock())
-                asio::post(self->stream_.get_executor(), [self] { self->closeIfIdle(); });
-        });
-        isIdle_ = true;
-        stream_.expires_after(server_->limits().idleTimeout);
-        stream_.async_read_some(buffer_.prepare(readChunkBytes),
-                                [self = this->shared_from_this()](error_code error, size_t count) {
-                                    self->isIdle_ = false;
-                                    self->server_->unregisterIdle(self.get());
-                                    if (error)
-                                        return;
-                                    self->buffer_.commit(count);
-                                    self->readWholeRequest();
-                                });
-    }
-
-private:
-    static constexpr size_t readChunkBytes = 4096;
-
-    // On timeout the read is cancelled but the socket stays open, so that the client receives a
-    // 408.
-    void readWholeRequest()
-    {
-        stream_.expires_never();
-        hasReadTimedOut_ = false;
-        readTimer_.expires_after(server_->limits().readTimeout);
-        readTimer_.async_wait([self = this->shared_from_this()](error_code error) {
-            if (error)
-                return;
-            self->hasReadTimedOut_ = true;
-            self->stream_.cancel();
-        });
-        http::async_read(stream_, buffer_, *parser_,
-                         [self = this->shared_from_this()](error_code error, size_t) {
-                             self->readTimer_.cancel();
-                             self->finishRead(error);
-                         });
+        loggedAt_[cause] = now;
     }
+    logEvent(LogLevel::Warning, "client-refused",
+             {{"cause", toString(refusal.cause)},
+              {"status", refusal.status},
+              {"client", client},
+              {"count", count}});
+}
 
-    void finishRead(error_code error)
-    {
-        isReading_ = false;
-        const Time arrivedAfter = unreadSince_.value_or(lag_.handledThrough());
-        unreadSince_.reset();
-        if (buffer_.size() > 0)
-            unreadSince_ = arrivedAfter; // the next request has arrived together with this one
-        if (error) {
-            rejectRequest(error);
-            return;
-        }
-        server_->stats().requests.fetch_add(1, std::memory_order_relaxed);
-        auto message = parser_->release();
-        keepAlive_ = message.keep_alive();
-        HttpRequest request;
-        request.method = std::string(message.method_string());
-        request.target = std::string(message.target());
-        for (const auto &field : message)
-            request.headers.push_back(
-                    {std::string(field.name_string()), std::string(field.value())});
-        request.body = std::move(message.body());
-        request.waited = currentTime() - arrivedAfter;
-        if (peek() == PeekResult::Closed) {
-            dropRequest(request);
-            return;
-        }
-        disconnect_ = std::make_shared<DisconnectSignal>();
-        request.disconnect = disconnect_;
-        watchForDisconnect();
-        server_->handle(std::move(request),
-                        [self = this->shared_from_this()](HttpResponse response) {
-                            asio::post(self->stream_.get_executor(),
-                                       [self, response = std::move(response)]() mutable {
-                                           self->writeResponse(std::move(response));
-                                       });
-                        });
-    }
+void HttpServerState::registerIdle(const void *connection, Idle idle)
+{
+    const std::lock_guard lock(mutex_);
+    idle_[connection] = std::move(idle);
+}
 
-    // A request whose client has closed the connection is not handled: nobody waits for the
-    // response, and the client may have sent the request to another server meanwhile.
-    void dropRequest(const HttpRequest &request)
-    {
-        server_->stats().abandonedRequests.fetch_add(1, std::memory_order_relaxed);
-        logEvent(LogLevel::Info, "request-abandoned",
-                 {{"method", request.method},
-                  {"target", request.target},
-                  {"waited_us", request.waited.count()}});
-        stream_.close();
-    }
+void HttpServerState::unregisterIdle(const void *connection)
+{
+    const std::lock_guard lock(mutex_);
+    idle_.erase(connection);
+}
 
-    // At most one wait is pending. It also completes when the next request arrives;
-    // handleReadable() peeks at the socket to distinguish that from a closed connection.
-    void watchForDisconnect()
+void HttpServerState::closeIdle()
+{
+    std::map<const void *, Idle> idle;
     {
-        if (isWatching_)
-            return;
-        isWatching_ = true;
-        stream_.socket().async_wait(asio::ip::tcp::socket::wait_read,
-                                    [self = this->shared_from_this()](error_code error) {
-                                        self->isWatching_ = false;
-                                        if (!error && !self->isReading_)
-                                            self->handleReadable();
-                                    });
+        const std::lock_guard lock(mutex_);
+        idle = idle_;
     }
+    for (const auto &[connection, entry] : idle)
+        entry.close(false);
+}
 
-    // Handles input that arrived while no read is pending.
-    void handleReadable()
+void HttpServerState::makeRoom(Time now)
+{
+    std::vector<Idle> candidates;
     {
-        const PeekResult result = peek();
-        if (result == PeekResult::Empty) {
-            watchForDisconnect();
-            return;
+        const std::lock_guard lock(mutex_);
+        for (const auto &[connection, entry] : idle_) {
+            if (now - entry.since >= minIdleTime)
+                candidates.push_back(entry);
         }
-        if (!unreadSince_)
-            unreadSince_ = lag_.handledThrough();
-        if (result == PeekResult::Data || !disconnect_)
-            return;
-        const auto signal = std::move(disconnect_);
-        if (signal->onClosed)
-            signal->onClosed();
-    }
-
-    enum class PeekResult {
-        Empty,
-        Data,
-        Closed, // the client has closed the connection, or it is broken
-    };
-
-    PeekResult peek()
-    {
-        char byte = 0;
-        const auto count =
-                recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (count > 0)
-            return PeekResult::Data;
-        const bool isEmpty = count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-        return isEmpty ? PeekResult::Empty : PeekResult::Closed;
-    }
-
-    void rejectRequest(error_code error)
-    {
-        if (hasReadTimedOut_)
-            error = beast::error::timeout;
-        if (error == http::error::end_of_stream || error == asio::error::operation_aborted)
-            return;
-        server_->stats().badRequests.fetch_add(1, std::memory_order_relaxed);
-        const bool isDisconnected = error == asio::error::connection_reset
-                || error == http::error::partial_message || error == asio::error::eof;
-        if (isDisconnected || !stream_.socket().is_open())
-            return;
-        const ParseFailure failure = describe(error);
-        keepAlive_ = false;
-        HttpResponse response;
-        response.status = static_cast<int>(failure.status);
-        response.body = server_->errorBody(notRun(failure.code, failure.reason));
-        writeResponse(std::move(response));
     }
+    std::sort(candidates.begin(), candidates.end(), [](const Idle &a, const Idle &b) {
+        return std::pair(a.hasServed, a.since) < std::pair(b.hasServed, b.since);
+    });
+    const size_t count = std::min(candidates.size(), limits_.maxConnections / 8 + 1);
+    for (size_t i = 0; i < count; ++i)
+        candidates[i].close(true);
+}
 
-    void writeResponse(HttpResponse response)
-    {
-        disconnect_.reset();
-        keepAlive_ = keepAlive_ && !server_->isClosing();
-        response_ = {};
-        response_.result(static_cast<unsigned>(response.status));
-        response_.version(11);
-        response_.set(http::field::content_type, response.contentType);
-        for (const HttpHeader &header : response.headers)
-            response_.set(header.name, header.value);
-        response_.body() = std::move(response.body);
-        response_.keep_alive(keepAlive_);
-        response_.prepare_payload();
-        stream_.expires_after(server_->limits().writeTimeout);
-        http::async_write(stream_, response_,
-                          [self = this->shared_from_this()](error_code error, size_t) {
-                              if (error)
-                                  return;
-                              if (self->keepAlive_)
-                                  self->readRequest();
-                              else
-                                  self->close();
-                          });
-    }
+class HttpServer::Implementation : public std::enable_shared_from_this<Implementation>
+{
+public:
+    Implementation(IoThreads &threads, asio::ip::tcp::acceptor acceptor, HttpLimits limits,
+                   Handler handler, ErrorBody errorBody)
+        : threads_(threads), acceptor_(std::move(acceptor)),
+          port_(acceptor_.local_endpoint().port()), pauseTimer_(acceptor_.get_executor()),
+          state_(std::make_shared<HttpServerState>(std::move(limits), std::move(handler),
+                                                   std::move(errorBody)))
+    { }
 
-    void closeIfIdle()
-    {
-        if (isIdle_)
-            stream_.close();
-    }
+    void accept();
+    void stopAccepting();
+    uint16_t port() const { return port_; }
+    HttpServerState &state() { return *state_; }
 
-    void close()
-    {
-        error_code ignored;
-        stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    }
+private:
+    bool hasRoom() const;
+    void acceptPending();
+    void openConnection(asio::ip::tcp::socket socket, const EventLoopLag &lag);
+    void pause();
 
-    beast::tcp_stream stream_;
-    std::shared_ptr<Server> server_;
-    const EventLoopLag &lag_; // of the thread of this connection
-    asio::steady_timer readTimer_;
-    bool hasReadTimedOut_ = false;
-    beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
-    http::response<http::string_body> response_;
-    std::shared_ptr<DisconnectSignal> disconnect_;
-    // Input that is not read yet arrived after this time. Unset if a read or a wait is pending
-    // since the socket was empty; then the lag of the loop is the bound.
-    std::optional<Time> unreadSince_;
-    bool isReading_ = false;
-    bool isWatching_ = false;
-    bool isIdle_ = false; // between two requests
-    bool keepAlive_ = true;
+    IoThreads &threads_;
+    asio::ip::tcp::acceptor acceptor_;
+    uint16_t port_;
+    asio::steady_timer pauseTimer_;
+    std::shared_ptr<HttpServerState> state_;
+    size_t nextThread_ = 0;
 };
 
+bool HttpServer::Implementation::hasRoom() const
+{
+    return state_->stats().connections.load(std::memory_order_relaxed)
+            < state_->limits().maxConnections;
+}
+
 void HttpServer::Implementation::accept()
 {
+    if (!hasRoom()) {
+        pause();
+        return;
+    }
     EventLoop &loop = contextOf(threads_, nextThread_);
     acceptor_.async_accept(
             loop,
             [self = shared_from_this(), &loop](error_code error, asio::ip::tcp::socket socket) {
-                if (self->isStopping() || error == asio::error::operation_aborted)
+                if (self->state_->isStopping() || error == asio::error::operation_aborted)
+                    return;
+                if (isShortage(error)) {
+                    self->pause();
                     return;
+                }
                 if (!error) {
                     self->openConnection(std::move(socket), loop.lag());
                     self->acceptPending();
@@ -372,7 +186,7 @@
 // hundreds of them would read the last one long after it has read newer requests.
 void HttpServer::Implementation::acceptPending()
 {
-    for (int i = 0; i < asio::socket_base::max_listen_connections; ++i) {
+    for (int i = 0; i < asio::socket_base::max_listen_connections && hasRoom(); ++i) {
         EventLoop &loop = contextOf(threads_, nextThread_);
         asio::ip::tcp::socket socket(loop);
         error_code error;
@@ -387,47 +201,40 @@
                                                 const EventLoopLag &lag)
 {
     ++nextThread_;
-    stats_.accepted.fetch_add(1, std::memory_order_relaxed);
-    if (stats_.connections.load(std::memory_order_relaxed) >= limits_.maxConnections) {
-        stats_.rejectedConnections.fetch_add(1, std::memory_order_relaxed);
-        return;
-    }
+    state_->stats().accepted.fetch_add(1, std::memory_order_relaxed);
     error_code ignored;
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
     const auto executor = socket.get_executor();
     // The connection is counted here, before its thread runs, so that the limit holds for all
     // connections that are taken at once.
-    const auto connection = std::make_shared<HttpConnection<Implementation>>(
-            std::move(socket), shared_from_this(), lag,
-            threads_.lag(acceptThread).handledThrough());
+    const auto connection = std::make_shared<HttpConnection>(
+            std::move(socket), state_, lag, threads_.lag(acceptThread).handledThrough());
     asio::post(executor, [connection] { connection->readRequest(); });
 }
 
-void HttpServer::Implementation::closeIdle()
+// New connections wait in the queue of the kernel meanwhile. Trying at once would keep the thread
+// busy, because the queue stays readable.
+void HttpServer::Implementation::pause()
 {
-    std::map<const void *, std::function<void()>> idle;
-    {
-        const std::lock_guard lock(idleMutex_);
-        idle = idle_;
-    }
-    for (const auto &[connection, close] : idle)
-        close();
+    state_->stats().acceptPauses.fetch_add(1, std::memory_order_relaxed);
+    state_->makeRoom(currentTime());
+    pauseTimer_.expires_after(acceptPause);
+    pauseTimer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error && !self->state_->isStopping())
+            self->accept();
+    });
 }
 
 void HttpServer::Implementation::stopAccepting()
 {
-    isStopping_ = true;
+    state_->stop();
     asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
         error_code ignored;
         self->acceptor_.close(ignored);
+        self->pauseTimer_.cancel();
     });
 }
 
-std::string HttpServer::Implementation::errorBody(const Error &error) const
-{
-    return errorBody_ ? errorBody_(error) : error.reason;
-}
-
 HttpServer::HttpServer(std::shared_ptr<Implementation> implementation)
     : implementation_(std::move(implementation))
 { }
@@ -445,8 +252,9 @@
     if (!acceptor)
         return acceptor.error();
     acceptor.value().non_blocking(true);
-    auto implementation = std::make_shared<Implementation>(
-            threads, std::move(acceptor.value()), limits, std::move(handler), std::move(errorBody));
+    auto implementation = std::make_shared<Implementation>(threads, std::move(acceptor.value()),
+                                                           std::move(limits), std::move(handler),
+                                                           std::move(errorBody));
     implementation->accept();
     return std::unique_ptr<HttpServer>(new HttpServer(std::move(implementation)));
 }
@@ -458,17 +266,17 @@
 
 const HttpServerStats &HttpServer::stats() const
 {
-    return implementation_->stats();
+    return implementation_->state().stats();
 }
 
 void HttpServer::closeIdle()
 {
-    implementation_->closeIdle();
+    implementation_->state().closeIdle();
 }
 
 void HttpServer::closeAfterAnswers()
 {
-    implementation_->closeAfterAnswers();
+    implementation_->state().closeAfterAnswers();
 }
 
 void HttpServer::stopAccepting()
--- a/src/net/iothreads.cpp
+++ b/src/net/iothreads.cpp
@@ -7,6 +7,8 @@
 
 #include <fmt/format.h>
 
+#include <sys/resource.h>
+
 namespace lovage {
 
 namespace asio = boost::asio;
@@ -46,6 +48,14 @@
     return !error && address.is_loopback();
 }
 
+size_t descriptorLimit()
+{
+    rlimit limit {};
+    const bool isKnown = getrlimit(RLIMIT_NOFILE, &limit) == 0;
+    constexpr size_t usualLimit = 1024;
+    return isKnown && limit.rlim_cur != RLIM_INFINITY ? limit.rlim_cur : usualLimit;
+}
+
 Result<asio::ip::tcp::endpoint> toTcpEndpoint(const Endpoint &endpoint)
 {
     boost::system::error_code error;
@@ -76,6 +86,14 @@
     return acceptor;
 }
 
+bool isShortage(const boost::system::error_code &error)
+{
+    return error == boost::system::errc::too_many_files_open
+            || error == boost::system::errc::too_many_files_open_in_system
+            || error == boost::system::errc::no_buffer_space
+            || error == boost::system::errc::not_enough_memory;
+}
+
 boost::system::error_code openOutgoing(asio::ip::tcp::socket &socket,
                                        const asio::ip::tcp::endpoint &to,
                                        const std::string &localAddress)
--- a/src/net/iothreads.h
+++ b/src/net/iothreads.h
@@ -58,6 +58,9 @@
 Result<boost::asio::ip::tcp::acceptor> openAcceptor(boost::asio::io_context &context,
                                                     const Endpoint &endpoint);
 
+// Whether accepting failed for want of descriptors or memory, and is to be tried again later.
+bool isShortage(const boost::system::error_code &error);
+
 // Converts an endpoint; the error names the text that is not an IP address.
 Result<boost::asio::ip::tcp::endpoint> toTcpEndpoint(const Endpoint &endpoint);
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -22,10 +22,11 @@
         : threads_(threads), logic_(settings, ports, sockets_, clock_, metrics)
     { }
 
-    Result<void> open(const Endpoint &endpoint)
+    Result<void> open(const Endpoint &endpoint, const NodeLimits &limits)
     {
         return sockets_.open(
-                threads_, endpoint, [this](std::string_view bytes) { logic_.onPeerBytes(bytes); },
+                threads_, endpoint, limits,
+                [this](std::string_view bytes) { logic_.onPeerBytes(bytes); },
                 [this](const FrameClient::Lost &lost) { logic_.onFramesLost(lost); });
     }
 
@@ -62,7 +63,7 @@
                                          const NodePorts &ports, Metrics &metrics)
 {
     auto implementation = std::make_unique<Implementation>(settings, threads, ports, metrics);
-    const Result<void> opened = implementation->open(settings.peer);
+    const Result<void> opened = implementation->open(settings.peer, settings.limits);
     if (!opened.has_value())
         return opened.error();
     return std::unique_ptr<Node>(new Node(std::move(implementation)));
--- a/src/node/peer_sockets.cpp
+++ b/src/node/peer_sockets.cpp
@@ -1,16 +1,24 @@
 #include "peer_sockets.h"
 
+#include <algorithm>
+
 namespace lovage::node {
 
 namespace {
 
 // A connection fails if sent bytes are not acknowledged within this time.
 constexpr Duration ackTimeout = std::chrono::milliseconds(1000);
+// Connections of other VMs use at most an eighth of the descriptors.
+constexpr size_t peerShare = 8;
+// A quarter of the bytes held for frames is reserved for ordinary frames.
+constexpr size_t reservedShare = 4;
+constexpr size_t ordinaryFrameBytes = 512U << 10;
 
 } // namespace
 
 Result<void> PeerSockets::open(IoThreads &threads, const Endpoint &endpoint,
-                               const BytesHandler &onBytes, FrameClient::LostHandler onLost)
+                               const NodeLimits &limits, const BytesHandler &onBytes,
+                               FrameClient::LostHandler onLost)
 {
     auto datagrams = UdpSocket::open(
             threads, 0, endpoint,
@@ -20,6 +28,13 @@
     datagrams_ = std::move(datagrams.value());
     FrameOptions options;
     options.ackTimeout = ackTimeout;
+    options.maxFrameBytes = limits.maxFrameBytes;
+    options.maxQueuedBytes = limits.heldBytes();
+    options.maxTotalQueuedBytes = limits.heldBytes();
+    options.readTimeout = limits.readTimeout;
+    options.maxConnections = std::min(limits.maxConnections, descriptorLimit() / peerShare);
+    options.budget = std::make_shared<ConnectionBudget>(ByteBudget::Limits {
+            limits.heldBytes(), limits.heldBytes() / reservedShare, ordinaryFrameBytes});
     // Frames have the same source address as datagrams, so that a firewall needs one rule for both.
     options.localAddress = endpoint.address;
     frameClient_ = std::make_unique<FrameClient>(threads, 0, options, std::move(onLost));
--- a/src/node/peer_sockets.h
+++ b/src/node/peer_sockets.h
@@ -16,8 +16,8 @@
 
     // Listens for datagrams and frames on the endpoint. Must be called before the first message is
     // sent.
-    Result<void> open(IoThreads &threads, const Endpoint &endpoint, const BytesHandler &onBytes,
-                      FrameClient::LostHandler onLost);
+    Result<void> open(IoThreads &threads, const Endpoint &endpoint, const NodeLimits &limits,
+                      const BytesHandler &onBytes, FrameClient::LostHandler onLost);
 
     void sendDatagram(const Endpoint &to, const std::string &bytes) override;
     void sendFrame(const Endpoint &to, std::string frame) override;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -12,6 +12,24 @@
 constexpr uint64_t maxShards = 1024;
 constexpr int64_t maxMillis = 3'600'000;
 constexpr double maxSeconds = 3600;
+constexpr uint64_t maxBytes = 1ULL << 32;
+constexpr uint64_t maxMemoryMb = 1U << 20;
+// The widest job that the product accepts is below 100 KB, see NodeLimits.
+constexpr uint64_t minBodyBytes = 128U << 10;
+// The bytes held for clients and for frames take at most an eighth of the memory each.
+constexpr size_t maxHeldShare = 8;
+// A body that is parsed takes at most a quarter of the memory.
+constexpr size_t parseShare = 4;
+// A JSON value takes 24 bytes, and its text 2 bytes at least; the rest is for growing arrays.
+constexpr size_t bytesPerJsonByte = 16;
+// A buffer that grows has up to twice the capacity that it needs.
+constexpr size_t bufferGrowth = 2;
+
+// Bytes that large requests can hold; the rest is reserved for ordinary ones.
+constexpr size_t largeBytes(size_t heldBytes)
+{
+    return heldBytes / 4 * 3;
+}
 
 void readSeeds(ObjectReader &reader, NodeSettings &settings)
 {
@@ -40,6 +58,37 @@
     settings.cpuMilliCores = static_cast<uint32_t>(share * cores * 1000);
 }
 
+void readLimits(ObjectReader &reader, NodeLimits &limits)
+{
+    reader.readNumber("memoryMb", limits.memoryMb, 64, maxMemoryMb);
+    reader.readNumber("maxBodyBytes", limits.maxBodyBytes, minBodyBytes, maxBytes);
+    reader.readNumber("maxHeaderBytes", limits.maxHeaderBytes, 1024, 1U << 20);
+    reader.readNumber("maxRequestBytes", limits.maxRequestBytes, minBodyBytes, maxBytes);
+    reader.readNumber("maxHeldBytes", limits.maxHeldBytes, 1U << 20, maxBytes);
+    reader.readNumber("maxConnections", limits.maxConnections, 16, 1U << 20);
+    reader.readNumber("maxFrameBytes", limits.maxFrameBytes, 1U << 20, maxBytes);
+    reader.readMillis("idleTimeoutMs", limits.idleTimeout, 1000, maxMillis);
+    reader.readMillis("readTimeoutMs", limits.readTimeout, 100, maxMillis);
+    reader.readMillis("writeTimeoutMs", limits.writeTimeout, 100, maxMillis);
+}
+
+// Reports limits that contradict each other or the memory of the VM.
+void checkLimits(ObjectReader &reader, const NodeLimits &limits)
+{
+    const size_t memory = limits.memoryMb << 20;
+    if (limits.heldBytes() > memory / maxHeldShare)
+        reader.report("limits.maxHeldBytes", "at most an eighth of memoryMb");
+    if (limits.maxBodyBytes > memory / parseShare / bytesPerJsonByte)
+        reader.report("limits.maxBodyBytes",
+                      "at most a 64th of memoryMb, because a parsed body takes 16 times its size");
+    if (limits.maxBodyBytes > largeBytes(limits.heldBytes()) / bufferGrowth)
+        reader.report("limits.maxBodyBytes", "at most three eighths of maxHeldBytes");
+    if (limits.maxFrameBytes > largeBytes(limits.heldBytes()))
+        reader.report("limits.maxFrameBytes", "at most three quarters of maxHeldBytes");
+    if (limits.maxRequestBytes < limits.maxBodyBytes + 2 * limits.maxHeaderBytes)
+        reader.report("limits.maxRequestBytes", "at least maxBodyBytes and twice maxHeaderBytes");
+}
+
 void readSettings(ObjectReader &reader, NodeSettings &settings)
 {
     std::string logLevel = "info";
@@ -63,6 +112,9 @@
     reader.readSeconds("journalHistoryS", settings.journalHistory, 1, maxSeconds);
     reader.readOneOf("logLevel", logLevel, {"debug", "info", "warning", "error"});
     settings.logLevel = parseLogLevel(logLevel).value_or(LogLevel::Info);
+    reader.readObject("limits", false,
+                      [&](ObjectReader &object) { readLimits(object, settings.limits); });
+    checkLimits(reader, settings.limits);
 }
 
 } // namespace
