--- a/src/node/job_metrics.cpp
+++ b/src/node/job_metrics.cpp
@@ -17,13 +17,23 @@
             - taskCountLimits.begin());
 }
 
+Counter &slowRunCounter(Metrics &metrics, const std::string &decision)
+{
+    return metrics.counter("lovage_slow_runs_total", "decisions about runs that are too slow",
+                           {{"decision", decision}});
+}
+
 } // namespace
 
 JobMetrics::JobMetrics(Metrics &metrics)
     : submitted_(metrics.counter("lovage_jobs_submitted_total", "jobs from callers")),
       stale_(metrics.counter("lovage_stale_requests_total",
                              "jobs refused because their requests may have waited too long")),
-      latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
+      latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer")),
+      movedSlow_(slowRunCounter(metrics, "moved")),
+      movedHanging_(slowRunCounter(metrics, "moved-hanging")),
+      keptSlow_(slowRunCounter(metrics, "kept")),
+      givenUpSlow_(slowRunCounter(metrics, "job-given-up"))
 {
     for (size_t result = 0; result < resultCount; ++result) {
         const std::string name(toString(static_cast<JobResult>(result)));
@@ -40,4 +50,13 @@
     latency_.record(latency);
 }
 
+void JobMetrics::recordSlowRuns(const PoolCounters &counters)
+{
+    movedSlow_.add(counters.runsMovedSlow - recorded_.runsMovedSlow);
+    movedHanging_.add(counters.runsMovedHanging - recorded_.runsMovedHanging);
+    keptSlow_.add(counters.runsKeptSlow - recorded_.runsKeptSlow);
+    givenUpSlow_.add(counters.jobsGivenUpSlow - recorded_.jobsGivenUpSlow);
+    recorded_ = counters;
+}
+
 } // namespace lovage::node
--- a/src/node/job_metrics.h
+++ b/src/node/job_metrics.h
@@ -18,6 +18,8 @@
     void recordSubmitted() { submitted_.add(); }
     void recordStale() { stale_.add(); }
     void recordAnswered(JobResult result, size_t tasks, Duration latency);
+    // Adds what the pool of this VM has decided about slow runs since the last call.
+    void recordSlowRuns(const PoolCounters &counters);
 
 private:
     static constexpr size_t resultCount = 4;
@@ -27,6 +29,11 @@
     Counter &stale_;
     std::array<std::array<Counter *, taskCountClasses>, resultCount> answered_ {};
     LatencyHistogram &latency_;
+    Counter &movedSlow_;
+    Counter &movedHanging_;
+    Counter &keptSlow_;
+    Counter &givenUpSlow_;
+    PoolCounters recorded_; // counters as of the last call of recordSlowRuns
 };
 
 } // namespace lovage::node
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -113,6 +113,7 @@
     if (own != renewals.end())
         pool_.renewLeases(self_.name, self_.incarnation, own->second);
     pool_.tick(now);
+    metrics_->recordSlowRuns(pool_.counters());
     router_.tick(now);
     heldShards_->sendDueRequest(wantsShards(now), now);
     storedJobs_->setEligible(!isDraining_ && storedJobs_->jobsExist() && heldShards_->isMember());
