Count the age of a list when a slow run is judged

Cause: the rest of a run was counted from the time of its list. A list that arrived 250 ms late made a run look late that had already ended, and its job was given up.

Change: the rest is counted from the start of the run.

--- a/src/pool/pool_progress.cpp
+++ b/src/pool/pool_progress.cpp
@@ -85,10 +85,12 @@
             : 0;
     task.latestRun = {server.info().id, *run.logRatio, total->error, learned};
     const Time target = std::min(job.objectiveAt, job.deadlineAt);
-    const bool isLate = now + total->low - listed.likely > target;
+    // The run has gone on since the server made the list.
+    const Duration elapsed = std::max(now - run.confirmedAt, listed.likely);
+    const bool isLate = now + total->low - elapsed > target;
     run.needsMove = false;
     if (isLate || *run.logRatio > suspiciousLogRatio)
-        handleSlowRun(server, run, job, *total, listed.likely, now);
+        handleSlowRun(server, run, job, *total, elapsed, now);
 }
 
 // Collects what is known about a run of this queue from its server.
--- a/src/pool/slow_run.h
+++ b/src/pool/slow_run.h
@@ -53,7 +53,7 @@
 struct SlowRunEvidence
 {
     Projection total;
-    Duration elapsed {};
+    Duration elapsed {};   // since the start of the run
     Duration predicted {}; // on an ordinary server
     RunTimeSpread spread {};
     double slowness = 1;        // learned slowness of the server
--- a/tests/pool_slow_runs_test.cpp
+++ b/tests/pool_slow_runs_test.cpp
@@ -201,3 +201,24 @@
     BOOST_TEST(result.wastedCoreSeconds < 8500);
     BOOST_TEST(share(result.served, result.offered) > 0.91);
 }
+
+// Guards against giving a job up because its list arrives late, or is read late by a VM that was
+// paused: the progress in it is that of the time at which the server made the list.
+BOOST_AUTO_TEST_CASE(late_list_gives_no_job_up)
+{
+    PoolWorld world;
+    world.addServer("a", 32000);
+    world.runTimeOf = [](const std::string &) { return Duration(milliseconds(400)); };
+    world.begin();
+    size_t orders = 0;
+    // The second order is the first poll. Its list shows 67% and arrives 120 ms after the end.
+    world.delivery = [&](const std::string &) {
+        return OrderDelivery {true,
+                              ++orders == 2 ? Duration(milliseconds(250))
+                                            : Duration(std::chrono::microseconds(300))};
+    };
+    world.offer(PoolWorld::makeOffer("job", 1, 14000, milliseconds(400), milliseconds(600)));
+    world.runFor(std::chrono::seconds(1));
+    BOOST_TEST((world.resultOf("job") == JobResult::Completed));
+    BOOST_TEST(world.starts == 1U);
+}
