--- a/src/node/job_metrics.cpp
+++ b/src/node/job_metrics.cpp
@@ -17,6 +17,12 @@
             - taskCountLimits.begin());
 }
 
+Counter &slowRunCounter(Metrics &metrics, const std::string &decision)
+{
+    return metrics.counter("lovage_slow_runs_total", "decisions about runs that are too slow",
+                           {{"decision", decision}});
+}
+
 } // namespace
 
 JobMetrics::JobMetrics(Metrics &metrics)
@@ -26,7 +32,11 @@
       lateOffers_(metrics.counter("lovage_late_offers_total",
                                   "offers that the pool refused because it read them too late")),
       inputLag_(metrics.gauge("lovage_input_lag_us", "time for which input of the VM waits")),
-      latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
+      latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer")),
+      movedSlow_(slowRunCounter(metrics, "moved")),
+      movedHanging_(slowRunCounter(metrics, "moved-hanging")),
+      keptSlow_(slowRunCounter(metrics, "kept")),
+      givenUpSlow_(slowRunCounter(metrics, "job-given-up"))
 {
     for (size_t result = 0; result < resultCount; ++result) {
         const std::string name(toString(static_cast<JobResult>(result)));
@@ -43,4 +53,13 @@
     latency_.record(latency);
 }
 
+void JobMetrics::recordSlowRuns(const PoolCounters &counters)
+{
+    movedSlow_.add(counters.runsMovedSlow - recorded_.runsMovedSlow);
+    movedHanging_.add(counters.runsMovedHanging - recorded_.runsMovedHanging);
+    keptSlow_.add(counters.runsKeptSlow - recorded_.runsKeptSlow);
+    givenUpSlow_.add(counters.jobsGivenUpSlow - recorded_.jobsGivenUpSlow);
+    recorded_ = counters;
+}
+
 } // namespace lovage::node
--- a/src/node/job_metrics.h
+++ b/src/node/job_metrics.h
@@ -21,6 +21,8 @@
     // Sets the number of offers that the pool of this VM has refused because it read them too late.
     void setLateOffers(uint64_t count) { lateOffers_.add(count - lateOffers_.value()); }
     void recordAnswered(JobResult result, size_t tasks, Duration latency);
+    // Adds what the pool of this VM has decided about slow runs since the last call.
+    void recordSlowRuns(const PoolCounters &counters);
 
 private:
     static constexpr size_t resultCount = 4;
@@ -32,6 +34,11 @@
     Gauge &inputLag_;
     std::array<std::array<Counter *, taskCountClasses>, resultCount> answered_ {};
     LatencyHistogram &latency_;
+    Counter &movedSlow_;
+    Counter &movedHanging_;
+    Counter &keptSlow_;
+    Counter &givenUpSlow_;
+    PoolCounters recorded_; // counters as of the last call of recordSlowRuns
 };
 
 } // namespace lovage::node
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -131,6 +131,7 @@
         pool_.renewLeases(self_.name, self_.incarnation, own->second);
     pool_.tick(now);
     metrics_->setLateOffers(pool_.counters().offersLate);
+    metrics_->recordSlowRuns(pool_.counters());
     router_.tick(now);
     const bool isPoolChanged =
             heldShards_->setSurplus(peers_->contacts().isSurplusHolder(localState(now), now), now);
