Withdraw offers that a pool neither accepts nor refuses in time

Cause: a router waited for the answer to an offer until its caller's deadline, and then answered "may have run".

Change: a pool tells the router of an accepted offer by a message of its own. A router that has handled its input up to 50 ms after the time for the answer, without an acceptance or an answer, withdraws the offer and names the pool's incarnation and the time of the offer. The pool then always answers: for an open job as before, for a settled one by repeating the answer, which is kept for 5 s, and with "not run" for an offer that it has not accepted and refuses if it arrives later. It does not answer for an offer that is older, or that was made to an earlier process. With "not run" the job is offered elsewhere; without an answer the verdict stays "may have run". Offers are numbered, so an answer to an earlier offer of a part does not count for a later one to the same pool.

The version of messages is 9. Log event offer-unanswered; metrics lovage_unanswered_offers_total and lovage_acceptances_sent_total.

--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -212,6 +212,7 @@
     void onPeerMessage(OfferMessage message);
     void onPeerMessage(AnswerMessage message);
     void onPeerMessage(const WithdrawMessage &message);
+    void onPeerMessage(const AcceptedMessage &message);
     void onPeerMessage(const IntroductionMessage &message);
     void onPeerMessage(const ConfigurationRequest &message);
     void onPeerMessage(ConfigurationMessage message);
@@ -240,6 +241,7 @@
     void execute(OrderStop order);
     void execute(const OrderPoll &order);
     void execute(JobAnswer answer);
+    void execute(const OfferAccepted &accepted);
     void execute(const TaskOutcome &outcome);
     void execute(SendOffer send);
     void execute(const SendWithdraw &send);
--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -41,6 +41,9 @@
     uint64_t incarnation = 0; // incarnation of the VM
     uint64_t number = 0;
     uint32_t part = 0;
+    // Number of the offer within the request. A part may be offered to the same pool twice, and an
+    // answer to the first offer must not count for the second one.
+    uint32_t offer = 0;
 
     auto operator<=>(const JobTicket &) const = default;
 };
@@ -76,6 +79,16 @@
     auto operator<=>(const OfferTiming &) const = default;
 };
 
+// Identifies the process to which an offer was made, and when. With it, a pool that does not know
+// the offer can tell whether it has ever accepted it.
+struct OfferOrigin
+{
+    uint64_t poolIncarnation = 0; // incarnation of the pool's VM, to whose clock `offeredAt` refers
+    Time offeredAt {};            // OfferTiming::offeredAt
+
+    auto operator<=>(const OfferOrigin &) const = default;
+};
+
 // A job offered to a pool. All times but the lease and the timing are relative, because the clocks
 // of VMs differ.
 struct JobOffer
@@ -125,6 +138,15 @@
     auto operator<=>(const JobAnswer &) const = default;
 };
 
+// Tells the VM with the caller's connection that a pool has accepted the job. The answer follows
+// when the job has ended.
+struct OfferAccepted
+{
+    JobTicket ticket;
+
+    auto operator<=>(const OfferAccepted &) const = default;
+};
+
 // A run of a task of a stored job that is to be started.
 struct TaskStart
 {
@@ -264,7 +286,8 @@
 
 std::string_view toString(TaskOutcome::Kind kind);
 
-using PoolAction = std::variant<OrderStart, OrderStop, OrderPoll, JobAnswer, TaskOutcome>;
+using PoolAction =
+        std::variant<OrderStart, OrderStop, OrderPoll, JobAnswer, OfferAccepted, TaskOutcome>;
 
 struct RunningRow
 {
@@ -444,6 +467,10 @@
     // Drops a job and stops its runs, because its caller has disconnected or cancelled it. The
     // answer tells whether a task was ordered to start.
     void withdraw(const JobTicket &ticket, Time now);
+    // Withdraws an offer whose sender needs an answer. An offer that this pool has not accepted is
+    // answered as refused, and is refused if it arrives later. There is no answer if the offer is
+    // so old that the pool may have forgotten its end.
+    void withdrawUnanswered(const JobTicket &ticket, Time offeredAt, Time now);
     // Withdraws all jobs of a VM and stops the runs of stored jobs that it keeps. Unless
     // exceptIncarnation is 0, that incarnation of the VM is left out.
     void withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now);
--- a/include/lovage/routing.h
+++ b/include/lovage/routing.h
@@ -183,9 +183,23 @@
 struct WithdrawMessage
 {
     JobTicket ticket;
+    // Set if the sender needs an answer, to learn whether a task was started.
+    std::optional<OfferOrigin> origin {};
 
     auto operator<=>(const WithdrawMessage &) const = default;
 };
+// The sender's pool has accepted an offer of the receiver. The fields are those of the ticket that
+// the receiver needs to find the offer.
+struct AcceptedMessage
+{
+    std::string vm;           // name of the sender
+    uint64_t incarnation = 0; // incarnation of the receiver
+    uint64_t number = 0;
+    uint32_t part = 0;
+    uint32_t offer = 0;
+
+    auto operator<=>(const AcceptedMessage &) const = default;
+};
 // VMs that the sender knows. Sent in reply to the first report of a new follower.
 struct IntroductionMessage
 {
@@ -247,7 +261,7 @@
 using VmMessage =
         std::variant<VmReport, OfferMessage, AnswerMessage, WithdrawMessage, IntroductionMessage,
                      ConfigurationRequest, ConfigurationMessage, KeeperRequestMessage, KeeperAnswer,
-                     BatchMessage, StopJobMessage, OutcomeMessage, ConfirmOutcome>;
+                     BatchMessage, StopJobMessage, OutcomeMessage, ConfirmOutcome, AcceptedMessage>;
 
 std::string encodeMessage(const VmMessage &message);
 // Fails with ErrorCode::DecodeFailed unless the bytes are exactly one message.
@@ -368,6 +382,7 @@
 {
     std::string vm;
     JobTicket ticket;
+    std::optional<OfferOrigin> origin {}; // WithdrawMessage::origin
 };
 // Answers the caller of request `number`.
 struct Respond
@@ -411,6 +426,9 @@
     // another request has joined it.
     void withdraw(uint64_t number, Time now);
     void onAnswer(const std::string &vm, JobAnswer answer, Time now);
+    // The pool of the VM has accepted an offer of this incarnation. It is not withdrawn any more
+    // for want of an answer.
+    void onAccepted(const AcceptedMessage &message);
     // Offers the part of the job to another pool, because no byte of the offer reached the VM.
     void onOfferUnsent(const std::string &vm, const JobTicket &ticket, Time now);
     // Answers every request of which the VM has a part as abandoned, and withdraws the other parts.
@@ -419,10 +437,14 @@
     // Every event that arrived before this time has been handled, so the callers of the requests
     // that are still open were connected then. Leases of jobs count from this time.
     void setHandledThrough(Time time) { handledThrough_ = time; }
+    // Sets the time for which input of this VM waits. Answers of pools may be among it.
+    void setInputLag(Duration lag) { inputLag_ = lag; }
     void tick(Time now);
 
     std::vector<RouterAction> takeActions() { return std::exchange(actions_, {}); }
     std::vector<RouterLogEntry> takeLogEntries() { return std::exchange(logEntries_, {}); }
+    // Returns the number of offers that pools have neither accepted nor refused in time.
+    uint64_t unansweredOffers() const { return unansweredOffers_; }
     size_t openCount() const { return requests_.size(); }
     // Returns the VMs with an offer that they have not answered yet.
     std::set<std::string> offeredVms() const;
@@ -438,6 +460,12 @@
         // Name of the VM whose pool has the offer or will get it; empty after the pool's answer.
         std::string vm {};
         bool isOffered = false;
+        uint32_t offer = 0; // number of the last offer of the part
+        // Where and when the last offer was made; absent if it went to the pool on this VM.
+        std::optional<OfferOrigin> origin {};
+        Time answerBy {};        // time by which an answer to the last offer has arrived
+        bool isAccepted = false; // whether the pool has accepted the last offer
+        bool isWithdrawn = false;
         std::vector<std::string> refusedBy {};
         // A pool that could run all tasks in time, but some only without margin. It gets the last
         // offer if no pool with more margin accepts.
@@ -461,6 +489,7 @@
         // Numbers of the requests that get the answer: this one and those that have joined it.
         std::vector<uint64_t> callers {};
         std::vector<Part> parts {};
+        uint32_t offers = 0; // number of offers so far
         // Number of parts that have not completed or, once isGivenUp is set, of parts that are
         // offered to a pool which has not answered yet.
         size_t openParts = 0;
@@ -507,7 +536,13 @@
     // it is the last one.
     void onAnswerOfGivenUp(uint64_t number, const JobAnswer &answer);
     // Withdraws the parts that pools have not answered.
-    void withdrawOpenParts(const Request &request);
+    void withdrawOpenParts(const Request &request, bool needsAnswers = false);
+    // Returns the part of an open request that was last offered under this ticket and that the VM
+    // has not answered yet; a null pointer if there is none.
+    Part *findOffer(const std::string &vm, const JobTicket &ticket);
+    // Withdraws the offers that pools have neither accepted nor refused in time.
+    void withdrawUnanswered(Time now);
+    void withdrawUnanswered(const Request &request, Part &part, Time now);
     // Answers the caller of request `number` and removes the request.
     void respond(uint64_t number, JobResult result, std::string reason, Duration retryAfter);
 
@@ -516,6 +551,8 @@
     std::vector<ServiceLoad> ownLoads_;
     Time poolWaitEnd_ {};
     Time handledThrough_ {};
+    Duration inputLag_ {};
+    uint64_t unansweredOffers_ = 0;
     std::vector<uint64_t> waiting_;        // numbers of the requests for which no pool is known yet
     std::map<uint64_t, Request> requests_; // unanswered requests, by number
     std::vector<RouterAction> actions_;
--- a/src/node/job_metrics.cpp
+++ b/src/node/job_metrics.cpp
@@ -25,6 +25,10 @@
                              "jobs refused because their requests may have waited too long")),
       lateOffers_(metrics.counter("lovage_late_offers_total",
                                   "offers that the pool refused because it read them too late")),
+      unansweredOffers_(metrics.counter("lovage_unanswered_offers_total",
+                                        "offers that pools did not answer in time")),
+      acceptancesSent_(metrics.counter("lovage_acceptances_sent_total",
+                                       "messages that tell another VM of an accepted job")),
       inputLag_(metrics.gauge("lovage_input_lag_us", "time for which input of the VM waits")),
       latency_(metrics.histogram("lovage_job_seconds", "time from a job to its answer"))
 {
--- a/src/node/job_metrics.h
+++ b/src/node/job_metrics.h
@@ -20,6 +20,12 @@
     void setInputLag(Duration lag) { inputLag_.set(lag.count()); }
     // Sets the number of offers that the pool of this VM has refused because it read them too late.
     void setLateOffers(uint64_t count) { lateOffers_.add(count - lateOffers_.value()); }
+    // Sets the number of offers that pools have neither accepted nor refused in time.
+    void setUnansweredOffers(uint64_t count)
+    {
+        unansweredOffers_.add(count - unansweredOffers_.value());
+    }
+    void recordAcceptanceSent() { acceptancesSent_.add(); }
     void recordAnswered(JobResult result, size_t tasks, Duration latency);
 
 private:
@@ -29,6 +35,8 @@
     Counter &submitted_;
     Counter &stale_;
     Counter &lateOffers_;
+    Counter &unansweredOffers_;
+    Counter &acceptancesSent_;
     Gauge &inputLag_;
     std::array<std::array<Counter *, taskCountClasses>, resultCount> answered_ {};
     LatencyHistogram &latency_;
--- a/src/node/node_actions.cpp
+++ b/src/node/node_actions.cpp
@@ -91,6 +91,15 @@
     peers_->send(vm, AnswerMessage {self_.name, std::move(answer), pool_.load(clock_.now())});
 }
 
+void NodeLogic::execute(const OfferAccepted &accepted)
+{
+    const JobTicket &ticket = accepted.ticket;
+    metrics_->recordAcceptanceSent();
+    peers_->send(ticket.vm,
+                 AcceptedMessage {self_.name, ticket.incarnation, ticket.number, ticket.part,
+                                  ticket.offer});
+}
+
 void NodeLogic::execute(const TaskOutcome &outcome)
 {
     storedJobs_->onOutcome(outcome);
@@ -109,7 +118,7 @@
     if (send.vm == self_.name)
         pool_.withdraw(send.ticket, clock_.now());
     else
-        peers_->send(send.vm, WithdrawMessage {send.ticket});
+        peers_->send(send.vm, WithdrawMessage {send.ticket, send.origin});
 }
 
 void NodeLogic::execute(const Respond &respond)
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -119,6 +119,7 @@
         pool_.renewLeases(self_.name, self_.incarnation, own->second);
     pool_.tick(now);
     metrics_->setLateOffers(pool_.counters().offersLate);
+    metrics_->setUnansweredOffers(router_.unansweredOffers());
     router_.tick(now);
     const bool isPoolChanged =
             heldShards_->setSurplus(peers_->contacts().isSurplusHolder(localState(now), now), now);
@@ -144,6 +145,7 @@
     inputHandledThrough_ = time;
     const Duration lag = inputLag(clock_.now());
     pool_.setInputLag(lag);
+    router_.setInputLag(lag);
     metrics_->setInputLag(lag);
 }
 
--- a/src/node/node_messages.cpp
+++ b/src/node/node_messages.cpp
@@ -121,7 +121,16 @@
 
 void NodeLogic::onPeerMessage(const WithdrawMessage &message)
 {
-    pool_.withdraw(message.ticket, clock_.now());
+    // An earlier process may have run the job, so this one cannot answer.
+    if (message.origin && message.origin->poolIncarnation == self_.incarnation)
+        pool_.withdrawUnanswered(message.ticket, message.origin->offeredAt, clock_.now());
+    else
+        pool_.withdraw(message.ticket, clock_.now());
+}
+
+void NodeLogic::onPeerMessage(const AcceptedMessage &message)
+{
+    router_.onAccepted(message);
 }
 
 void NodeLogic::onPeerMessage(const IntroductionMessage &message)
--- a/src/pool/pool.cpp
+++ b/src/pool/pool.cpp
@@ -64,6 +64,11 @@
     implementation_->withdraw(ticket, now);
 }
 
+void Pool::withdrawUnanswered(const JobTicket &ticket, Time offeredAt, Time now)
+{
+    implementation_->withdrawUnanswered(ticket, offeredAt, now);
+}
+
 void Pool::withdrawAll(const std::string &vm, uint64_t exceptIncarnation, Time now)
 {
     implementation_->withdrawAll(vm, exceptIncarnation, now);
@@ -136,6 +141,7 @@
 {
     implementation_->dropOverdueJobs(now);
     implementation_->pruneConfirmedRuns(now);
+    implementation_->pruneSettledOffers(now);
     implementation_->isPlacementDue_ = true;
 }
 
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -7,6 +7,7 @@
 #include "run_time_model.h"
 #include "timetable.h"
 
+#include <deque>
 #include <unordered_map>
 
 namespace lovage {
@@ -138,6 +139,12 @@
     // Refuses an offer that was read too late. Returns false if it was not.
     bool refuseLate(Job &job, Duration waited, Time now);
     bool isDuplicate(const JobOffer &offer) const;
+    void withdrawUnanswered(const JobTicket &ticket, Time offeredAt, Time now);
+    // Records the answer to an accepted offer, which may be lost on its way.
+    void settle(const JobOffer &offer, JobResult result, std::string_view reason, Time now);
+    // Repeats the answer to an offer that was settled. Returns false if it was not.
+    bool repeatAnswer(const JobTicket &ticket);
+    void pruneSettledOffers(Time now);
     bool hasLeftoverRuns(const std::string &jobId) const;
     bool hasRuns(const std::string &task) const;
     void logEvent(std::string event, const std::string &job, std::string details);
@@ -217,6 +224,10 @@
     // Numbers of the jobs with each id. An id has several jobs if this pool runs several parts.
     std::multimap<std::string, JobNumber> jobsById_;
     JobNumber nextJobNumber_ = 1;
+    // Answers to the offers from other VMs that were accepted or withdrawn recently, and the times
+    // at which they are forgotten, in ascending order.
+    std::map<JobTicket, JobAnswer> settledOffers_;
+    std::deque<std::pair<Time, JobTicket>> settledUntil_;
     // No lease of a job ends before this time.
     Time earliestLeaseEnd_ = Time::max();
 
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -76,6 +76,8 @@
         answer(job, JobResult::Refused, reason, now);
         return;
     }
+    if (repeatAnswer(job.offer.ticket))
+        return; // the offer was withdrawn before it arrived
     if (isDuplicate(job.offer) || hasLeftoverRuns(id)) {
         // The caller resubmits the job because it lost its connection. The runs of the first
         // submission may not have ended yet, so new runs could overlap with them.
@@ -151,6 +153,8 @@
     logEvent("job-accepted", job.offer.job.id,
              fmt::format("vm={} number={} part={} {}", job.offer.ticket.vm, job.offer.ticket.number,
                          job.offer.ticket.part, inputs));
+    if (job.offer.timing)
+        actions_.emplace_back(OfferAccepted {job.offer.ticket});
     job.hadToWait = wait > Duration::zero();
     jobsByTicket_.emplace(job.offer.ticket, job.number);
     jobsById_.emplace(job.offer.job.id, job.number);
@@ -163,8 +167,12 @@
 {
     const auto [begin, end] = jobsById_.equal_range(offer.job.id);
     return std::any_of(begin, end, [&](const auto &entry) {
+        // Parts of one request differ in their part, and so in the numbers of their offers.
         JobTicket other = jobs_.at(entry.second).offer.ticket;
+        if (other.part == offer.ticket.part)
+            return true;
         other.part = offer.ticket.part;
+        other.offer = offer.ticket.offer;
         return other != offer.ticket;
     });
 }
@@ -207,8 +215,10 @@
         ++counters_.abandoned;
         break;
     }
-    if (jobs_.contains(job.number))
+    if (jobs_.contains(job.number)) {
         logAnswered(job, result, reason, now);
+        settle(job.offer, result, reason, now);
+    }
     actions_.emplace_back(JobAnswer {job.offer.ticket, result, std::move(reason), retryAfter});
     removeJob(job.number, now);
 }
@@ -294,9 +304,9 @@
     logEvent("job-withdrawn", job.offer.job.id,
              fmt::format("vm={} after_ms={:.0f} begun={}", ticket.vm, toMillis(now - job.arrivedAt),
                          job.hasStarted));
-    actions_.emplace_back(JobAnswer {ticket,
-                                     job.hasStarted ? JobResult::Abandoned : JobResult::Refused,
-                                     "withdrawn", Duration::zero()});
+    const JobResult result = job.hasStarted ? JobResult::Abandoned : JobResult::Refused;
+    settle(job.offer, result, "withdrawn", now);
+    actions_.emplace_back(JobAnswer {ticket, result, "withdrawn", Duration::zero()});
     removeJob(found->second, now);
 }
 
--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -10,14 +10,14 @@
 
 namespace {
 
-constexpr uint8_t messageVersion = 8;
+constexpr uint8_t messageVersion = 9;
 
 } // namespace
 
 template<class Archive>
 void serialize(Archive &archive, JobTicket &ticket)
 {
-    archive(ticket.vm, ticket.incarnation, ticket.number, ticket.part);
+    archive(ticket.vm, ticket.incarnation, ticket.number, ticket.part, ticket.offer);
 }
 
 template<class Archive>
@@ -140,10 +140,24 @@
     archive(message.vm, message.answer, message.loads);
 }
 
+template<class Archive>
+void serialize(Archive &archive, OfferOrigin &origin)
+{
+    archive(origin.poolIncarnation);
+    timeField(archive, origin.offeredAt);
+}
+
 template<class Archive>
 void serialize(Archive &archive, WithdrawMessage &message)
 {
     archive(message.ticket);
+    optionalField(archive, message.origin);
+}
+
+template<class Archive>
+void serialize(Archive &archive, AcceptedMessage &message)
+{
+    archive(message.vm, message.incarnation, message.number, message.part, message.offer);
 }
 
 template<class Archive>
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -113,7 +113,7 @@
         if (request.isGivenUp)
             continue;
         for (const Part &part : request.parts) {
-            if (!part.isOffered || part.vm.empty())
+            if (!part.isOffered || part.isWithdrawn || part.vm.empty())
                 continue;
             std::vector<uint64_t> &numbers = renewals[part.vm].requests;
             if (numbers.empty() || numbers.back() != number)
@@ -202,14 +202,17 @@
     requests_.erase(found);
 }
 
-void Router::withdrawOpenParts(const Request &request)
+void Router::withdrawOpenParts(const Request &request, bool needsAnswers)
 {
     for (size_t part = 0; part < request.parts.size(); ++part) {
         if (request.parts[part].vm.empty() || !request.parts[part].isOffered)
             continue;
         JobTicket ticket = request.offer.ticket;
         ticket.part = static_cast<uint32_t>(part);
-        actions_.emplace_back(SendWithdraw {request.parts[part].vm, ticket});
+        ticket.offer = request.parts[part].offer;
+        actions_.emplace_back(
+                SendWithdraw {request.parts[part].vm, ticket,
+                              needsAnswers ? request.parts[part].origin : std::nullopt});
     }
 }
 
@@ -308,6 +311,15 @@
     JobOffer offer = makePartOffer(request, index, now);
     offer.lease = leaseAt(pool.vm, connectedAt(request));
     offer.timing = timingOf(pool.vm, offer.deadline, now);
+    offer.ticket.offer = ++request.offers;
+    part.offer = offer.ticket.offer;
+    part.isAccepted = false;
+    part.isWithdrawn = false;
+    part.origin.reset();
+    if (offer.timing) {
+        part.origin = OfferOrigin {offer.lease->poolIncarnation, offer.timing->offeredAt};
+        part.answerBy = now + offer.timing->answerWithin + ResubmissionLimits::messageAllowance;
+    }
     accountForOffer(*pool.load, offer.job);
     part.vm = pool.vm;
     part.isOffered = true;
@@ -396,7 +408,7 @@
             std::count_if(request.parts.begin(), request.parts.end(),
                           [](const Part &part) { return part.isOffered && !part.vm.empty(); }));
     if (request.openParts > 0) {
-        withdrawOpenParts(request);
+        withdrawOpenParts(request, true);
         return;
     }
     respond(number, request.mayHaveRun ? JobResult::Abandoned : JobResult::Refused,
@@ -429,20 +441,15 @@
 
 void Router::onAnswer(const std::string &vm, JobAnswer answer, Time now)
 {
-    const auto found = requests_.find(answer.ticket.number);
-    JobTicket ticket = answer.ticket;
-    ticket.part = 0;
-    if (found == requests_.end() || found->second.offer.ticket != ticket
-        || answer.ticket.part >= found->second.parts.size()
-        || found->second.parts[answer.ticket.part].vm != vm)
+    if (!findOffer(vm, answer.ticket))
         return;
-    Request &request = found->second;
+    Request &request = requests_.at(answer.ticket.number);
     if (request.isGivenUp) {
-        onAnswerOfGivenUp(found->first, answer);
+        onAnswerOfGivenUp(answer.ticket.number, answer);
         return;
     }
     if (answer.result == JobResult::Refused) {
-        onRefused(found->first, answer.ticket.part, answer, now);
+        onRefused(answer.ticket.number, answer.ticket.part, answer, now);
         return;
     }
     request.parts[answer.ticket.part].vm.clear();
@@ -473,15 +480,14 @@
 
 void Router::onOfferUnsent(const std::string &vm, const JobTicket &ticket, Time now)
 {
-    const auto found = requests_.find(ticket.number);
-    if (found == requests_.end() || ticket.part >= found->second.parts.size()
-        || found->second.parts[ticket.part].vm != vm)
+    Part *part = findOffer(vm, ticket);
+    if (!part)
         return;
-    if (found->second.isGivenUp) {
+    if (requests_.at(ticket.number).isGivenUp) {
         onAnswerOfGivenUp(ticket.number, {ticket, JobResult::Refused, "unsent", {}});
         return;
     }
-    found->second.parts[ticket.part].refusedBy.push_back(vm);
+    part->refusedBy.push_back(vm);
     offerPart(ticket.number, ticket.part, now);
 }
 
@@ -504,6 +510,7 @@
 void Router::tick(Time now)
 {
     offerWaiting(now);
+    withdrawUnanswered(now);
     std::vector<uint64_t> overdue;
     for (const auto &[number, request] : requests_) {
         if (now > request.arrived + request.offer.deadline)
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -335,6 +335,29 @@
     });
 }
 
+// A VM that gets too little processor time holds the servers of its data centre. Callers must get
+// their results from elsewhere, and no "may have run" at their deadline for jobs that were not run.
+BOOST_AUTO_TEST_CASE(jobs_are_served_elsewhere_while_a_holder_is_behind)
+{
+    FleetWorld world(twoDataCentres);
+    world.vm(world.holderOf(0)).setSliceInterval(milliseconds(900));
+    const size_t entry = world.otherVmOf(0);
+    constexpr size_t jobs = 40;
+    for (size_t i = 0; i < jobs; ++i) {
+        world.callers.submit(
+                makeJob(fmt::format("job{}", i), milliseconds(100), milliseconds(1500), {entry}));
+        world.time.runFor(milliseconds(100));
+    }
+    world.time.runFor(seconds(2));
+    size_t servedAtOnce = 0;
+    for (size_t i = 0; i < jobs; ++i)
+        servedAtOnce += world.callers.submissions(fmt::format("job{}", i)) == 1 ? 1 : 0;
+    BOOST_TEST_MESSAGE(fmt::format("{} of {} jobs were answered to their first submission",
+                                   servedAtOnce, jobs));
+    BOOST_TEST(servedAtOnce >= jobs * 9 / 10);
+    checkRules(world);
+}
+
 // All faults together.
 BOOST_AUTO_TEST_CASE(random_faults_in_a_large_fleet)
 {
--- a/tests/pool_lease_test.cpp
+++ b/tests/pool_lease_test.cpp
@@ -167,3 +167,35 @@
     runFor(milliseconds(1900)); // the run of four seconds is given up at the caller's deadline
     BOOST_TEST((resultOf("in-time") == JobResult::Abandoned));
 }
+
+// Guards against "not run" for an offer that is accepted after its withdrawal, and against no
+// answer or a wrong one if the answer to an accepted offer is lost.
+BOOST_FIXTURE_TEST_CASE(withdrawal_of_an_unanswered_offer_is_answered_truly, OneServer)
+{
+    const auto makeTimedOffer = [&](const std::string &id) {
+        JobOffer offered = makeOffer(id, 1, 14000, milliseconds(400));
+        offered.timing = OfferTiming {now, milliseconds(250)};
+        return offered;
+    };
+    const auto withdraw = [&](const JobOffer &offered) {
+        const size_t known = answers.size();
+        pool.withdrawUnanswered(offered.ticket, offered.timing->offeredAt, now);
+        runFor(milliseconds(10));
+        return answers.size() > known ? std::optional(answers.back().second.result) : std::nullopt;
+    };
+    // The withdrawal overtakes the offer.
+    const JobOffer overtaken = makeTimedOffer("overtaken");
+    BOOST_TEST((withdraw(overtaken) == JobResult::Refused));
+    offer(overtaken);
+    runFor(milliseconds(10));
+    BOOST_TEST(starts == 0U);
+    // The acceptance is lost.
+    const JobOffer started = makeTimedOffer("started");
+    offer(started);
+    runFor(milliseconds(10));
+    BOOST_TEST((withdraw(started) == JobResult::Abandoned));
+    BOOST_TEST((withdraw(started) == JobResult::Abandoned));
+    // The offer is too old to know whether it was accepted.
+    runFor(seconds(6));
+    BOOST_TEST((withdraw(started) == std::nullopt));
+}
--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -284,6 +284,7 @@
         pool.takeLogEntries();
     }
 
+    void execute(const OfferAccepted &) { }
     void execute(const OrderStart &order)
     {
         const OrderDelivery delivery = this->delivery(order.ref.server);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -6,6 +6,7 @@
 
 using namespace lovage;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 namespace {
 
@@ -347,6 +348,89 @@
     BOOST_TEST(responses.size() == 1U);
 }
 
+// Lets the time pass within which the pools must answer, without an answer.
+struct UnansweredFixture : RouterFixture
+{
+    void passAnswerTime()
+    {
+        now += milliseconds(310); // 250 ms, the time of the reply, and a tick
+        report("near", "dc1", 8);
+        report("far", "dc2", 8);
+        router.setHandledThrough(now);
+        router.tick(now);
+        collect();
+    }
+};
+
+// Guards against callers that wait until their deadline for a pool that does not answer, and get
+// "may have run" although nothing has run.
+BOOST_FIXTURE_TEST_CASE(unanswered_offer_is_withdrawn_and_offered_elsewhere, UnansweredFixture)
+{
+    report("near", "dc1", 8);
+    report("far", "dc2", 8);
+    submit(4);
+    const SendOffer first = offers.at(0);
+    passAnswerTime();
+    BOOST_REQUIRE_EQUAL(withdrawals.size(), 1U);
+    BOOST_TEST((withdrawals[0].ticket == first.offer.ticket));
+    BOOST_REQUIRE(withdrawals[0].origin.has_value());
+    BOOST_TEST((withdrawals[0].origin->offeredAt == first.offer.timing->offeredAt));
+    BOOST_TEST(offers.size() == 1U); // whether a task has run is unknown
+    answer(first, JobResult::Refused);
+    BOOST_REQUIRE_EQUAL(offers.size(), 2U);
+    BOOST_TEST(offers[1].vm == "far");
+    // The late refusal of the first offer says nothing about the second one.
+    answer(first, JobResult::Refused);
+    BOOST_TEST(offers.size() == 2U);
+    BOOST_TEST(responses.empty());
+}
+
+// Guards against withdrawing a job that a pool has accepted, and against an acceptance of an
+// earlier offer or by another incarnation that counts for this one.
+BOOST_FIXTURE_TEST_CASE(accepted_offer_is_not_withdrawn, UnansweredFixture)
+{
+    for (const bool isAccepted : {true, false}) {
+        report("near", "dc1", 8);
+        submit(4);
+        const SendOffer offered = offers.back();
+        AcceptedMessage accepted {"near", 1, 1, 0, offered.offer.ticket.offer};
+        accepted.offer += isAccepted ? 0 : 1;
+        withdrawals.clear();
+        router.onAccepted(accepted);
+        passAnswerTime();
+        BOOST_TEST(withdrawals.empty() == isAccepted);
+        answer(offered, JobResult::Completed);
+    }
+}
+
+// Guards against "not run" if the pool does not answer the withdrawal, or has started a task.
+BOOST_FIXTURE_TEST_CASE(withdrawn_offer_of_unknown_outcome_may_have_run, UnansweredFixture)
+{
+    for (const bool isAnswered : {true, false}) {
+        report("near", "dc1", 8);
+        submit(4);
+        passAnswerTime();
+        if (isAnswered)
+            answer(offers.back(), JobResult::Abandoned);
+        now += seconds(2);
+        router.tick(now);
+        collect();
+        BOOST_REQUIRE(!responses.empty());
+        BOOST_TEST((responses.back().answer.result == JobResult::Abandoned));
+        BOOST_TEST(offers.back().vm == "near");
+    }
+}
+
+// Guards against withdrawing accepted jobs because this VM has not read the acceptance yet.
+BOOST_FIXTURE_TEST_CASE(vm_that_is_behind_does_not_withdraw_its_offers, UnansweredFixture)
+{
+    report("near", "dc1", 8);
+    submit(4);
+    router.setInputLag(milliseconds(200));
+    passAnswerTime();
+    BOOST_TEST(withdrawals.empty());
+}
+
 // Guards against messages that change in encoding and decoding, against accepting truncated ones,
 // and against a decoder that crashes or allocates without bound on corrupted input.
 BOOST_AUTO_TEST_CASE(messages_round_trip_and_malformed_ones_are_rejected)
@@ -367,7 +451,8 @@
             AnswerMessage {"vm2",
                            {{"vm1", 9, 4, 2}, JobResult::Refused, "backlog", milliseconds(9)},
                            report.loads},
-            WithdrawMessage {{"vm1", 9, 4, 2}},
+            WithdrawMessage {{"vm1", 9, 4, 2}, OfferOrigin {5, fromUnixMillis(1'700'000'000'000)}},
+            AcceptedMessage {"vm2", 9, 4, 2, 7},
             IntroductionMessage {{report.vm}},
             ConfigurationRequest {"vm1"},
             ConfigurationMessage {configuration}};
