--- a/tests/pool_world.h
+++ b/tests/pool_world.h
@@ -286,6 +286,7 @@
             onLogEntry(entry);
     }
 
+    void execute(const OfferAccepted &) { }
     void execute(const OrderStart &order)
     {
         const OrderDelivery delivery = this->delivery(order.ref.server);
