--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,3 +1,4 @@
+#include "httpreader.h"
 #include "iothreads.h"
 
 #include <boost/asio/post.hpp>
@@ -27,6 +28,12 @@
 
 // Status of a response after which the connection no longer carries HTTP.
 constexpr unsigned switchingProtocols = 101;
+// Limit of the unparsed input of one connection: the header of a response, a chunk line with its
+// extensions, or the trailers, which are parsed as a whole.
+constexpr size_t maxUnparsedBytes = 64U << 10;
+// Bytes of all unfinished responses of one client. The largest one fails if they are exceeded.
+// The reserve is for answers of servers beside large reads of the store.
+constexpr ByteBudget::Limits responseBytes {32U << 20, 8U << 20, 64U << 10};
 
 // One request from send() to its callback.
 struct Exchange
@@ -57,7 +64,7 @@
     return status >= 100 && status < 200 && status != switchingProtocols;
 }
 
-HttpResponse toResponse(http::response<http::string_body> message)
+HttpResponse toResponse(http::response<ArrivedBody> message)
 {
     HttpResponse response;
     response.status = static_cast<int>(message.result_int());
@@ -74,8 +81,10 @@
 class EndpointPool : public std::enable_shared_from_this<EndpointPool>
 {
 public:
-    EndpointPool(asio::io_context &context, Endpoint endpoint, HttpClientOptions options)
-        : context_(context), endpoint_(std::move(endpoint)), options_(std::move(options))
+    EndpointPool(asio::io_context &context, Endpoint endpoint, HttpClientOptions options,
+                 std::shared_ptr<ConnectionBudget> budget)
+        : context_(context), endpoint_(std::move(endpoint)), options_(std::move(options)),
+          budget_(std::move(budget))
     { }
 
     void add(Exchange exchange);
@@ -90,11 +99,13 @@
         explicit Connection(asio::io_context &context) : stream(context) { }
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer;
+        beast::flat_buffer buffer {maxUnparsedBytes};
         http::request<http::string_body> message;
-        std::optional<http::response_parser<http::string_body>> parser;
+        std::optional<http::response_parser<ArrivedBody>> parser;
         std::optional<Exchange> exchange;
         SteadyClock::time_point idleSince;
+        std::optional<uint64_t> heldAs {}; // in the budget
+        uint64_t exchanges = 0;            // number of exchanges that have ended
     };
     using ConnectionPtr = std::shared_ptr<Connection>;
 
@@ -104,6 +115,10 @@
     void connect(const ConnectionPtr &connection);
     void write(const ConnectionPtr &connection);
     void read(const ConnectionPtr &connection);
+    void readSome(const ConnectionPtr &connection);
+    void onRead(const ConnectionPtr &connection, const error_code &error);
+    void hold(const ConnectionPtr &connection);
+    void release(Connection &connection, bool isKept);
     void finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse);
     Error queueTimeout() const;
     void failExpired();
@@ -111,6 +126,7 @@
     asio::io_context &context_;
     Endpoint endpoint_;
     HttpClientOptions options_;
+    std::shared_ptr<ConnectionBudget> budget_;
     std::deque<Exchange> queue_;
     std::vector<ConnectionPtr> idle_;
     size_t connectionCount_ = 0;
@@ -223,31 +239,84 @@
 void EndpointPool::read(const ConnectionPtr &connection)
 {
     connection->parser.emplace();
+    connection->parser->eager(true);
     connection->parser->body_limit(options_.maxResponseBytes);
-    http::async_read(
-            connection->stream, connection->buffer, *connection->parser,
-            [self = shared_from_this(), connection](error_code error, size_t) {
-                if (!error && isInterim(connection->parser->get().result_int())) {
-                    self->read(connection);
-                    return;
-                }
-                if (!error) {
-                    const bool reuse = isReusable(*connection);
-                    self->finish(connection, toResponse(connection->parser->release()), reuse);
-                    return;
-                }
-                ErrorCode code = ErrorCode::PeerUnreachable;
-                if (error == beast::error::timeout) {
-                    code = ErrorCode::Timeout;
-                    self->closeIdle();
-                } else if (error == http::error::body_limit)
-                    code = ErrorCode::AnswerTooLarge;
-                self->finish(connection,
-                             mayHaveRun(code,
-                                        fmt::format("no response from {}: {}",
-                                                    toString(self->endpoint_), error.message())),
+    readSome(connection);
+}
+
+void EndpointPool::readSome(const ConnectionPtr &connection)
+{
+    http::async_read_some(connection->stream, connection->buffer, *connection->parser,
+                          [self = shared_from_this(), connection](error_code error, size_t) {
+                              // The budget may have ended the exchange.
+                              if (connection->exchange)
+                                  self->onRead(connection, error);
+                          });
+}
+
+void EndpointPool::onRead(const ConnectionPtr &connection, const error_code &error)
+{
+    auto &parser = *connection->parser;
+    if (!error && !parser.is_done()) {
+        hold(connection);
+        readSome(connection);
+        return;
+    }
+    if (!error && isInterim(parser.get().result_int())) {
+        read(connection);
+        return;
+    }
+    if (!error) {
+        const bool reuse = isReusable(*connection);
+        finish(connection, toResponse(parser.release()), reuse);
+        return;
+    }
+    ErrorCode code = ErrorCode::PeerUnreachable;
+    if (error == beast::error::timeout) {
+        code = ErrorCode::Timeout;
+        closeIdle();
+    } else if (error == http::error::body_limit || error == http::error::buffer_overflow)
+        code = ErrorCode::AnswerTooLarge;
+    finish(connection,
+           mayHaveRun(code,
+                      fmt::format("no response from {}: {}", toString(endpoint_), error.message())),
+           false);
+}
+
+void EndpointPool::hold(const ConnectionPtr &connection)
+{
+    if (!connection->heldAs) {
+        const auto fail = [weak = weak_from_this(), weakConnection = std::weak_ptr(connection),
+                           number = connection->exchanges] {
+            const auto self = weak.lock();
+            const auto held = weakConnection.lock();
+            if (self && held && held->exchange && held->exchanges == number)
+                self->finish(held,
+                             mayHaveRun(ErrorCode::AnswerTooLarge,
+                                        fmt::format("too many bytes of responses; the one from {} "
+                                                    "is the largest",
+                                                    toString(self->endpoint_))),
                              false);
-            });
+        };
+        // A handler of its own, because the callback of the exchange may throw.
+        connection->heldAs =
+                budget_->open([context = &context_, fail] { asio::post(*context, fail); });
+    }
+    budget_->hold(*connection->heldAs,
+                  connection->buffer.capacity() + connection->parser->get().body().capacity());
+}
+
+// Ends the accounting of a response. Its memory is freed with the connection, or here if the
+// connection is kept: a read that is pending on a closed connection still uses it.
+void EndpointPool::release(Connection &connection, bool isKept)
+{
+    if (connection.heldAs)
+        budget_->close(*connection.heldAs);
+    connection.heldAs.reset();
+    if (!isKept)
+        return;
+    connection.parser.reset();
+    connection.buffer.shrink_to_fit();
 }
 
 // Returns whether the next request may use the connection of a response that was read. Bytes behind
@@ -262,6 +331,8 @@
 {
     Exchange exchange = std::move(*connection->exchange);
     connection->exchange.reset();
+    ++connection->exchanges;
+    release(*connection, reuse);
     if (reuse) {
         connection->stream.expires_never();
         connection->idleSince = SteadyClock::now();
@@ -337,7 +408,7 @@
                        auto &pool = self->pools_[endpoint];
                        if (!pool)
                            pool = std::make_shared<EndpointPool>(self->context_, endpoint,
-                                                                 self->options_);
+                                                                 self->options_, self->budget_);
                        pool->add(std::move(exchange));
                    });
     }
@@ -371,6 +442,7 @@
     asio::io_context &context_;
     HttpClientOptions options_;
     asio::steady_timer expiryTimer_;
+    std::shared_ptr<ConnectionBudget> budget_ = std::make_shared<ConnectionBudget>(responseBytes);
     std::map<Endpoint, std::shared_ptr<EndpointPool>> pools_;
 };
 
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -46,6 +46,7 @@
     consumed_ = 0;
     fieldCount_ = 0;
     isHeaderCounted_ = false;
+    hasUnparsed_ = false;
 }
 
 boost::asio::mutable_buffer HttpRequestReader::prepare()
@@ -55,11 +56,12 @@
 
 HttpRequestReader::State HttpRequestReader::parse()
 {
-    while (hasInput()) {
+    while (hasInput() && !isShortChunkHeader()) {
         error_code error;
         const size_t count = parser_->put(buffer_.data(), error);
         buffer_.consume(count);
         consumed_ += count;
+        hasUnparsed_ = hasInput();
         if (error && error != http::error::need_more)
             return refuse(refusalOf(error));
         const State state = checkProgress();
@@ -69,6 +71,16 @@
     return State::Incomplete;
 }
 
+// The parser asserts that it gets at least 5 bytes of a last chunk whose size line it has seen
+// before
+// ("0", two line ends). No chunk line is followed by less, so shorter input can wait.
+bool HttpRequestReader::isShortChunkHeader() const
+{
+    constexpr size_t shortestEnd = 5;
+    return hasUnparsed_ && buffer_.size() < shortestEnd && parser_->is_header_done()
+            && parser_->chunked();
+}
+
 HttpRequestReader::State HttpRequestReader::checkProgress()
 {
     const bool isDone = parser_->is_done();
@@ -81,6 +93,9 @@
                            ErrorCode::MalformedBody, "request has too many header fields"});
     }
     const size_t unparsed = isDone ? 0 : buffer_.size();
+    if (unparsed > limits_.maxHeaderBytes)
+        return refuse({HttpRefusal::Cause::Header, statusHeaderTooLarge, ErrorCode::MalformedBody,
+                       "a chunk line or the trailers are larger than the limit"});
     if (consumed_ + unparsed > limits_.maxRequestBytes)
         return refuse({HttpRefusal::Cause::Request, statusTooLarge, ErrorCode::BodyTooLarge,
                        "request is larger than the limit"});
@@ -88,9 +103,6 @@
         keepsAlive_ = parser_->keep_alive();
         return State::Complete;
     }
-    if (unparsed > limits_.maxHeaderBytes)
-        return refuse({HttpRefusal::Cause::Header, statusHeaderTooLarge, ErrorCode::MalformedBody,
-                       "a chunk line or the trailers are larger than the limit"});
     return State::Incomplete;
 }
 
--- a/src/net/httpreader.h
+++ b/src/net/httpreader.h
@@ -22,7 +22,7 @@
 
     static uint64_t size(const value_type &body) { return body.size(); }
 
-    class reader
+    class reader // NOLINT(readability-identifier-naming): the name that Beast requires
     {
     public:
         template<bool isRequest, class Fields>
@@ -87,6 +87,7 @@
 
     State refuse(HttpRefusal refusal);
     State checkProgress();
+    bool isShortChunkHeader() const;
     size_t fieldCount() const;
 
     const HttpLimits &limits_;
@@ -96,6 +97,7 @@
     size_t consumed_ = 0;
     size_t fieldCount_ = 0;
     bool isHeaderCounted_ = false;
+    bool hasUnparsed_ = false; // the parser has seen the input and needs more
     bool keepsAlive_ = false;
 };
 
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -358,3 +358,49 @@
     BOOST_TEST(hasVerdict(expiredLater.get(), Verdict::NotRun));
     BOOST_TEST(slow.get().has_value());
 }
+
+// Guards against a server whose response makes the client hold more and more: the header, a chunk
+// line and the trailers are parsed as a whole.
+BOOST_AUTO_TEST_CASE(endless_parts_of_a_response_are_bounded)
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &start :
+         {chunked + "0\r\na: ", chunked + "1;a=", chunked, std::string("HTTP/1.1 200 OK\r\na: ")}) {
+        std::atomic<size_t> sent = 0;
+        ScriptedServer server([&](tcp::socket &socket, int) {
+            readTarget(socket);
+            send(socket, start);
+            for (; sent < 50'000'000; sent += 65536)
+                send(socket, std::string(65536, '0'));
+        });
+        Client client;
+        const auto result = client.get(server.endpoint(), "/");
+        BOOST_REQUIRE(!result.has_value());
+        BOOST_TEST((result.error().verdict == Verdict::MayHaveRun));
+        BOOST_TEST((result.error().code != ErrorCode::Timeout));
+    }
+}
+
+// Guards against responses that are each below the limit and together exceed the memory of a VM.
+BOOST_AUTO_TEST_CASE(all_unfinished_responses_are_bounded_together)
+{
+    constexpr int requests = 6;
+    ScriptedServer server([&](tcp::socket &socket, int) {
+        readTarget(socket);
+        send(socket, "HTTP/1.1 200 OK\r\nContent-Length: 12000000\r\n\r\n");
+        send(socket, std::string(10'000'000, 'x'));
+        readTarget(socket); // waits for the end of the connection
+    });
+    Client client;
+    std::vector<std::future<Result<HttpResponse>>> results;
+    for (int i = 0; i < requests; ++i)
+        results.push_back(client.begin(server.endpoint(), "/" + std::to_string(i), 5s));
+    int refused = 0;
+    for (auto &result : results) {
+        const auto response = result.get();
+        BOOST_REQUIRE(!response.has_value());
+        refused += response.error().code == ErrorCode::AnswerTooLarge ? 1 : 0;
+    }
+    BOOST_TEST(refused >= 1);
+    BOOST_TEST(refused < requests);
+}
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -159,6 +159,7 @@
                   R"({ "address": "10.0.0.3:5" })"},
                  {"{{limits.cpu_share|json}}", "0.25"},
                  {"{{limits.cores|json}}", "1"},
+                 {"{{limits.memory_mb|json}}", "512"},
                  {"{{platform.parts|json}}", "24"},
                  {"{{bounds.hold_max_ms|json}}", "1000"},
                  {"{{bounds.stop_ms|json}}", "50"},
@@ -171,6 +172,7 @@
     const auto settings = parseNodeSettings(text);
     BOOST_REQUIRE(settings.has_value());
     BOOST_TEST(settings.value().cpuMilliCores == 250U);
+    BOOST_TEST(settings.value().limits.heldBytes() == 64U << 20);
     BOOST_TEST((settings.value().stopLimit == std::chrono::milliseconds(6500)));
     BOOST_TEST((settings.value().resubmitDelay == std::chrono::milliseconds(1400)));
 }
@@ -189,6 +191,27 @@
     BOOST_TEST(!parse(R"("resubmitDelayMs": 1300, "stopTimeMs": 600)"));
 }
 
+// Guards against limits that let clients take the memory of the VM, and against defaults that the
+// smallest VM does not start with.
+BOOST_AUTO_TEST_CASE(limits_must_fit_the_memory_of_the_vm)
+{
+    const std::string required =
+            R"("name": "a", "dataCentre": "z", "http": "10.0.0.1:1", "readiness": "10.0.0.1:2",)"
+            R"("peer": "10.0.0.1:3", "store": "10.0.0.2:4")";
+    const auto parse = [&](const std::string &limits) {
+        return parseNodeSettings("{" + required + R"(, "limits": {)" + limits + "}}").has_value();
+    };
+    BOOST_TEST(parse(""));
+    BOOST_TEST(parse(R"("memoryMb": 120)"));
+    BOOST_TEST(parse(R"("memoryMb": 64)"));
+    BOOST_TEST(!parse(R"("memoryMb": 120, "maxHeldBytes": 20000000)"));
+    BOOST_TEST(!parse(R"("memoryMb": 120, "maxBodyBytes": 4000000)"));
+    BOOST_TEST(!parse(R"("memoryMb": 512, "maxBodyBytes": 4190000)")); // no room for a header
+    BOOST_TEST(parse(R"("memoryMb": 512, "maxBodyBytes": 4000000, "maxRequestBytes": 9000000)"));
+    BOOST_TEST(!parse(R"("memoryMb": 120, "maxFrameBytes": 12000000)"));
+    BOOST_TEST(!parse(R"("maxBodyBytes": 10)")); // a job of the widest form has more
+}
+
 // Guards against peers that cannot reach a VM behind address translation.
 BOOST_AUTO_TEST_CASE(advertised_peer_address_is_optional)
 {
