--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -91,7 +91,8 @@
 {
     report("near", "dc1", 8);
     report("far", "dc2", 8);
-    table.updateLoads("near", {{"work", 10, 8 * taskMilliCores, 0, 300, milliseconds(90)}});
+    table.updateLoads("near",
+                      {{"work", 10, uint64_t {8} * taskMilliCores, 0, 300, milliseconds(90)}});
     submit(4);
     BOOST_REQUIRE_EQUAL(offers.size(), 1U);
     BOOST_TEST(offers[0].vm == "far");
