Mend two findings of the linter in the tests of limits

The result of a non-blocking connect is ignored on purpose, and a vector is reserved. The clients and bounds are unchanged; http_limits_test passes.

--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -177,8 +177,10 @@
     HttpLimits limits;
     limits.maxConnections = 4;
     const Server server(limits);
+    constexpr size_t idleCount = 8;
     std::vector<std::unique_ptr<Connection>> idle;
-    for (int i = 0; i < 8; ++i)
+    idle.reserve(idleCount);
+    for (size_t i = 0; i < idleCount; ++i)
         idle.push_back(std::make_unique<Connection>(server));
     const Time start = currentTime();
     Connection caller(server);
--- a/tests/uncontrolled_clients_test.cpp
+++ b/tests/uncontrolled_clients_test.cpp
@@ -47,7 +47,9 @@
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         BOOST_REQUIRE(socket_ >= 0);
-        connect(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof(address));
+        // The socket does not block; a failure shows at the first write.
+        static_cast<void>(
+                connect(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
     }
     ~Client() { close(socket_); }
     Client(const Client &) = delete;
