Report the capacity that tasks of the recent sizes can use

Admission elsewhere, the routers' expected wait and the reported free cores assumed that tasks use 0.85 of every server, and rounded free cores to multiples of the latest task. With tasks of 32 cores plus or minus a fifth on servers of 64 cores, the first is too high, and the second changes by half a server with each task.

TaskSizes keeps the sizes of the latest 64 offered steps and calculates the cores that such tasks use of a gap. The rate is this or 0.85 of the cores, whichever is less: a server of 64 cores counts 36 with tasks of 33 to 39 cores, and 0.85 as before with tasks of 1 to 2. Equal tasks are counted exactly.

Run: pool_packing_test, pool_sizes_test, pool_load_test, pool_orders_test, pool_stored_test, stored_jobs_test, pool_evidence_test, pool_restart_test, router_test, fleet_test.

--- a/include/lovage/pool.h
+++ b/include/lovage/pool.h
@@ -303,7 +303,7 @@
 {
     std::string service;
     uint32_t servers = 0; // number of servers that accept work
-    // Sum over the servers of the free cores, rounded down to multiples of a typical task.
+    // Sum over the servers of the part of the free cores that tasks of the recent sizes can use.
     uint64_t freeMilliCores = 0;
     double queuedWork = 0; // core-seconds of work that is not started yet
     double rate = 0;       // core-seconds of work per second at full load
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -4,6 +4,7 @@
 #include "health.h"
 #include "jobs.h"
 #include "leased_server.h"
+#include "packing.h"
 #include "run_time_model.h"
 #include "timetable.h"
 
@@ -179,8 +180,8 @@
 
     // Share of a forecast wait that is added to it to allow for errors.
     double waitError_ = 0.5;
-    // Cores of the latest task of each service, used as the unit of free capacity in load().
-    std::map<std::string, uint32_t> typicalMilliCores_;
+    // Sizes of the tasks that were offered recently, by service.
+    std::map<std::string, pool::TaskSizes> sizes_;
 
     // A server that may run the tasks of a step, and what a task there would mean.
     struct PlaceOption
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -76,6 +76,10 @@
         answer(job, JobResult::Refused, "stale-offer", now);
         return;
     }
+    for (const Step &step : job.offer.job.steps) {
+        if (step.demand.milliCores > 0)
+            sizes_[job.offer.service].record(step.demand.milliCores, step.count);
+    }
     Forecast forecast = this->forecast(job, now);
     if (!forecast.jobSpan) {
         logEvent("job-refused", id, fmt::format("queue={} cause=no-server", job.offer.queue));
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -20,15 +20,14 @@
 
 // A placement pass ends when more than this number of jobs could not be placed completely.
 constexpr size_t maxUnplacedJobs = 32;
-// Average share of a server's cores that is in use when no further task fits.
-constexpr double packingShare = 0.85;
+// Largest share of a server's cores that tasks use on average under full load, however small they
+// are: a part is idle between the end of a run and the next start.
+constexpr double maxUsedShare = 0.85;
 // Safety margin of a task before its objective, in standard deviations of the run time.
 constexpr double marginDeviations = 1.2;
 // Retry time for a job that is refused after it was accepted. Its queue is then full of more urgent
 // work.
 constexpr Duration retryAfterOverload = std::chrono::seconds(1);
-// Cores of a typical task until the first job of a service has been placed.
-constexpr uint32_t defaultMilliCores = 1000;
 
 // Returns whether isAllowed() depends on the server for tasks of this step.
 bool hasRequirements(const Step &step)
@@ -71,11 +70,17 @@
 double Pool::Implementation::rateOf(const std::string &service, Time now) const
 {
     const double meanLogSlowness = speedOf(service).meanLogSlowness;
+    const auto sizes = sizes_.find(service);
     double rate = 0;
     for (const auto &[id, server] : servers_) {
-        if (server.info().service == service && server.isOpen(now))
-            rate += server.info().capacity.milliCores / 1000.0 * packingShare
-                    / pool::slownessOf(server, meanLogSlowness);
+        if (server.info().service != service || !server.isOpen(now))
+            continue;
+        const double all = server.info().capacity.milliCores;
+        const double usable = sizes == sizes_.end()
+                ? all
+                : sizes->second.usable(server.info().capacity.milliCores);
+        rate += std::min(usable, all * maxUsedShare) / 1000
+                / pool::slownessOf(server, meanLogSlowness);
     }
     return rate;
 }
@@ -84,7 +89,7 @@
 {
     std::map<std::string, ServiceLoad> loads;
     ServiceLoad *load = nullptr; // that of the previous server or job, which most others share
-    uint32_t portion = defaultMilliCores;
+    const pool::TaskSizes *sizes = nullptr; // those of the service of `load`
     for (const auto &[id, server] : servers_) {
         if (!server.isOpen(now))
             continue;
@@ -92,11 +97,12 @@
         if (!load || load->service != service) {
             load = &loads[service];
             load->service = service;
-            const auto typical = typicalMilliCores_.find(service);
-            portion = typical == typicalMilliCores_.end() ? defaultMilliCores : typical->second;
+            const auto known = sizes_.find(service);
+            sizes = known == sizes_.end() ? nullptr : &known->second;
         }
         ++load->servers;
-        load->freeMilliCores += uint64_t {server.freeMilliCores() / portion} * portion;
+        const uint32_t free = server.freeMilliCores();
+        load->freeMilliCores += sizes ? sizes->usable(free) : free;
     }
     for (const auto &[number, job] : jobs_) {
         if (!load || load->service != job.offer.service) {
@@ -341,7 +347,6 @@
     --job.queued;
     ++job.active;
     job.hasStarted = true;
-    typicalMilliCores_[job.offer.service] = std::max<uint32_t>(step.demand.milliCores, 1);
     Run run;
     run.job = job.number;
     run.task = index;
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -145,7 +145,8 @@
 void Pool::Implementation::orderStoredRun(Server &server, const TaskBatch &batch,
                                           const TaskStart &start, Duration predicted, Time now)
 {
-    typicalMilliCores_[batch.service] = std::max<uint32_t>(batch.step.demand.milliCores, 1);
+    if (batch.step.demand.milliCores > 0)
+        sizes_[batch.service].record(batch.step.demand.milliCores, 1);
     Run run;
     run.job = pool::storedJob;
     run.number = start.run;
--- a/tests/pool_sizes_test.cpp
+++ b/tests/pool_sizes_test.cpp
@@ -1,152 +1,28 @@
 // Tests of how well a pool at high load serves jobs of different sizes.
 #define BOOST_TEST_MODULE pool_sizes
-#include "pool_world.h"
+#include "pool_replay.h"
 
 #include <algorithm>
-#include <cmath>
 
 using namespace lovage;
 using namespace lovage::test;
 
 namespace {
 
-constexpr Duration simulatedTime = std::chrono::seconds(40);
-constexpr Duration deadline = milliseconds(1500);
-// Relative variation between jobs, which is also the error of declared run times, and between the
-// tasks of a job. Both are standard deviations of logarithms.
-constexpr double spread = 0.4;
-constexpr double taskSpread = 0.15;
-
-struct JobKind
-{
-    std::string name;
-    double width;
-    Duration runTime;
-    double perSecond;
-};
-
-// Heavy jobs, whose tasks take most of their deadline, account for nearly a third of the work.
-const std::vector<JobKind> kinds {{"quick", 8, milliseconds(60), 11.4},
-                                  {"heavy", 4, milliseconds(900), 2.1},
-                                  {"lookup", 2, milliseconds(200), 33}};
-
-// Returns a sample of the lognormal distribution with this mean; `deviation` is the standard
-// deviation of the logarithm.
-double lognormal(Random &random, double mean, double deviation)
-{
-    return mean * std::exp(deviation * standardNormal(random) - deviation * deviation / 2);
-}
-
-struct SimulatedJob
-{
-    std::string kind;
-    double coreSeconds = 0;
-    Time offered {};
-    Duration objective {};
-    bool isServed = false; // completed before the deadline
-    bool isInTime = false; // completed within the objective
-};
-
-// Simulates seeded random arrivals on 16 servers. A quarter of the servers are more than twice as
-// fast as the others, and only these can end the longest tasks in time.
+// Heavy jobs, whose tasks take most of their deadline, account for nearly a third of the work. A
+// quarter of the 16 servers are more than twice as fast as the others, and only these can end the
+// longest tasks in time.
 std::vector<SimulatedJob> simulateLoad(uint64_t seed, double load)
 {
-    constexpr double meanMilliCores = 6800;
-    constexpr double largestMilliCores = 10000;
-    Random random(seed);
-    PoolWorld world;
+    ReplayedLoad replayed;
     for (int i = 0; i < 16; ++i)
-        world.addServer("s" + std::to_string(i), i % 3 == 2 ? 24000 : 16000,
-                        i % 4 == 0 ? 0.55 : 1.2);
-    std::map<std::string, Duration> runTimes; // by task
-    world.runTimeOf = [&](const std::string &task) { return runTimes.at(task); };
-    world.begin();
-    std::map<uint64_t, SimulatedJob> jobs; // by ticket
-    std::vector<Time> nextArrival;
-    nextArrival.reserve(kinds.size());
-    for (const JobKind &kind : kinds)
-        nextArrival.push_back(world.now
-                              + Duration(static_cast<int64_t>(
-                                      random.exponential(1e6 / (kind.perSecond * load)))));
-    const auto arrive = [&](const JobKind &kind) {
-        const auto id = "job" + std::to_string(jobs.size());
-        const auto width =
-                static_cast<uint32_t>(std::clamp(std::lround(lognormal(random, kind.width, spread)),
-                                                 1L, std::lround(4 * kind.width)));
-        const double micros =
-                std::min(lognormal(random, static_cast<double>(kind.runTime.count()), spread),
-                         4 * static_cast<double>(kind.runTime.count()));
-        const double milliCores =
-                std::min(lognormal(random, meanMilliCores, 0.2), largestMilliCores);
-        SimulatedJob job;
-        job.kind = kind.name;
-        job.offered = world.now;
-        Duration longest {};
-        for (uint32_t index = 0; index < width; ++index) {
-            const double taskMicros = lognormal(random, micros, taskSpread);
-            const Duration runTime(static_cast<int64_t>(taskMicros));
-            runTimes[toString(TaskName {id, 0, 0, index})] = runTime;
-            longest = std::max(longest, runTime);
-            job.coreSeconds += milliCores * taskMicros / 1e9;
-        }
-        JobOffer offer = PoolWorld::makeOffer(
-                id, width, static_cast<uint32_t>(milliCores),
-                Duration(static_cast<int64_t>(micros * std::exp(spread * standardNormal(random)))),
-                deadline);
-        offer.queue = kind.name;
-        job.objective = longest * 16 / 10 + offer.objectiveSlack;
-        jobs.emplace(offer.ticket.number, job);
-        world.offer(offer);
-    };
-    const Time end = world.now + simulatedTime;
-    while (world.now < end) {
-        for (size_t k = 0; k < kinds.size(); ++k) {
-            for (; nextArrival[k] <= world.now;
-                 nextArrival[k] += Duration(static_cast<int64_t>(
-                         random.exponential(1e6 / (kinds[k].perSecond * load)))))
-                arrive(kinds[k]);
-        }
-        world.runFor(milliseconds(1));
-    }
-    world.runFor(deadline * 2);
-    for (const auto &[at, answer] : world.answers) {
-        SimulatedJob &job = jobs.at(answer.ticket.number);
-        const bool isCompleted = answer.result == JobResult::Completed;
-        job.isServed = isCompleted && at <= job.offered + deadline;
-        job.isInTime = job.isServed && at <= job.offered + job.objective;
-    }
-    BOOST_TEST(world.overlappingRuns == 0U);
-    std::vector<SimulatedJob> simulatedJobs;
-    simulatedJobs.reserve(jobs.size());
-    for (const auto &[number, job] : jobs)
-        simulatedJobs.push_back(job);
-    return simulatedJobs;
-}
-
-struct ServedShares
-{
-    double all = 0;
-    double largestTenth = 0;
-    double nextFifth = 0;
-};
-
-double servedShare(const std::vector<SimulatedJob> &jobs, size_t begin, size_t end)
-{
-    const auto served = std::count_if(jobs.begin() + static_cast<long>(begin),
-                                      jobs.begin() + static_cast<long>(end),
-                                      [](const SimulatedJob &job) { return job.isServed; });
-    return static_cast<double>(served) / static_cast<double>(end - begin);
-}
-
-ServedShares servedSharesOf(std::vector<SimulatedJob> jobs, const std::string &kind)
-{
-    std::erase_if(jobs, [&](const SimulatedJob &job) { return job.kind != kind; });
-    std::sort(jobs.begin(), jobs.end(), [](const SimulatedJob &left, const SimulatedJob &right) {
-        return left.coreSeconds > right.coreSeconds;
-    });
-    const size_t tenth = jobs.size() / 10;
-    return {servedShare(jobs, 0, jobs.size()), servedShare(jobs, 0, tenth),
-            servedShare(jobs, tenth, 3 * tenth)};
+        replayed.servers.push_back({i % 3 == 2 ? 24000U : 16000U, i % 4 == 0 ? 0.55 : 1.2});
+    replayed.kinds = {{"quick", 8, milliseconds(60), 11.4},
+                      {"heavy", 4, milliseconds(900), 2.1},
+                      {"lookup", 2, milliseconds(200), 33}};
+    replayed.meanMilliCores = 6800;
+    replayed.largestMilliCores = 10000;
+    return test::simulateLoad(replayed, seed, load);
 }
 
 } // namespace
