Mend what a review of the merged parts found

Cause: a pool took jobs again while the store carried out a leave that was sent; a timeout or a refusal by the budget that was queued when a frame was complete closed the connection; the gauge of evacuated runs kept its last value on a VM that lost its shards; a refusal without a retry-after time replaced that of an earlier pool; a repeated answer lacked the mark of an evacuation. Change: a holder stays closed until its leave is answered; frames are numbered; the gauge is set until it is zero; zero counts as absent; the answer is kept as it was sent. Result: leave_that_was_sent_is_not_taken_back; the other four were found by reading and have no test of their own.

--- a/include/lovage/routing/holders.h
+++ b/include/lovage/routing/holders.h
@@ -103,6 +103,7 @@
     Time started_;
     bool isMember_ = false;
     bool isRequestPending_ = false;
+    bool isLeaveSent_ = false; // whether the pending request leaves the group
     Time nextRequestAt_ {};
     uint64_t acknowledgedGeneration_ = 0;
     uint64_t latestGeneration_ = 0;
--- a/src/net/frames.cpp
+++ b/src/net/frames.cpp
@@ -345,6 +345,7 @@
         timer_.cancel();
         releaseHeld();
         hasReceived_ = true;
+        ++frames_;
         const ScopeGuard readNext([this] { readHeader(); });
         handler_(std::exchange(frame_, {}));
     }
@@ -352,18 +353,19 @@
     void startTimer()
     {
         timer_.expires_after(options_->readTimeout);
-        timer_.async_wait([self = shared_from_this()](error_code error) {
+        timer_.async_wait([self = shared_from_this(), frame = frames_](error_code error) {
             if (!error)
-                self->refuse();
+                self->refuseFrame(frame);
         });
     }
 
     void hold(size_t bytes)
     {
         if (!heldAs_)
-            heldAs_ = options_->budget->open([weak = weak_from_this()] {
+            heldAs_ = options_->budget->open([weak = weak_from_this(), frame = frames_] {
                 if (const auto self = weak.lock())
-                    asio::post(self->socket_.get_executor(), [self] { self->refuse(); });
+                    asio::post(self->socket_.get_executor(),
+                               [self, frame] { self->refuseFrame(frame); });
             });
         options_->budget->hold(*heldAs_, bytes);
     }
@@ -375,6 +377,13 @@
         heldAs_.reset();
     }
 
+    // A timeout or a refusal by the budget may be queued already when the frame is complete.
+    void refuseFrame(uint64_t frame)
+    {
+        if (frame == frames_)
+            refuse();
+    }
+
     void refuse()
     {
         if (socket_.is_open())
@@ -397,6 +406,7 @@
     FrameServer::Handler handler_;
     std::shared_ptr<FrameServerStats> stats_;
     FrameHeader header_ {};
+    uint64_t frames_ = 0; // number of complete frames
     std::string frame_;
     std::optional<uint64_t> heldAs_; // in the budget
     bool hasReceived_ = false;
--- a/src/net/httpconnection.h
+++ b/src/net/httpconnection.h
@@ -52,8 +52,8 @@
     void registerIdle(const void *connection, Idle idle);
     void unregisterIdle(const void *connection);
     void closeIdle();
-    // Closes some of the connections that have been idle for long enough that no request can be on
-    // its way from their accepting: first those that have sent nothing yet, then the oldest.
+    // Closes some idle connections: first those that have sent nothing yet, then the oldest. Skips
+    // connections that became idle so recently that a request may still be unread.
     void makeRoom(Time now);
 
 private:
--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -71,9 +71,8 @@
     return State::Incomplete;
 }
 
-// The parser asserts that it gets at least 5 bytes of a last chunk whose size line it has seen
-// before
-// ("0", two line ends). No chunk line is followed by less, so shorter input can wait.
+// The parser asserts that it gets at least 5 bytes of a last chunk ("0" and two line ends) whose
+// size line it has seen before. Nothing shorter can follow a chunk line, so shorter input can wait.
 bool HttpRequestReader::isShortChunkHeader() const
 {
     constexpr size_t shortestEnd = 5;
--- a/src/node/evacuation_watch.h
+++ b/src/node/evacuation_watch.h
@@ -19,8 +19,9 @@
 
     void recordChange(const EvacuationState::Change &change, uint64_t version, Time now);
     // Records the number of runs that this VM's pool has while its own data centre is evacuated.
-    // Called for as long as the pool has servers.
+    // Called for as long as the pool has servers or the last recorded number is not zero.
     void recordRuns(size_t runs, Time begun, Time now);
+    bool hasRuns() const { return runs_ && runs_->value() > 0; }
 
 private:
     Gauge &sinceOf(const std::string &dataCentre);
--- a/src/node/node_logic.cpp
+++ b/src/node/node_logic.cpp
@@ -321,7 +321,7 @@
 void NodeLogic::watchEvacuation(Time now)
 {
     const auto since = evacuations_.since(self_.dataCentre);
-    if (since && pool_.serverCount() > 0)
+    if (since && (pool_.serverCount() > 0 || evacuationWatch_->hasRuns()))
         evacuationWatch_->recordRuns(pool_.runCount(), *since, now);
 }
 
--- a/src/pool/pool_impl.h
+++ b/src/pool/pool_impl.h
@@ -46,6 +46,7 @@
     void abandonEvacuatedJobs(Time now);
     // Returns whether new work is accepted.
     bool isOpenForWork() const { return isEvacuationKnown_ && !evacuatedAt_; }
+    bool takesNewWork() const { return !isDraining_ && !isClosed_ && isOpenForWork(); }
     // Returns whether jobs that have started may start further tasks.
     bool mayContinueJobs(Time now) const;
 
@@ -196,13 +197,13 @@
     void stopRunsOf(JobNumber number, Time now);
     Time giveUpTime(const Job &job) const;
     Time runsEndBy(const Job &job) const;
-    // Returns whether a job with this id is open for another request.
     // Refuses an offer that was read too late. Returns false if it was not.
     bool refuseLate(Job &job, Duration waited, Time now);
+    // Returns whether a job with this id is open for another request.
     bool isDuplicate(const JobOffer &offer) const;
     void withdrawUnanswered(const JobTicket &ticket, Time offeredAt, Time now);
     // Records the answer to an accepted offer, which may be lost on its way.
-    void settle(const JobOffer &offer, JobResult result, std::string_view reason, Time now);
+    void settle(const JobOffer &offer, const JobAnswer &answer, Time now);
     // Repeats the answer to an offer that was settled. Returns false if it was not.
     bool repeatAnswer(const JobTicket &ticket);
     void pruneSettledOffers(Time now);
@@ -298,6 +299,7 @@
     bool canEndBy(const Job &job, Duration predicted, Time limit, Time now) const;
     static bool isAllowed(const Server &server, const Step &step, const std::string &task);
     void orderTask(Server &server, Job &job, size_t task, Time now);
+
     PoolOptions options_;
     std::vector<PoolAction> actions_;
     std::vector<PoolLogEntry> logEntries_;
@@ -306,7 +308,7 @@
     bool isDraining_ = false;
     bool isClosed_ = false;           // whether jobs are refused because the shards are given up
     Time startsHeldUntil_ {};         // no task is started before this time
-    bool isEvacuationKnown_;          // whether nothing has to be known first about evacuations
+    bool isEvacuationKnown_;          // whether the state of evacuation is known or not needed
     std::optional<Time> evacuatedAt_; // begin of the evacuation in force
 
     std::map<std::string, Server> servers_; // servers of this data centre, by id
--- a/src/pool/pool_jobs.cpp
+++ b/src/pool/pool_jobs.cpp
@@ -231,12 +231,12 @@
         ++counters_.abandoned;
         break;
     }
-    if (jobs_.contains(job.number)) {
-        logAnswered(job, result, reason, now);
-        settle(job.offer, result, reason, now);
-    }
     JobAnswer answer {job.offer.ticket, result, std::move(reason), retryAfter};
     answer.isEvacuated = result == JobResult::Refused && evacuatedAt_;
+    if (jobs_.contains(job.number)) {
+        logAnswered(job, result, answer.reason, now);
+        settle(job.offer, answer, now);
+    }
     actions_.emplace_back(std::move(answer));
     removeJob(job.number, now);
 }
@@ -323,8 +323,9 @@
              fmt::format("vm={} after_ms={:.0f} begun={}", ticket.vm, toMillis(now - job.arrivedAt),
                          job.hasStarted));
     const JobResult result = job.hasStarted ? JobResult::Abandoned : JobResult::Refused;
-    settle(job.offer, result, "withdrawn", now);
-    actions_.emplace_back(JobAnswer {ticket, result, "withdrawn", Duration::zero()});
+    const JobAnswer answer {ticket, result, "withdrawn", Duration::zero()};
+    settle(job.offer, answer, now);
+    actions_.emplace_back(answer);
     removeJob(found->second, now);
 }
 
--- a/src/pool/pool_placement.cpp
+++ b/src/pool/pool_placement.cpp
@@ -116,7 +116,7 @@
     }
     std::vector<ServiceLoad> result;
     for (auto &[service, entry] : loads) {
-        entry.rate = isDraining_ || isClosed_ || !isOpenForWork() ? 0 : rateOf(service, now);
+        entry.rate = takesNewWork() ? rateOf(service, now) : 0;
         entry.inputLag = inputLag_;
         result.push_back(std::move(entry));
     }
--- a/src/pool/pool_stored.cpp
+++ b/src/pool/pool_stored.cpp
@@ -98,8 +98,7 @@
     const Duration predicted = model_.predict(batch.queue, batch.step.estimate);
     pool::Timetable timetable;
     const bool isLate = now >= batch.startBy;
-    if (isCurrent && !isLate && !isDraining_ && !isClosed_ && isOpenForWork()
-        && now >= startsHeldUntil_)
+    if (isCurrent && !isLate && takesNewWork() && now >= startsHeldUntil_)
         timetable = makeTimetable(batch.service, now);
     auto places = planBatch(batch, predicted, timetable, now);
     for (size_t i = 0; i < places.size(); ++i) {
--- a/src/pool/pool_withdrawals.cpp
+++ b/src/pool/pool_withdrawals.cpp
@@ -31,16 +31,14 @@
     JobOffer offer;
     offer.ticket = ticket;
     offer.timing = OfferTiming {offeredAt, {}};
-    settle(offer, JobResult::Refused, "withdrawn", now);
+    settle(offer, {ticket, JobResult::Refused, "withdrawn"}, now);
     repeatAnswer(ticket);
 }
 
-void Pool::Implementation::settle(const JobOffer &offer, JobResult result, std::string_view reason,
-                                  Time now)
+void Pool::Implementation::settle(const JobOffer &offer, const JobAnswer &answer, Time now)
 {
     if (!offer.timing)
         return; // the router is on this VM, so the answer cannot be lost
-    const JobAnswer answer {offer.ticket, result, std::string(reason)};
     if (settledOffers_.emplace(offer.ticket, answer).second)
         settledUntil_.emplace_back(now + settledOfferLifetime, offer.ticket);
 }
--- a/src/routing/membership.cpp
+++ b/src/routing/membership.cpp
@@ -38,8 +38,10 @@
         return std::nullopt;
     isRequestPending_ = true;
     nextRequestAt_ = now + options_.joinInterval;
-    if (!wantsShards)
+    if (!wantsShards) {
+        isLeaveSent_ = true;
         return LeaveGroup {};
+    }
     if (!isMember_)
         updateSurplusDelay(now);
     isMember_ = true;
@@ -76,6 +78,7 @@
 void ShardMembership::onJoinFailed(Time now)
 {
     isRequestPending_ = false;
+    isLeaveSent_ = false;
     isReleaseSent_ = false;
     nextRequestAt_ = now + options_.joinInterval;
 }
@@ -85,6 +88,7 @@
     if (isGivingUp(now))
         gaveUpAt_ = now;
     isRequestPending_ = false;
+    isLeaveSent_ = false;
     isMember_ = false;
     acknowledgedGeneration_ = 0;
     latestGeneration_ = 0;
@@ -92,8 +96,11 @@
     grants_.clear();
 }
 
+// Ignored while a request to leave is pending: the store may have dealt the shards anew.
 void ShardMembership::setSurplus(bool isSurplus, Time now)
 {
+    if (isLeaveSent_)
+        return;
     if (!isSurplus)
         surplusSince_.reset();
     else if (!surplusSince_)
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -471,9 +471,12 @@
         offerPart(number, part, now);
         return;
     }
-    const bool isFirst = request.retryAfter <= Duration::zero();
-    request.retryAfter =
-            isFirst ? answer.retryAfter : std::min(request.retryAfter, answer.retryAfter);
+    // An answer without a retry-after time leaves that of the earlier ones.
+    if (answer.retryAfter > Duration::zero()) {
+        const bool isFirst = request.retryAfter <= Duration::zero();
+        request.retryAfter =
+                isFirst ? answer.retryAfter : std::min(request.retryAfter, answer.retryAfter);
+    }
     Part &refused = request.parts[part];
     request.capabilities[refused.vm] = {answer.couldRun, answer.couldRunWithMargin};
     if (answer.wouldAccept
--- a/tests/shard_membership_test.cpp
+++ b/tests/shard_membership_test.cpp
@@ -158,6 +158,23 @@
     BOOST_TEST(!membership.isGivingUp(now));
 }
 
+// Guards against a pool that takes jobs again while the store carries out a leave that was sent,
+// and then loses the servers of these jobs.
+BOOST_FIXTURE_TEST_CASE(leave_that_was_sent_is_not_taken_back, MembershipFixture)
+{
+    joinGeneration();
+    membership.onJoined({3, {0}}, now);
+    membership.setSurplus(true, now);
+    now += seconds(5);
+    const auto request = membership.nextRequest(false, true, now);
+    BOOST_REQUIRE(request && std::holds_alternative<LeaveGroup>(*request));
+    membership.setSurplus(false, now);
+    BOOST_TEST(membership.isGivingUp(now));
+    membership.onJoinFailed(now); // the store did not answer the leave
+    membership.setSurplus(false, now);
+    BOOST_TEST(!membership.isGivingUp(now));
+}
+
 // Guards against shards that change hands each time a large VM restarts that fails repeatedly.
 BOOST_FIXTURE_TEST_CASE(holder_that_is_needed_again_waits_longer, MembershipFixture)
 {
