Encode the versions and the lag in reports as variable-length numbers

Cause: the version of the evacuations and the lag of the input made reports 12 bytes longer. With 400 VMs a VM sent 15,911 bytes/s on average, over the limit of 15 KB/s (traffic_of_a_vm_does_not_grow_with_the_fleet). Change: numbers that are small in practice take one to three bytes. Result: traffic_of_a_vm_does_not_grow_with_the_fleet, router_test and vm_message_test pass.

--- a/src/routing/codec.cpp
+++ b/src/routing/codec.cpp
@@ -79,10 +79,10 @@
     constexpr double maxCoreSeconds = 1e12;
     limitedField(archive, load.queuedWork, maxCoreSeconds);
     limitedField(archive, load.rate, maxCoreSeconds);
-    auto lagMicros = static_cast<uint32_t>(
+    auto lagMicros = static_cast<uint64_t>(
             std::clamp(load.inputLag, Duration::zero(), Duration(UINT32_MAX)).count());
-    archive(lagMicros);
-    load.inputLag = Duration(lagMicros);
+    varintField(archive, lagMicros);
+    load.inputLag = Duration(std::min<uint64_t>(lagMicros, UINT32_MAX));
 }
 
 template<class Archive>
@@ -125,8 +125,10 @@
     report.nextReportWithin = Duration(nextReportMicros);
     timeField(archive, report.sentAt);
     optionalField(archive, report.renewal);
-    archive(report.configurationVersion, report.evacuationsVersion, report.knownServers,
-            report.loads, report.holders, report.lostVms, report.claims, report.backlog);
+    varintField(archive, report.configurationVersion);
+    varintField(archive, report.evacuationsVersion);
+    archive(report.knownServers, report.loads, report.holders, report.lostVms, report.claims,
+            report.backlog);
 }
 
 template<class Archive>
--- a/src/routing/serialize.h
+++ b/src/routing/serialize.h
@@ -48,6 +48,28 @@
     require(archive, number >= 0 && number <= max);
 }
 
+// A number in groups of 7 bits, the lowest first, so that small numbers take one byte. Used in
+// reports, which are most of the traffic between VMs.
+template<class Archive>
+void varintField(Archive &archive, uint64_t &number)
+{
+    constexpr unsigned groupBits = 7;
+    constexpr uint8_t moreFollows = 1U << groupBits;
+    constexpr unsigned lastShift = 63;
+    uint64_t rest = number;
+    uint64_t decoded = 0;
+    uint8_t byte = moreFollows;
+    for (unsigned shift = 0; (byte & moreFollows) != 0; shift += groupBits) {
+        byte = static_cast<uint8_t>(rest % moreFollows);
+        rest >>= groupBits;
+        byte |= rest > 0 ? moreFollows : 0;
+        archive(byte);
+        require(archive, shift < lastShift || byte <= 1);
+        decoded |= static_cast<uint64_t>(byte % moreFollows) << shift;
+    }
+    number = decoded;
+}
+
 // Largest factor by which a time may be stretched.
 constexpr double maxStretchFactor = 1000;
 
