Test further kinds of clients that keep to no limit

The first tests sent input that breaks a limit. These send what is valid, each request by itself: stored jobs with ever new ids, jobs that are cancelled at once, repeated jobs, the widest jobs on all connections, bodies just below the limit, fields in trailers. Others let servers and other writers of the store answer without limit, and start lovaged. The clients move to a header that both programs share.

--- a/tests/uncontrolled_clients_test.cpp
+++ b/tests/uncontrolled_clients_test.cpp
@@ -3,8 +3,8 @@
 // stay under fixed bounds, and it answers an ordinary request afterwards.
 #define BOOST_TEST_MODULE uncontrolled_clients
 #include "support/platform_daemon.h"
+#include "support/uncontrolled_clients.h"
 
-#include <poll.h>
 #include <sys/resource.h>
 
 using namespace lovage;
@@ -25,92 +25,7 @@
 constexpr size_t crowdSize = 24;
 constexpr size_t bytesEach = 6'000'000;
 
-// What one client sends: the beginning, and then the repeated part until all bytes are sent.
-struct Stream
-{
-    std::string beginning;
-    std::string repeated;
-    size_t totalBytes = bytesEach;
-    std::string end {};
-    size_t bytesPerWrite = 1U << 16;
-    bool readsAnswers = true;
-};
-
-class Client
-{
-public:
-    Client(uint16_t port, const Stream &stream)
-        : stream_(stream), socket_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
-    {
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        BOOST_REQUIRE(socket_ >= 0);
-        // The socket does not block; a failure shows at the first write.
-        static_cast<void>(
-                connect(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
-    }
-    ~Client() { close(socket_); }
-    Client(const Client &) = delete;
-    Client &operator=(const Client &) = delete;
-
-    // Sends what the socket takes at once. Returns whether a byte was sent or received.
-    bool advance()
-    {
-        bool hasAdvanced = stream_.readsAnswers && receive();
-        if (isDone_)
-            return hasAdvanced;
-        const std::string_view next = nextBytes();
-        if (next.empty()) {
-            isDone_ = true;
-            return true;
-        }
-        const ssize_t count =
-                ::send(socket_, next.data(), next.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-        const bool isBlocked = errno == EAGAIN || errno == ENOTCONN || errno == EINPROGRESS;
-        if (count > 0)
-            sent_ += static_cast<size_t>(count);
-        else if (!isBlocked)
-            isDone_ = true;
-        return hasAdvanced || count > 0;
-    }
-
-private:
-    std::string_view nextBytes() const
-    {
-        const size_t total = stream_.totalBytes;
-        const auto limited = [&](std::string_view bytes) {
-            return bytes.substr(0, stream_.bytesPerWrite);
-        };
-        if (sent_ >= total)
-            return limited(std::string_view(stream_.end)
-                                   .substr(std::min(sent_ - total, stream_.end.size())));
-        if (sent_ < stream_.beginning.size())
-            return limited(std::string_view(stream_.beginning).substr(sent_));
-        const size_t at = (sent_ - stream_.beginning.size()) % stream_.repeated.size();
-        return limited(std::string_view(stream_.repeated).substr(at, total - sent_));
-    }
-    bool receive()
-    {
-        std::array<char, 65536> ignored {};
-        return recv(socket_, ignored.data(), ignored.size(), MSG_DONTWAIT) > 0;
-    }
-
-    const Stream &stream_;
-    int socket_;
-    size_t sent_ = 0;
-    bool isDone_ = false;
-};
-
-// A repeated part that is sent in few writes.
-std::string manyOf(const std::string &unit)
-{
-    std::string text;
-    while (text.size() < (1U << 16))
-        text += unit;
-    return text;
-}
+static_assert(bytesEach == streamBytes);
 
 const std::string requestHead = "POST /a/00000000000000ff HTTP/1.1\r\nHost: work.example\r\n";
 const std::string chunkedHead = requestHead + "Transfer-Encoding: chunked\r\n\r\n";
@@ -138,21 +53,8 @@
         return isAnswered;
     }
 
-    size_t kilobytes(const std::string &field) const
-    {
-        std::ifstream status("/proc/" + std::to_string(daemon->pid()) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with(field + ":"))
-                return std::stoul(line.substr(field.size() + 1));
-        }
-        return 0;
-    }
-    size_t descriptors() const
-    {
-        const std::filesystem::directory_iterator files("/proc/" + std::to_string(daemon->pid())
-                                                        + "/fd");
-        return static_cast<size_t>(std::distance(begin(files), end(files)));
-    }
+    size_t kilobytes(const std::string &field) const { return memoryOf(daemon->pid(), field); }
+    size_t descriptors() const { return descriptorsOf(daemon->pid()); }
 
     // Lets clients send until nothing moves any more. Half of them use the callers' port and half
     // the port of the readiness check.
@@ -165,23 +67,53 @@
         std::vector<std::unique_ptr<Client>> clients;
         for (size_t i = 0; i < count; ++i)
             clients.push_back(std::make_unique<Client>(ports[i % ports.size()], stream));
-        const Time latest = currentTime() + 20s;
-        Time lastProgress = currentTime();
-        while (currentTime() < std::min(latest, Time(lastProgress + 500ms))) {
-            bool hasAdvanced = false;
-            for (const auto &client : clients)
-                hasAdvanced |= client->advance();
-            if (hasAdvanced)
-                lastProgress = currentTime();
-            if (!hasAdvanced || stream.bytesPerWrite == 1)
-                std::this_thread::sleep_for(2ms);
-        }
+        advanceAll(clients, stream.bytesPerWrite == 1);
         BOOST_REQUIRE(!daemon->hasEnded());
         BOOST_TEST(kilobytes("VmHWM") <= maxPeakKb);
         BOOST_TEST(descriptors() <= maxDescriptors);
         clients.clear();
         checkAfterwards();
     }
+    // The same with a stream of its own for each client.
+    template<class MakeStream>
+    void checkAgainstEach(MakeStream makeStream, size_t count = crowdSize)
+    {
+        std::vector<Stream> streams;
+        for (size_t i = 0; i < count; ++i)
+            streams.push_back(makeStream(i));
+        std::vector<std::unique_ptr<Client>> clients;
+        for (const Stream &stream : streams)
+            clients.push_back(std::make_unique<Client>(httpPort, stream));
+        advanceAll(clients, false);
+        BOOST_REQUIRE(!daemon->hasEnded());
+        BOOST_TEST(kilobytes("VmHWM") <= maxPeakKb);
+        BOOST_TEST(descriptors() <= maxDescriptors);
+        clients.clear();
+        checkAfterwards();
+    }
+    // The same with servers that answer each poll with a stream.
+    void checkAgainstServers(const Stream &answer, size_t count = crowdSize)
+    {
+        std::vector<std::unique_ptr<StreamingServer>> servers;
+        for (size_t i = 0; i < count; ++i) {
+            servers.push_back(std::make_unique<StreamingServer>(answer));
+            store.put("keyed.servers", fmt::format("x{}", i),
+                      fmt::format(R"({{"service":"s","address":"127.0.0.1:{}","zone":"z",)"
+                                  R"("state":"ready","capacity":{{"cpu":32000,"mem_mb":1000,)"
+                                  R"("gpu":0}},"labels":[],"born":1}})",
+                                  servers.back()->port()));
+        }
+        const Time end = currentTime() + 5s;
+        while (currentTime() < end && kilobytes("VmHWM") <= maxPeakKb)
+            std::this_thread::sleep_for(20ms);
+        BOOST_REQUIRE(!daemon->hasEnded());
+        BOOST_TEST(kilobytes("VmHWM") <= maxPeakKb);
+        BOOST_TEST(descriptors() <= maxDescriptors);
+        for (size_t i = 0; i < count; ++i)
+            store.put("keyed.servers", fmt::format("x{}", i), "");
+        servers.clear();
+        checkAfterwards();
+    }
     void checkAfterwards()
     {
         BOOST_TEST(isServedInTheEnd());
@@ -197,6 +129,47 @@
     }
 };
 
+// A POST of a job, for clients that send many of them on a connection.
+std::string jobRequest(const std::string &id, const std::string &body)
+{
+    return "POST /a/" + id + " HTTP/1.1\r\nHost: work.example\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Requests of one client, each made from an id that no other request has.
+template<class MakeRequest>
+Stream requestsOf(size_t client, size_t count, MakeRequest makeRequest)
+{
+    std::string requests;
+    for (size_t i = 0; i < count; ++i)
+        requests += makeRequest(fmt::format("{:08x}{:08x}", client + 1, i));
+    const size_t size = requests.size();
+    return {std::move(requests), "", size};
+}
+
+// Number of requests of a size that make up the bytes of a client.
+size_t requestsPerClient(size_t bytesOfRequest)
+{
+    return bytesEach / bytesOfRequest;
+}
+
+constexpr size_t largestSpec = 4000;
+constexpr size_t widestJob = 1900;
+
+std::string oneTaskJob(size_t specBytes, int milliCores)
+{
+    return fmt::format(R"({{"spec":"{}","steps":[{{"count":1,"cpu":{},"mem_mb":0,)"
+                       R"("estimate_ms":60}}]}})",
+                       std::string(specBytes, 'p'), milliCores);
+}
+
+std::string repeatedJob(size_t tasks, size_t repeatCount, int64_t startAtMs, int64_t intervalMs)
+{
+    return fmt::format(R"({{"spec":"p","repeat_count":{},"start_at_ms":{},"interval_ms":{},)"
+                       R"("steps":[{{"count":{},"cpu":10000,"estimate_ms":60}}]}})",
+                       repeatCount, startAtMs, intervalMs, tasks);
+}
+
 } // namespace
 
 // Each test guards against a process that ends, exceeds the memory of its VM, or runs out of
@@ -308,3 +281,155 @@
     BOOST_TEST(kilobytes("VmHWM") <= maxPeakKb);
     checkAfterwards();
 }
+
+// Stored jobs of the largest size, each of them valid. They run at once.
+BOOST_FIXTURE_TEST_CASE(large_stored_jobs_that_end_soon, Process)
+{
+    const std::string job = oneTaskJob(largestSpec, 1);
+    const auto request = [&](const std::string &id) { return jobRequest(id, job); };
+    checkAgainstEach([&](size_t client) {
+        return requestsOf(client, requestsPerClient(job.size()), request);
+    });
+}
+
+// Jobs of which only a few can run at a time.
+BOOST_FIXTURE_TEST_CASE(large_stored_jobs_that_wait, Process)
+{
+    const std::string job = oneTaskJob(largestSpec, 10'000);
+    const auto request = [&](const std::string &id) { return jobRequest(id, job); };
+    checkAgainstEach([&](size_t client) {
+        return requestsOf(client, requestsPerClient(job.size()), request);
+    });
+}
+
+// Jobs that run at once, so that their keeper holds many that have ended.
+BOOST_FIXTURE_TEST_CASE(small_stored_jobs_that_end_soon, Process)
+{
+    const std::string job = oneTaskJob(10, 1);
+    const auto request = [&](const std::string &id) { return jobRequest(id, job); };
+    checkAgainstEach([&](size_t client) {
+        return requestsOf(client, requestsPerClient(job.size()), request);
+    });
+}
+
+BOOST_FIXTURE_TEST_CASE(stored_jobs_that_are_cancelled_at_once, Process)
+{
+    const std::string job = fmt::format(
+            R"({{"spec":"p","steps":[{{"count":{},"cpu":10000,"estimate_ms":60}}]}})", widestJob);
+    const auto requests = [&](const std::string &id) {
+        return jobRequest(id, job) + "DELETE /a/" + id + " HTTP/1.1\r\nHost: work.example\r\n\r\n";
+    };
+    checkAgainstEach([&](size_t client) { return requestsOf(client, 1000, requests); });
+}
+
+// The largest number of tasks that may be due at one time, in a body of some hundred bytes.
+BOOST_FIXTURE_TEST_CASE(repeated_jobs_that_are_due_at_once, Process)
+{
+    const std::string job = repeatedJob(widestJob, 52, 0, 0);
+    const auto request = [&](const std::string &id) { return jobRequest(id, job); };
+    checkAgainstEach([&](size_t client) { return requestsOf(client, 10, request); });
+}
+
+// One request, and more tasks with each millisecond that passes.
+BOOST_FIXTURE_TEST_CASE(repeated_job_that_is_due_each_millisecond, Process)
+{
+    const int64_t soonMs = toUnixMillis(currentTime()) + 200;
+    const std::string job = repeatedJob(widestJob, 1'000'000, soonMs, 1);
+    const auto request = [&](const std::string &id) { return jobRequest(id, job); };
+    const Stream stream = requestsOf(0, 1, request);
+    Client client(httpPort, stream);
+    const Time end = currentTime() + 5s;
+    while (currentTime() < end && !daemon->hasEnded() && kilobytes("VmHWM") <= maxPeakKb) {
+        client.advance();
+        std::this_thread::sleep_for(2ms);
+    }
+    BOOST_REQUIRE(!daemon->hasEnded());
+    BOOST_TEST(kilobytes("VmHWM") <= maxPeakKb);
+    checkAfterwards();
+}
+
+// Each connection may have one job in work, with as many tasks as a job may have.
+BOOST_FIXTURE_TEST_CASE(widest_jobs_on_all_connections, Process)
+{
+    const std::string job = fmt::format(R"({{"spec":"{}","best_effort":true,"steps":[{{"count":{},)"
+                                        R"("cpu":1,"mem_mb":0,"estimate_ms":60}}]}})",
+                                        std::string(largestSpec, 'p'), widestJob);
+    const auto request = [&](const std::string &id) { return jobRequest(id, job); };
+    checkAgainstEach([&](size_t client) { return requestsOf(client, 50, request); }, 100);
+}
+
+// Bodies just below the limit, of values that take much more memory than their text.
+BOOST_FIXTURE_TEST_CASE(complete_bodies_of_the_largest_size, Process)
+{
+    constexpr size_t largestBody = 1U << 20;
+    const std::string start = R"({"spec":"p","steps":[{"a":0})";
+    std::string body = start;
+    while (body.size() + 16 < largestBody)
+        body += R"(,{"a":0})";
+    body += "]}";
+    const auto request = [&](const std::string &id) { return jobRequest(id, body); };
+    checkAgainstEach([&](size_t client) { return requestsOf(client, 5, request); });
+}
+
+// A header field behind the body must not change what the header says.
+BOOST_FIXTURE_TEST_CASE(fields_of_trailers_start_nothing, Process)
+{
+    const std::string id = nextId();
+    const std::string job = R"({"spec":"p","best_effort":true,"steps":[{"count":1,"cpu":10000,)"
+                            R"("mem_mb":1,"estimate_ms":60}]})";
+    const std::string request =
+            fmt::format("POST /a/{} HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTrailer: Host\r\n\r\n"
+                        "{:x}\r\n{}\r\n0\r\nHost: work.example\r\n\r\n",
+                        id, job.size(), job);
+    checkAgainstEach([&](size_t) { return Stream {request, "", request.size()}; }, 1);
+    BOOST_TEST(startsOf(id) == 0U);
+}
+
+const std::string chunkedAnswer =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+BOOST_FIXTURE_TEST_CASE(answers_of_servers_that_do_not_end, Process)
+{
+    checkAgainstServers(
+            {chunkedAnswer, manyOf("1000\r\n" + std::string(0x1000, ' ') + "\r\n"), 100'000'000});
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_of_servers_with_endless_trailers, Process)
+{
+    checkAgainstServers({chunkedAnswer + "1\r\nx\r\n0\r\n", manyOf("a: b\r\n"), 100'000'000});
+}
+
+// Parsing a JSON document takes many times its size.
+BOOST_FIXTURE_TEST_CASE(large_complete_answers_of_servers, Process)
+{
+    const std::string start = R"({"clock_ms":1,"running":[0)";
+    constexpr size_t repeats = 1'500'000;
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+            + std::to_string(start.size() + 2 * repeats + 2) + "\r\n\r\n";
+    checkAgainstServers(
+            {head + start, manyOf(",0"), head.size() + start.size() + 2 * repeats, "]}"}, 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_of_servers_byte_by_byte, Process)
+{
+    checkAgainstServers({chunkedAnswer, "1\r\n \r\n", bytesEach, {}, 1});
+}
+
+// Entries that no server writes, under ever new keys.
+BOOST_FIXTURE_TEST_CASE(large_records_of_other_writers, Process)
+{
+    constexpr size_t recordBytes = 200'000;
+    constexpr size_t records = 400;
+    const std::string value(recordBytes, 'x');
+    for (size_t i = 0; i < records; ++i)
+        store.put("keyed.servers", fmt::format("odd-{}", i), value);
+    startDaemon();
+    const Time end = currentTime() + 5s;
+    while (currentTime() < end && kilobytes("VmHWM") <= maxPeakKb)
+        std::this_thread::sleep_for(20ms);
+    BOOST_REQUIRE(!daemon->hasEnded());
+    BOOST_TEST(kilobytes("VmHWM") <= maxPeakKb);
+    for (size_t i = 0; i < records; ++i)
+        store.put("keyed.servers", fmt::format("odd-{}", i), "");
+    checkAfterwards();
+}
