Bound the memory of stored jobs

Callers saw a VM that ran out of memory. Each of the requests was valid: stored jobs with ever new ids, wide jobs that are cancelled at once, and repeated jobs. A single job of 150 bytes that is due each millisecond took 1.2 GB within five seconds, since a keeper opened all occurrences that were due. Nothing bounded what a keeper holds: only the expected wait led to a refusal, ended jobs kept their spec for two minutes, and std::string::operator=({}) and vector::clear() keep the memory.

Each object of a partition now adds its memory to a total (MemoryCharge). A job that does not fit is refused with Retry-After until the first ended job is forgotten. Occurrences are opened as memory allows, one of each job in any case. Ended jobs give up their spec. The default is a tenth of the memory for the jobs of a VM (limits.maxStoredJobBytes), and 12 MB at most for one partition, so that the smallest VM can take it over. A VM that takes over more than twice its share reads the remaining partitions when jobs have ended. Appends have at most 256 KiB in place of 1 MiB, because each partition may have one under way.

Weighed: a fixed share of each partition, so that one VM can hold all of them.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -131,6 +131,11 @@
     // Within this time after the loss of a VM, the runs that its pool had started end, and the next
     // holder of its servers reports how.
     Duration lostRunTimeout = std::chrono::milliseconds(2000);
+    // Memory for the jobs of all partitions that this VM holds. A new job that does not fit is
+    // refused. As much again is used for partitions that this VM takes over.
+    size_t maxBytes = 12U << 20;
+    // Memory for the jobs of one partition, which must fit into that of every VM.
+    size_t maxPartitionBytes = 12U << 20;
 };
 
 // Schedules the stored jobs of the partitions that this VM holds. Single-threaded.
@@ -189,6 +194,9 @@
     void handle(const QueryJob &request, Time now);
     void handle(const CancelJob &request, Time now);
     bool isAuthoritative(const Partition &partition, Time now) const;
+    size_t heldBytes() const;
+    bool mayRead(const Partition &partition) const;
+    bool hasRoomFor(const JobSpec &job, const Partition &partition) const;
     // Estimates the time until tasks of a new job can start; zero if a pool has free cores now.
     Duration expectedWait(const JobSpec &job, const std::string &service, Time now);
 
--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -41,12 +41,19 @@
     // Bytes of unfinished requests and answers on all connections; the same again for frames of
     // other VMs. 0 for an eighth of the memory.
     size_t maxHeldBytes = 0;
+    // Memory for the stored jobs that this VM accepts; as much again is used for those that it
+    // takes over. 0 for a tenth of the memory.
+    size_t maxStoredJobBytes = 0;
     size_t maxConnections = 1024;
     size_t maxFrameBytes = 4U << 20;
     Duration idleTimeout = std::chrono::seconds(60);
     Duration readTimeout = std::chrono::seconds(10);
     Duration writeTimeout = std::chrono::seconds(10);
 
+    size_t storedJobBytes() const
+    {
+        return maxStoredJobBytes > 0 ? maxStoredJobBytes : (memoryMb << 20) / 10;
+    }
     size_t heldBytes() const { return maxHeldBytes > 0 ? maxHeldBytes : (memoryMb << 20) / 8; }
 
     auto operator<=>(const NodeLimits &) const = default;
--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -29,6 +29,9 @@
 // Number of low bits of an epoch. They distinguish successive holds of a partition by one VM within
 // a generation of the group.
 constexpr unsigned epochBits = 8;
+// Memory for jobs as a multiple of that for jobs that this VM accepts. The rest is for partitions
+// of other VMs.
+constexpr size_t takeoverFactor = 2;
 
 bool isFailure(const TaskOutcome &outcome)
 {
@@ -115,11 +118,41 @@
         if (partitions_.contains(number))
             continue;
         const uint64_t epoch = nextEpoch(number, generation);
-        partitions_.emplace(number, std::make_unique<Partition>(number, epoch));
+        partitions_.emplace(number, std::make_unique<Partition>(number, epoch, options_));
         addLogEntry("partition-taken", {}, fmt::format("partition={} epoch={}", number, epoch));
     }
 }
 
+size_t JobKeeper::heldBytes() const
+{
+    size_t bytes = 0;
+    for (const auto &[number, partition] : partitions_)
+        bytes += partition->heldBytes();
+    return bytes;
+}
+
+// Whether a new job fits into the memory of its partition and of this VM.
+bool JobKeeper::hasRoomFor(const JobSpec &job, const Partition &partition) const
+{
+    return keeper::bytesOfNewJob(job) <= partition.freeBytes(heldBytes() - partition.heldBytes());
+}
+
+// Whether the partition may be read on. A VM that takes over more jobs than it has memory for reads
+// the rest when others have ended. One partition is always served, since no job could end
+// otherwise.
+bool JobKeeper::mayRead(const Partition &partition) const
+{
+    if (heldBytes() < takeoverFactor * options_.maxBytes)
+        return true;
+    const auto isServing = [](const auto &entry) { return entry.second->isServing(); };
+    if (std::any_of(partitions_.begin(), partitions_.end(), isServing))
+        return false;
+    const auto first = std::find_if(partitions_.begin(), partitions_.end(), [](const auto &entry) {
+        return entry.second->stage() == Partition::Stage::Reading;
+    });
+    return first != partitions_.end() && first->second.get() == &partition;
+}
+
 // A partition that is released and taken again within one generation needs a new epoch, because the
 // numbering of its appends restarts.
 uint64_t JobKeeper::nextEpoch(uint32_t partition, uint64_t generation)
@@ -203,6 +236,15 @@
                                             JobState::Queued, std::max(wait, minRetryAfter)});
         return;
     }
+    if (!hasRoomFor(request.job, partition)) {
+        addLogEntry("job-refused", request.job.id,
+                    fmt::format("{} cause=memory held={}", details, partition.heldBytes()));
+        const Duration retryAfter = partition.nextRelease().value_or(now) - now;
+        actions_.emplace_back(KeeperAnswer {request.caller, KeeperAnswer::Kind::Refused,
+                                            JobState::Queued,
+                                            std::max({retryAfter, wait, minRetryAfter})});
+        return;
+    }
     addLogEntry("job-stored", request.job.id, details);
     JobAccepted record {toUnixMillis(now), partition.epoch(), std::move(request.job),
                         std::move(request.queueParameters)};
@@ -432,7 +474,7 @@
 {
     resumeRunsOfReturnedVms(now);
     for (auto &[number, partition] : partitions_) {
-        partition->tick(options_, now);
+        partition->tick(options_, heldBytes() - partition->heldBytes(), now);
         stopClosedJobs(*partition, now);
     }
     resendBatches(now);
@@ -474,6 +516,8 @@
     if (isPlacementDue_)
         placeWaitingJobs(now);
     for (auto &[number, partition] : partitions_) {
+        if (partition->stage() == Partition::Stage::Reading && !mayRead(*partition))
+            continue;
         while (auto call = partition->nextCall(now))
             actions_.push_back(std::move(*call));
     }
--- a/src/keeper/partition.cpp
+++ b/src/keeper/partition.cpp
@@ -17,7 +17,7 @@
 constexpr Duration clockAllowance = std::chrono::seconds(5);
 // Limits of one append. Further records follow in the next one.
 constexpr size_t maxAppendRecords = 500;
-constexpr size_t maxAppendBytes = 1U << 20;
+constexpr size_t maxAppendBytes = 256U << 10;
 // Number of records of rewritten states in one append, so that others have room beside them. The
 // state of a wide job may have more.
 constexpr size_t snapshotAppendRecords = maxAppendRecords / 2;
@@ -83,9 +83,13 @@
 
 void JobKeeper::Partition::write(JournalRecord record, std::optional<Reply> reply)
 {
-    if (std::holds_alternative<JobAccepted>(record))
-        pendingJobs_.insert(jobOf(record));
-    unsentRecords_.push_back({std::move(record), std::move(reply)});
+    PendingRecord pending {std::move(record), std::move(reply)};
+    if (const auto *accepted = std::get_if<JobAccepted>(&pending.record)) {
+        pendingJobs_.insert(accepted->job.id);
+        pending.charge = std::make_unique<keeper::MemoryCharge>(heldBytes_);
+        pending.charge->add(keeper::bytesOfNewJob(accepted->job));
+    }
+    unsentRecords_.push_back(std::move(pending));
 }
 
 std::optional<KeeperAction> JobKeeper::Partition::nextCall(Time now)
@@ -187,6 +191,7 @@
     }
     if (isAcceptance)
         pendingJobs_.erase(id);
+    pending.charge.reset();
     apply(pending.record, offset);
     if (pending.reply)
         replies_.push_back(std::move(*pending.reply));
@@ -203,7 +208,7 @@
 
 void JobKeeper::Partition::applyRecord(const JobAccepted &record, uint64_t offset)
 {
-    const auto [entry, isNew] = jobs_.try_emplace(record.job.id, record, offset);
+    const auto [entry, isNew] = jobs_.try_emplace(record.job.id, record, offset, heldBytes_);
     if (!isNew)
         entry->second.onSnapshotWritten(offset);
 }
@@ -262,18 +267,25 @@
         placementQueue_.erase(key);
 }
 
-void JobKeeper::Partition::tick(const KeeperOptions &options, Time now)
+size_t JobKeeper::Partition::freeBytes(size_t otherBytes) const
+{
+    const size_t keeperBytes = heldBytes_ + otherBytes;
+    return std::min(maxBytes_ - std::min(heldBytes_, maxBytes_),
+                    maxKeeperBytes_ - std::min(keeperBytes, maxKeeperBytes_));
+}
+
+void JobKeeper::Partition::tick(const KeeperOptions &options, size_t otherBytes, Time now)
 {
     if (!isServing())
         return;
-    runWakeups(now);
+    runWakeups(otherBytes, now);
     if (now >= nextExpiry_) {
         nextExpiry_ = now + expiryInterval;
         expire(options, now);
     }
 }
 
-void JobKeeper::Partition::runWakeups(Time now)
+void JobKeeper::Partition::runWakeups(size_t otherBytes, Time now)
 {
     while (!wakeups_.empty() && wakeups_.begin()->first <= now) {
         const std::string id = wakeups_.begin()->second;
@@ -291,7 +303,7 @@
                 }
             }
         }
-        if (const auto next = job->openDueOccurrences(now))
+        if (const auto next = job->openDueOccurrences(freeBytes(otherBytes), now))
             scheduleWakeup(*next, id);
         updateIndexes(id, now);
     }
@@ -306,7 +318,13 @@
         return job.isClosed() && job.closedAtMs() < keepFrom && job.pools().empty();
     });
     trimOffset_ = endOffset_;
+    nextRelease_.reset();
     for (auto &[id, job] : jobs_) {
+        if (job.isClosed()) {
+            const Time release =
+                    fromUnixMillis(job.closedAtMs()) + options.jobRetention + clockAllowance;
+            nextRelease_ = std::min(nextRelease_.value_or(release), release);
+        }
         trimOffset_ = std::min(trimOffset_, job.firstOffset());
         if (job.snapshotAtMs >= snapshotBefore)
             continue;
--- a/src/keeper/partition.h
+++ b/src/keeper/partition.h
@@ -3,6 +3,7 @@
 
 #include "stored_job.h"
 
+#include <memory>
 #include <set>
 #include <unordered_map>
 
@@ -37,7 +38,10 @@
         auto operator<=>(const PlacementKey &) const = default;
     };
 
-    Partition(uint32_t number, uint64_t epoch) : number_(number), epoch_(epoch) { }
+    Partition(uint32_t number, uint64_t epoch, const KeeperOptions &options)
+        : number_(number), epoch_(epoch), maxBytes_(options.maxPartitionBytes),
+          maxKeeperBytes_(options.maxBytes)
+    { }
 
     uint32_t number() const { return number_; }
     uint64_t epoch() const { return epoch_; }
@@ -60,6 +64,12 @@
     keeper::StoredJob *find(const std::string &job);
     std::unordered_map<std::string, keeper::StoredJob> &jobs() { return jobs_; }
     bool isAcceptancePending(const std::string &job) const { return pendingJobs_.contains(job); }
+    // Memory of the jobs, with those whose acceptance is being written.
+    size_t heldBytes() const { return heldBytes_; }
+    // Memory that is left for jobs of this partition.
+    size_t freeBytes(size_t otherBytes) const;
+    // Time at which the memory of an ended job becomes free; nullopt if no job has ended.
+    std::optional<Time> nextRelease() const { return nextRelease_; }
     // Updates the placement queue and the other sets of jobs after the state of a job has changed.
     void updateIndexes(const std::string &job, Time now);
     void scheduleWakeup(Time time, const std::string &job) { wakeups_.emplace(time, job); }
@@ -72,8 +82,9 @@
     Time earliestStart() const { return earliestStart_; }
 
     // Removes jobs that ended longer ago than the retention, selects the jobs whose records are
-    // about to expire to be written anew, and runs the wakeups that are due.
-    void tick(const KeeperOptions &options, Time now);
+    // about to expire to be written anew, and runs the wakeups that are due. `otherBytes` is the
+    // memory of the jobs of other partitions.
+    void tick(const KeeperOptions &options, size_t otherBytes, Time now);
 
 private:
     struct PendingRecord
@@ -82,6 +93,7 @@
         std::optional<Reply> reply {};
         // Whether the record only repeats a part of the present state.
         bool isSnapshot = false;
+        std::unique_ptr<keeper::MemoryCharge> charge {}; // of a job that is not accepted yet
     };
 
     std::optional<KeeperAction> nextTrim();
@@ -94,10 +106,14 @@
     void applyRecord(const TasksRestarted &record, uint64_t offset);
     void beginServing(Duration takeoverDelay, Time now);
     void expire(const KeeperOptions &options, Time now);
-    void runWakeups(Time now);
+    void runWakeups(size_t otherBytes, Time now);
 
     uint32_t number_;
     uint64_t epoch_;
+    size_t maxBytes_;       // memory for the jobs of this partition
+    size_t maxKeeperBytes_; // memory for the jobs of all partitions
+    size_t heldBytes_ = 0;
+    std::optional<Time> nextRelease_;
     Stage stage_ = Stage::Opening;
     bool isCallPending_ = false; // whether a call to the journal is awaiting its answer
     bool isStalled_ = false;
@@ -108,7 +124,7 @@
     uint64_t sequence_ = 0;
     std::vector<PendingRecord> unsentRecords_;
     std::vector<PendingRecord> inFlight_;
-    std::set<std::string> pendingJobs_; // ids of the jobs whose acceptance is being written
+    std::set<std::string> pendingJobs_;    // ids of the jobs whose acceptance is being written
     std::vector<Reply> replies_;
     std::vector<std::string> snapshotJobs_; // ids of the jobs whose state is to be written anew
     uint64_t trimOffset_ = 0;               // records before this offset are no longer needed
--- a/src/keeper/stored_job.cpp
+++ b/src/keeper/stored_job.cpp
@@ -12,6 +12,15 @@
 constexpr uint32_t runsPerEpochLog2 = 4;
 // Time for which a pool that had no capacity for a task of a job is not asked again for that job.
 constexpr Duration refusalBackoff = std::chrono::milliseconds(100);
+// Time after which occurrences are opened that have found no memory.
+constexpr Duration occurrenceRetryDelay = std::chrono::milliseconds(100);
+
+// Unlike clear(), frees the memory too.
+template<class Container>
+void freeMemory(Container &container)
+{
+    Container().swap(container);
+}
 
 int64_t toMillis(Duration duration)
 {
@@ -27,14 +36,22 @@
             + Duration(static_cast<int64_t>(queueParameters.stretchFactor * chain));
 }
 
-StoredJob::StoredJob(JobAccepted record, uint64_t offset)
-    : snapshotAtMs(record.timestampMs), accepted_(std::move(record)), firstOffset_(offset),
+StoredJob::StoredJob(JobAccepted record, uint64_t offset, size_t &heldBytes)
+    : snapshotAtMs(record.timestampMs), charge_(heldBytes), accepted_(std::move(record)),
+      firstOffset_(offset),
       latestStartMs_(accepted_.timestampMs
                      + toMillis(objectiveOf(accepted_.job, accepted_.queueParameters)
                                 - criticalPath(accepted_.job)))
 {
+    charge_.add(bytesOf(spec()));
     if (spec().repeatCount == 0)
-        occurrences_.emplace(0, makeOccurrence());
+        addOccurrence(0);
+}
+
+void StoredJob::addOccurrence(uint32_t number)
+{
+    if (occurrences_.try_emplace(number, makeOccurrence()).second)
+        charge_.add(bytesOfOpenOccurrence(spec()));
 }
 
 Occurrence StoredJob::makeOccurrence() const
@@ -58,6 +75,9 @@
 {
     finalState_ = state;
     closedAtMs_ = std::max<int64_t>(timestampMs, 1);
+    // No task starts any more, so only the numbers of its runs are needed.
+    charge_.subtract(2 * accepted_.job.payload.size());
+    freeMemory(accepted_.job.payload);
 }
 
 StoredTask *StoredJob::find(const TaskName &name)
@@ -125,7 +145,7 @@
 void StoredJob::openOccurrence(uint32_t number)
 {
     if (number < spec().repeatCount)
-        occurrences_.try_emplace(number, makeOccurrence());
+        addOccurrence(number);
 }
 
 // Reduces a completed occurrence to its run numbers to save memory, since a closed job remains
@@ -138,7 +158,9 @@
             runs.push_back(task.succeededRun);
         occurrence.succeededRuns.push_back(std::move(runs));
     }
-    occurrence.steps.clear();
+    freeMemory(occurrence.steps);
+    charge_.subtract(bytesOfOpenOccurrence(spec()));
+    charge_.add(bytesOfCompleteOccurrence(spec()));
 }
 
 uint32_t StoredJob::succeededRun(const TaskName &name) const
@@ -182,17 +204,28 @@
     return spec().repeatCount == 0 || dueAt(occurrence) <= now;
 }
 
-std::optional<Time> StoredJob::openDueOccurrences(Time now)
+std::optional<Time> StoredJob::openDueOccurrences(size_t freeBytes, Time now)
 {
-    for (uint32_t number = 0; number < spec().repeatCount; ++number) {
-        if (!isDue(number, now))
-            return dueAt(number);
-        if (!occurrences_.contains(number))
-            occurrences_.emplace(number, makeOccurrence());
+    const size_t bytes = bytesOfOpenOccurrence(spec());
+    for (; nextOccurrence_ < spec().repeatCount; ++nextOccurrence_) {
+        if (!isDue(nextOccurrence_, now))
+            return dueAt(nextOccurrence_);
+        if (occurrences_.contains(nextOccurrence_))
+            continue;
+        if (bytes > freeBytes && hasOpenOccurrence())
+            return now + occurrenceRetryDelay;
+        addOccurrence(nextOccurrence_);
+        freeBytes -= std::min(bytes, freeBytes);
     }
     return std::nullopt;
 }
 
+bool StoredJob::hasOpenOccurrence() const
+{
+    return std::any_of(occurrences_.begin(), occurrences_.end(),
+                       [](const auto &entry) { return entry.second.unfinishedSteps > 0; });
+}
+
 bool StoredJob::isStepReady(const Occurrence &occurrence, uint32_t step) const
 {
     const auto &after = spec().steps[step].after;
--- a/src/keeper/stored_job.h
+++ b/src/keeper/stored_job.h
@@ -1,6 +1,8 @@
 // State of one stored job, from its journal records and its current runs.
 #pragma once
 
+#include "memory_charge.h"
+
 #include "lovage/keeper.h"
 
 #include <map>
@@ -62,7 +64,8 @@
 class StoredJob
 {
 public:
-    StoredJob(JobAccepted record, uint64_t offset);
+    // The memory that the job takes is added to `heldBytes`, which must outlive the job.
+    StoredJob(JobAccepted record, uint64_t offset, size_t &heldBytes);
 
     const JobSpec &spec() const { return accepted_.job; }
     const QueueParameters &queueParameters() const { return accepted_.queueParameters; }
@@ -83,8 +86,9 @@
     // Adds an occurrence that an earlier keeper has started, as a record or an outcome of one of
     // its runs shows. Does nothing if the job has no such occurrence.
     void openOccurrence(uint32_t number);
-    // Adds the occurrences that are due. Returns the time at which the next one is due, if any.
-    std::optional<Time> openDueOccurrences(Time now);
+    // Adds the occurrences that are due, as far as there is memory for them; one may be open
+    // without. Returns the time at which to call it again, if any.
+    std::optional<Time> openDueOccurrences(size_t freeBytes, Time now);
     std::map<uint32_t, Occurrence> &occurrences() { return occurrences_; }
     const std::map<uint32_t, Occurrence> &occurrences() const { return occurrences_; }
     StoredTask *find(const TaskName &name);
@@ -128,14 +132,17 @@
 
 private:
     static void completeTask(Occurrence &occurrence, uint32_t step, StoredTask &task, uint32_t run);
-    static void completeOccurrence(Occurrence &occurrence);
+    void completeOccurrence(Occurrence &occurrence);
     void close(JobState state, int64_t timestampMs);
+    void addOccurrence(uint32_t number);
+    bool hasOpenOccurrence() const;
     Time dueAt(uint32_t occurrence) const;
     Occurrence makeOccurrence() const;
     // Returns the highest number of a run that keepers before the epoch start without a record.
     uint32_t runsBefore(uint64_t epoch) const;
     void addRestartRecords(uint32_t occurrence, std::vector<JournalRecord> &records) const;
 
+    MemoryCharge charge_;
     JobAccepted accepted_;
     uint64_t firstOffset_;
     int64_t latestStartMs_;
@@ -143,6 +150,7 @@
     int64_t closedAtMs_ = 0;
     uint32_t completeOccurrences_ = 0;
     std::map<uint32_t, Occurrence> occurrences_;
+    uint32_t nextOccurrence_ = 0; // all before it have been opened
     // Time until which each pool that had no capacity for a task is not asked again, by name of its
     // VM.
     std::map<std::string, Time> refusedUntil_;
--- a/src/node/settings.cpp
+++ b/src/node/settings.cpp
@@ -73,6 +73,7 @@
     reader.readNumber("maxHeaderBytes", limits.maxHeaderBytes, 1024, 1U << 20);
     reader.readNumber("maxRequestBytes", limits.maxRequestBytes, minBodyBytes, maxBytes);
     reader.readNumber("maxHeldBytes", limits.maxHeldBytes, 1U << 20, maxBytes);
+    reader.readNumber("maxStoredJobBytes", limits.maxStoredJobBytes, 1U << 20, maxBytes);
     reader.readNumber("maxConnections", limits.maxConnections, 16, 1U << 20);
     reader.readNumber("maxFrameBytes", limits.maxFrameBytes, 1U << 20, maxBytes);
     reader.readMillis("idleTimeoutMs", limits.idleTimeout, 1000, maxMillis);
@@ -86,6 +87,8 @@
     const size_t memory = limits.memoryMb << 20;
     if (limits.heldBytes() > memory / maxHeldShare)
         reader.report("limits.maxHeldBytes", "at most an eighth of memoryMb");
+    if (limits.storedJobBytes() > memory / maxHeldShare)
+        reader.report("limits.maxStoredJobBytes", "at most an eighth of memoryMb");
     if (limits.maxBodyBytes > memory / parseShare / bytesPerJsonByte)
         reader.report("limits.maxBodyBytes",
                       "at most a 64th of memoryMb, because a parsed body takes 16 times its size");
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -39,6 +39,8 @@
     options.partitions = settings.shardCount;
     options.jobRetention = settings.jobRetention;
     options.journalHistory = settings.journalHistory;
+    options.maxBytes = settings.limits.storedJobBytes();
+    options.maxPartitionBytes = std::min(options.maxBytes, options.maxPartitionBytes);
     return options;
 }
 
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -70,6 +70,51 @@
     BOOST_TEST(count(KeeperAnswer::Kind::Stored) == 2U);
 }
 
+// Guards against a keeper whose memory grows with the number of jobs that callers store.
+BOOST_FIXTURE_TEST_CASE(job_without_room_is_refused_until_another_is_forgotten, KeeperFixture)
+{
+    options.maxBytes = options.maxPartitionBytes = 100'000;
+    takeOver();
+    run(takeoverTime);
+    JobSpec job = makeJob("", {1});
+    job.payload = std::string(4000, 'p');
+    for (int i = 0; i < 100; ++i) {
+        job.id = "job" + std::to_string(i);
+        store(job);
+    }
+    run(milliseconds(500));
+    const size_t accepted = count(KeeperAnswer::Kind::Stored);
+    BOOST_TEST(accepted > 5U);
+    BOOST_TEST(accepted < 25U);
+    BOOST_TEST(count(KeeperAnswer::Kind::Refused) == 100 - accepted);
+    BOOST_TEST((answers.back().retryAfter >= std::chrono::seconds(1)));
+    run(options.jobRetention + std::chrono::seconds(10));
+    job.id = "later";
+    store(job);
+    run(milliseconds(500));
+    BOOST_TEST((queryState("later") == JobState::Completed));
+}
+
+// Guards against a job that makes its keeper hold all of its occurrences at once. The last of them
+// still runs.
+BOOST_FIXTURE_TEST_CASE(occurrences_wait_for_memory, KeeperFixture)
+{
+    options.maxBytes = options.maxPartitionBytes = 400'000;
+    takeOver();
+    run(takeoverTime);
+    JobSpec job = makeJob("job1", {1000});
+    job.repeatCount = 8;
+    job.firstDueMs = toUnixMillis(now);
+    freeMilliCores = 1'000'000'000;
+    store(job);
+    run(milliseconds(60));
+    BOOST_TEST(starts.size() > 1000U);
+    BOOST_TEST(starts.size() < 4000U);
+    run(std::chrono::seconds(5));
+    BOOST_TEST(starts.size() == 8000U);
+    BOOST_TEST((queryState("job1") == JobState::Completed));
+}
+
 // Guards against starting a step before the step it depends on is complete.
 BOOST_FIXTURE_TEST_CASE(step_starts_after_all_tasks_of_earlier_steps, KeeperFixture)
 {
--- a/tests/uncontrolled_clients_test.cpp
+++ b/tests/uncontrolled_clients_test.cpp
@@ -82,6 +82,7 @@
         for (size_t i = 0; i < count; ++i)
             streams.push_back(makeStream(i));
         std::vector<std::unique_ptr<Client>> clients;
+        clients.reserve(count);
         for (const Stream &stream : streams)
             clients.push_back(std::make_unique<Client>(httpPort, stream));
         advanceAll(clients, false);
