Write the cancellation of a job once

A caller that repeats a DELETE while the store is slow made the keeper queue one record for each repetition, without bound. A cancellation that is being written is now remembered like an acceptance: the repetition gets its answer when the VM of the caller asks again.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -291,6 +291,8 @@
         answer(request.caller, KeeperAnswer::Kind::Cancelled, job->state());
         return;
     }
+    if (partition.isCancelPending(request.job))
+        return; // the caller's VM repeats the request
     addLogEntry("job-cancelled", request.job, fmt::format("begun={}", job->hasStarted));
     partition.write(
             JobCancelled {toUnixMillis(now), request.job},
--- a/src/keeper/partition.cpp
+++ b/src/keeper/partition.cpp
@@ -88,6 +88,8 @@
         pendingJobs_.insert(accepted->job.id);
         pending.charge = std::make_unique<keeper::MemoryCharge>(heldBytes_);
         pending.charge->add(keeper::bytesOfNewJob(accepted->job));
+    } else if (std::holds_alternative<JobCancelled>(pending.record)) {
+        pendingCancels_.insert(jobOf(pending.record));
     }
     unsentRecords_.push_back(std::move(pending));
 }
@@ -191,6 +193,8 @@
     }
     if (isAcceptance)
         pendingJobs_.erase(id);
+    if (std::holds_alternative<JobCancelled>(pending.record))
+        pendingCancels_.erase(id);
     pending.charge.reset();
     apply(pending.record, offset);
     if (pending.reply)
--- a/src/keeper/partition.h
+++ b/src/keeper/partition.h
@@ -64,6 +64,7 @@
     keeper::StoredJob *find(const std::string &job);
     std::unordered_map<std::string, keeper::StoredJob> &jobs() { return jobs_; }
     bool isAcceptancePending(const std::string &job) const { return pendingJobs_.contains(job); }
+    bool isCancelPending(const std::string &job) const { return pendingCancels_.contains(job); }
     // Memory of the jobs, with those whose acceptance is being written.
     size_t heldBytes() const { return heldBytes_; }
     // Memory that is left for jobs of this partition.
@@ -125,6 +126,7 @@
     std::vector<PendingRecord> unsentRecords_;
     std::vector<PendingRecord> inFlight_;
     std::set<std::string> pendingJobs_;    // ids of the jobs whose acceptance is being written
+    std::set<std::string> pendingCancels_; // ids of the jobs whose cancellation is being written
     std::vector<Reply> replies_;
     std::vector<std::string> snapshotJobs_; // ids of the jobs whose state is to be written anew
     uint64_t trimOffset_ = 0;               // records before this offset are no longer needed
--- a/tests/keeper_test.cpp
+++ b/tests/keeper_test.cpp
@@ -115,6 +115,29 @@
     BOOST_TEST((queryState("job1") == JobState::Completed));
 }
 
+// Guards against one record for each repetition of a request to cancel a job.
+BOOST_FIXTURE_TEST_CASE(repeated_cancellation_is_written_once, KeeperFixture)
+{
+    store(makeJob("job1", {1}));
+    run(milliseconds(60));
+    const auto recordCount = [&] {
+        size_t records = 0;
+        for (const auto &[number, partition] : journal.partitions)
+            records += partition.records.size();
+        return records;
+    };
+    const size_t before = recordCount();
+    journal.isDown = true;
+    for (int i = 0; i < 10; ++i) {
+        keeper->onRequest(CancelJob {{"vm2", 1, 3}, "job1"}, now);
+        flush();
+    }
+    journal.isDown = false;
+    run(milliseconds(300));
+    BOOST_TEST(recordCount() <= before + 2); // the cancellation, and the end of the task if written
+    BOOST_TEST((queryState("job1") == JobState::Cancelled));
+}
+
 // Guards against starting a step before the step it depends on is complete.
 BOOST_FIXTURE_TEST_CASE(step_starts_after_all_tasks_of_earlier_steps, KeeperFixture)
 {
