Drop the trailers of requests

A chunked request without Host whose trailer was "Host: work.example" was answered 200, and its task was started. The fields of trailers were taken for those of the header, so that they could set host, deadline, authorization or the end of the connection after the header was read (RFC 9110, section 6.5.1, forbids this).

The parser now stops behind the header, and the reader copies the fields and the decision to keep the connection there. The parsing without limits moves to HttpMessageReader, which the client will use too.

--- a/src/net/httpreader.cpp
+++ b/src/net/httpreader.cpp
@@ -1,12 +1,7 @@
 #include "httpreader.h"
 
-#include <boost/beast/http/error.hpp>
-
 #include <fmt/format.h>
 
-#include <algorithm>
-#include <iterator>
-
 namespace lovage {
 
 namespace http = boost::beast::http;
@@ -14,7 +9,6 @@
 
 namespace {
 
-constexpr size_t readBytes = 16U << 10;
 // Memory of a header field beside its text, in the parser and in the request.
 constexpr size_t bytesPerField = 128;
 
@@ -38,71 +32,37 @@
 
 void HttpRequestReader::startRequest()
 {
-    parser_.emplace();
-    parser_->eager(true);
-    parser_->body_limit(limits_.maxBodyBytes);
-    parser_->header_limit(static_cast<uint32_t>(limits_.maxHeaderBytes));
+    reader_.start(limits_.maxBodyBytes, limits_.maxHeaderBytes);
     refusal_ = {};
-    consumed_ = 0;
     fieldCount_ = 0;
     isHeaderCounted_ = false;
-    hasUnparsed_ = false;
-}
-
-boost::asio::mutable_buffer HttpRequestReader::prepare()
-{
-    return buffer_.prepare(readBytes);
 }
 
 HttpRequestReader::State HttpRequestReader::parse()
 {
-    while (hasInput() && !isShortChunkHeader()) {
-        error_code error;
-        const size_t count = parser_->put(buffer_.data(), error);
-        buffer_.consume(count);
-        consumed_ += count;
-        hasUnparsed_ = hasInput();
-        if (error && error != http::error::need_more)
-            return refuse(refusalOf(error));
-        const State state = checkProgress();
-        if (state != State::Incomplete || error == http::error::need_more)
-            return state;
-    }
-    return State::Incomplete;
-}
-
-// The parser asserts that it gets at least 5 bytes of a last chunk ("0" and two line ends) whose
-// size line it has seen before. Nothing shorter can follow a chunk line, so shorter input can wait.
-bool HttpRequestReader::isShortChunkHeader() const
-{
-    constexpr size_t shortestEnd = 5;
-    return hasUnparsed_ && buffer_.size() < shortestEnd && parser_->is_header_done()
-            && parser_->chunked();
+    const error_code error = reader_.parse();
+    return error ? refuse(refusalOf(error)) : checkProgress();
 }
 
 HttpRequestReader::State HttpRequestReader::checkProgress()
 {
-    const bool isDone = parser_->is_done();
+    const bool isDone = reader_.isDone();
     // The header fields are counted when the header is complete, and once more with the trailers.
-    if (parser_->is_header_done() && (!isHeaderCounted_ || isDone)) {
+    if (reader_.isHeaderDone() && (!isHeaderCounted_ || isDone)) {
         isHeaderCounted_ = true;
-        fieldCount_ = fieldCount();
+        fieldCount_ = reader_.fieldCount();
         if (fieldCount_ > limits_.maxHeaderFields)
             return refuse({HttpRefusal::Cause::Header, statusHeaderTooLarge,
                            ErrorCode::MalformedBody, "request has too many header fields"});
     }
-    const size_t unparsed = isDone ? 0 : buffer_.size();
+    const size_t unparsed = isDone ? 0 : reader_.inputBytes();
     if (unparsed > limits_.maxHeaderBytes)
         return refuse({HttpRefusal::Cause::Header, statusHeaderTooLarge, ErrorCode::MalformedBody,
                        "a chunk line or the trailers are larger than the limit"});
-    if (consumed_ + unparsed > limits_.maxRequestBytes)
+    if (reader_.consumedBytes() + unparsed > limits_.maxRequestBytes)
         return refuse({HttpRefusal::Cause::Request, statusTooLarge, ErrorCode::BodyTooLarge,
                        "request is larger than the limit"});
-    if (isDone) {
-        keepsAlive_ = parser_->keep_alive();
-        return State::Complete;
-    }
-    return State::Incomplete;
+    return isDone ? State::Complete : State::Incomplete;
 }
 
 HttpRequestReader::State HttpRequestReader::refuse(HttpRefusal refusal)
@@ -113,34 +73,23 @@
 
 HttpRequest HttpRequestReader::takeRequest()
 {
-    auto message = parser_->release();
     HttpRequest request;
+    request.headers = reader_.takeHeaders();
+    auto message = reader_.take();
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
-    for (const auto &field : message)
-        request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     request.body = std::move(message.body());
-    parser_.reset();
     return request;
 }
 
-size_t HttpRequestReader::fieldCount() const
-{
-    const auto &message = parser_->get();
-    return static_cast<size_t>(std::distance(message.begin(), message.end()));
-}
-
 size_t HttpRequestReader::heldBytes() const
 {
-    const size_t body = parser_ ? parser_->get().body().capacity() : 0;
-    return buffer_.capacity() + body + fieldCount_ * bytesPerField;
+    return reader_.heldBytes() + fieldCount_ * bytesPerField;
 }
 
 void HttpRequestReader::release()
 {
-    parser_.reset();
-    buffer_ = {};
-    consumed_ = 0;
+    reader_.release();
     fieldCount_ = 0;
 }
 
--- a/tests/http_limits_test.cpp
+++ b/tests/http_limits_test.cpp
@@ -103,6 +103,31 @@
     BOOST_TEST((budget.hold(budget.open(), 100) == Holders {other}));
 }
 
+// Guards against fields behind the body that change what the header says.
+BOOST_AUTO_TEST_CASE(fields_of_trailers_are_dropped)
+{
+    const HttpLimits limits;
+    const std::string input = "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                              "2\r\nok\r\n0\r\nHost: b\r\nAuthorization: c\r\n"
+                              "Connection: close\r\n\r\n";
+    for (const size_t bytesPerRead : {input.size(), size_t {1}}) {
+        HttpRequestReader reader(limits);
+        auto state = HttpRequestReader::State::Incomplete;
+        for (size_t at = 0; at < input.size(); at += bytesPerRead) {
+            std::memcpy(reader.prepare().data(), input.data() + at, bytesPerRead);
+            reader.commit(bytesPerRead);
+            state = reader.parse();
+        }
+        BOOST_REQUIRE((state == HttpRequestReader::State::Complete));
+        BOOST_TEST(reader.keepsAlive());
+        const HttpRequest request = reader.takeRequest();
+        BOOST_TEST(request.headers.size() == 2U);
+        BOOST_TEST(request.header("Host") == "a");
+        BOOST_TEST(request.header("Authorization") == "");
+        BOOST_TEST(request.body == "ok");
+    }
+}
+
 // Guards against inputs on which the reader holds too much, or reads other requests if the input is
 // divided in another way.
 BOOST_AUTO_TEST_CASE(inputs_of_the_fuzzer)
