Read responses with the reader of the server

Two faults of the client of backend servers and of the store, both mended for requests before: fields of trailers were taken for those of the header (Retry-After, Content-Type), and the parser's assertion on the end of an empty chunked body that arrives in pieces ended the process in builds without NDEBUG. The client had a read loop of its own around the same parser. It now uses HttpMessageReader.

http_client_test/fields_of_trailers_are_dropped failed before (a/b and 9 in place of nothing), and chunked_response_may_arrive_in_any_pieces with SIGABRT ("n >= 5"). Both pass, as do the tests of both clients.

--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -1,5 +1,5 @@
-#include "httpreader.h"
 #include "iothreads.h"
+#include "messagereader.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,6 +31,7 @@
 // Limit of the unparsed input of one connection: the header of a response, a chunk line with its
 // extensions, or the trailers, which are parsed as a whole.
 constexpr size_t maxUnparsedBytes = 64U << 10;
+constexpr size_t maxHeaderBytes = 8U << 10;
 // Bytes of all unfinished responses of one client. The largest one fails if they are exceeded.
 // The reserve is for answers of servers beside large reads of the store.
 constexpr ByteBudget::Limits responseBytes {32U << 20, 8U << 20, 64U << 10};
@@ -64,13 +65,13 @@
     return status >= 100 && status < 200 && status != switchingProtocols;
 }
 
-HttpResponse toResponse(http::response<ArrivedBody> message)
+HttpResponse takeResponse(HttpMessageReader<false> &reader)
 {
     HttpResponse response;
+    response.headers = reader.takeHeaders();
+    response.contentType = std::string(response.header("Content-Type"));
+    auto message = reader.take();
     response.status = static_cast<int>(message.result_int());
-    response.contentType = std::string(message[http::field::content_type]);
-    for (const auto &field : message)
-        response.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     response.body = std::move(message.body());
     return response;
 }
@@ -99,9 +100,8 @@
         explicit Connection(asio::io_context &context) : stream(context) { }
 
         beast::tcp_stream stream;
-        beast::flat_buffer buffer {maxUnparsedBytes};
+        HttpMessageReader<false> reader;
         http::request<http::string_body> message;
-        std::optional<http::response_parser<ArrivedBody>> parser;
         std::optional<Exchange> exchange;
         SteadyClock::time_point idleSince;
         std::optional<uint64_t> heldAs {}; // in the budget
@@ -116,7 +116,9 @@
     void write(const ConnectionPtr &connection);
     void read(const ConnectionPtr &connection);
     void readSome(const ConnectionPtr &connection);
-    void onRead(const ConnectionPtr &connection, const error_code &error);
+    void onRead(const ConnectionPtr &connection, error_code error, size_t count);
+    void onParsed(const ConnectionPtr &connection);
+    void failRead(const ConnectionPtr &connection, const error_code &error);
     void hold(const ConnectionPtr &connection);
     void release(Connection &connection, bool isKept);
     void finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse);
@@ -238,45 +240,66 @@
 
 void EndpointPool::read(const ConnectionPtr &connection)
 {
-    connection->parser.emplace();
-    connection->parser->eager(true);
-    connection->parser->body_limit(options_.maxResponseBytes);
+    connection->reader.start(options_.maxResponseBytes, maxHeaderBytes);
     readSome(connection);
 }
 
 void EndpointPool::readSome(const ConnectionPtr &connection)
 {
-    http::async_read_some(connection->stream, connection->buffer, *connection->parser,
-                          [self = shared_from_this(), connection](error_code error, size_t) {
-                              // The budget may have ended the exchange.
-                              if (connection->exchange)
-                                  self->onRead(connection, error);
-                          });
+    connection->stream.async_read_some(
+            connection->reader.prepare(),
+            [self = shared_from_this(), connection](error_code error, size_t count) {
+                // The budget may have ended the exchange.
+                if (connection->exchange)
+                    self->onRead(connection, error, count);
+            });
 }
 
-void EndpointPool::onRead(const ConnectionPtr &connection, const error_code &error)
+void EndpointPool::onRead(const ConnectionPtr &connection, error_code error, size_t count)
 {
-    auto &parser = *connection->parser;
-    if (!error && !parser.is_done()) {
-        hold(connection);
-        readSome(connection);
-        return;
+    auto &reader = connection->reader;
+    if (!error) {
+        reader.commit(count);
+        error = reader.parse();
+    } else if (error == asio::error::eof && reader.consumedBytes() > 0) {
+        error = reader.finish();
     }
-    if (!error && isInterim(parser.get().result_int())) {
-        read(connection);
-        return;
+    if (!error && reader.inputBytes() > maxUnparsedBytes)
+        error = http::error::buffer_overflow;
+    if (error)
+        failRead(connection, error);
+    else
+        onParsed(connection);
+}
+
+void EndpointPool::onParsed(const ConnectionPtr &connection)
+{
+    auto &reader = connection->reader;
+    while (reader.isDone() && isInterim(reader.message().result_int())) {
+        reader.start(options_.maxResponseBytes, maxHeaderBytes);
+        if (const error_code error = reader.parse()) {
+            failRead(connection, error);
+            return;
+        }
     }
-    if (!error) {
+    if (reader.isDone()) {
         const bool reuse = isReusable(*connection);
-        finish(connection, toResponse(parser.release()), reuse);
+        finish(connection, takeResponse(reader), reuse);
         return;
     }
+    hold(connection);
+    readSome(connection);
+}
+
+void EndpointPool::failRead(const ConnectionPtr &connection, const error_code &error)
+{
     ErrorCode code = ErrorCode::PeerUnreachable;
     if (error == beast::error::timeout) {
         code = ErrorCode::Timeout;
         closeIdle();
-    } else if (error == http::error::body_limit || error == http::error::buffer_overflow)
+    } else if (error == http::error::body_limit || error == http::error::buffer_overflow) {
         code = ErrorCode::AnswerTooLarge;
+    }
     finish(connection,
            mayHaveRun(code,
                       fmt::format("no response from {}: {}", toString(endpoint_), error.message())),
@@ -302,8 +325,7 @@
         connection->heldAs =
                 budget_->open([context = &context_, fail] { asio::post(*context, fail); });
     }
-    budget_->hold(*connection->heldAs,
-                  connection->buffer.capacity() + connection->parser->get().body().capacity());
+    budget_->hold(*connection->heldAs, connection->reader.heldBytes());
 }
 
 // Ends the accounting of a response. Its memory is freed with the connection, or here if the
@@ -315,16 +337,15 @@
     connection.heldAs.reset();
     if (!isKept)
         return;
-    connection.parser.reset();
-    connection.buffer.shrink_to_fit();
+    connection.reader.release();
 }
 
 // Returns whether the next request may use the connection of a response that was read. Bytes behind
 // the response belong to no request and would be read as the answer to the next one.
 bool EndpointPool::isReusable(const Connection &connection)
 {
-    return connection.parser->keep_alive() && connection.buffer.size() == 0
-            && connection.parser->get().result_int() != switchingProtocols;
+    return connection.reader.keepsAlive() && !connection.reader.hasInput()
+            && connection.reader.message().result_int() != switchingProtocols;
 }
 
 void EndpointPool::finish(const ConnectionPtr &connection, Result<HttpResponse> result, bool reuse)
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -381,6 +381,53 @@
     }
 }
 
+// Guards against fields behind the body that change what the header says.
+BOOST_AUTO_TEST_CASE(fields_of_trailers_are_dropped)
+{
+    ScriptedServer server([&](tcp::socket &socket, int) {
+        for (;;) {
+            readTarget(socket);
+            send(socket,
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+                 "Retry-After: 9\r\nContent-Type: a/b\r\nConnection: close\r\n\r\n");
+        }
+    });
+    Client client;
+    for (int i = 0; i < 2; ++i) {
+        const auto result = client.get(server.endpoint(), "/");
+        BOOST_REQUIRE(result.has_value());
+        BOOST_TEST(result.value().body == "ok");
+        BOOST_TEST(result.value().contentType == "");
+        BOOST_TEST(result.value().header("Retry-After") == "");
+    }
+}
+
+// Guards against an end of a chunked body that arrives in pieces: the parser asserts that it gets
+// the last size line and both line ends at once.
+BOOST_AUTO_TEST_CASE(chunked_response_may_arrive_in_any_pieces)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string lastChunk = "0\r\n\r\n";
+    for (const std::string &chunk : {std::string("2\r\nok\r\n"), std::string()}) {
+        const std::string whole = head + chunk + lastChunk;
+        for (size_t cut = head.size(); cut < whole.size(); ++cut) {
+            ScriptedServer server([&](tcp::socket &socket, int) {
+                readTarget(socket);
+                for (const std::string &part : {whole.substr(0, cut), whole.substr(cut, 1)}) {
+                    send(socket, part);
+                    std::this_thread::sleep_for(10ms);
+                }
+                send(socket, whole.substr(cut + 1));
+                readTarget(socket); // waits for the end of the connection
+            });
+            Client client;
+            const auto result = client.get(server.endpoint(), "/");
+            BOOST_REQUIRE(result.has_value());
+            BOOST_TEST(result.value().body == (chunk.empty() ? "" : "ok"));
+        }
+    }
+}
+
 // Guards against responses that are each below the limit and together exceed the memory of a VM.
 BOOST_AUTO_TEST_CASE(all_unfinished_responses_are_bounded_together)
 {
