Test unfinished frames against lovaged

The peer port of lovaged had no test with such clients. Crowd and bounds are those of the other kinds. The case that sent the same bytes to the callers' port is named after what it tests.

--- a/tests/uncontrolled_lovaged_test.cpp
+++ b/tests/uncontrolled_lovaged_test.cpp
@@ -62,6 +62,7 @@
         daemon.reset();
         const auto [http, peer] = freePorts();
         httpPort = http;
+        peerPort = peer;
         const std::string folder =
                 std::filesystem::path(LOVAGED_PROGRAM).parent_path() / "daemon_files";
         std::filesystem::create_directories(folder);
@@ -94,11 +95,13 @@
         return false;
     }
 
-    void checkAgainst(const Stream &stream)
+    void checkAgainst(const Stream &stream) { checkAgainst(stream, httpPort); }
+    void checkAgainst(const Stream &stream, uint16_t port)
     {
         std::vector<std::unique_ptr<Client>> clients;
+        clients.reserve(crowdSize);
         for (size_t i = 0; i < crowdSize; ++i)
-            clients.push_back(std::make_unique<Client>(httpPort, stream));
+            clients.push_back(std::make_unique<Client>(port, stream));
         advanceAll(clients, false);
         BOOST_REQUIRE(!daemon->hasEnded());
         BOOST_TEST(memoryOf(daemon->pid(), "VmHWM") <= maxPeakKb);
@@ -116,6 +119,7 @@
     fake::Fake platform {fakeConfig()};
     uint16_t platformPort = 0;
     uint16_t httpPort = 0;
+    uint16_t peerPort = 0;
     std::unique_ptr<soak::Daemon> daemon;
 };
 
@@ -153,11 +157,16 @@
     checkAgainst({chunkedHead + "1\r\nx\r\n0\r\n", manyOf("a: b\r\n")});
 }
 
-BOOST_FIXTURE_TEST_CASE(frames_and_bytes_of_strangers, Process)
+BOOST_FIXTURE_TEST_CASE(bytes_that_are_no_request, Process)
 {
     checkAgainst({std::string("\x01\xf0\0\0", 4), manyOf("x")});
 }
 
+BOOST_FIXTURE_TEST_CASE(frames_that_do_not_end, Process)
+{
+    checkAgainst({std::string("\x01\xf0\0\0", 4), manyOf("x")}, peerPort);
+}
+
 BOOST_FIXTURE_TEST_CASE(clients_that_never_read_their_answers, Process)
 {
     checkAgainst({"",
