Bound responses of executors and the store by the memory of the VM

An executor that answers a poll with 3 MB of small values raised a VM of 120 MB to 84 MB: a response had up to 16 MiB, all together 32 MiB whatever the VM has, and a parsed document takes up to 16 times its text.

All unfinished responses share a budget of an eighth of the memory, as those of clients do.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -305,6 +305,9 @@
     // that the server is closing.
     Duration idleTimeout = std::chrono::seconds(20);
     std::string localAddress; // outgoing connections are bound to it; empty for any
+    // Bytes of unfinished responses; shared by all clients that have the same budget. Without one,
+    // the client has a budget of its own.
+    std::shared_ptr<ConnectionBudget> budget {};
 };
 
 // HTTP/1.1 client with persistent connections per endpoint. All work runs on one I/O thread.
--- a/src/net/httpclient.cpp
+++ b/src/net/httpclient.cpp
@@ -419,7 +419,9 @@
 {
 public:
     Implementation(asio::io_context &context, HttpClientOptions options)
-        : context_(context), options_(std::move(options)), expiryTimer_(context)
+        : context_(context), options_(std::move(options)), expiryTimer_(context),
+          budget_(options_.budget ? options_.budget
+                                  : std::make_shared<ConnectionBudget>(responseBytes))
     { }
 
     void send(const Endpoint &endpoint, Exchange exchange)
@@ -463,7 +465,7 @@
     asio::io_context &context_;
     HttpClientOptions options_;
     asio::steady_timer expiryTimer_;
-    std::shared_ptr<ConnectionBudget> budget_ = std::make_shared<ConnectionBudget>(responseBytes);
+    std::shared_ptr<ConnectionBudget> budget_;
     std::map<Endpoint, std::shared_ptr<EndpointPool>> pools_;
 };
 
