Bound the values that are followed in a topic of the store

400 records of 200 KB under ever new keys, written to the topic of the servers by another writer, raised a VM of 120 MB to 107 MB: a follower keeps the newest value of each key, whoever wrote it, and loads the list beside the one in use.

Values above 2 KiB use at most half of it, so that the entries of servers have room beside them.

--- a/tests/platform_store_test.cpp
+++ b/tests/platform_store_test.cpp
@@ -2,6 +2,7 @@
 // that fail.
 #define BOOST_TEST_MODULE platform_store
 #include "store.h"
+#include "topic_values.h"
 
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -13,6 +14,7 @@
 #include <thread>
 
 using namespace lovage;
+using lovage::platform::TopicValues;
 using std::chrono::milliseconds;
 
 namespace json = boost::json;
@@ -282,3 +284,26 @@
          {"-1", "4294967296", "18446744073709551615", "5.5", "\"5\"", "null"})
         BOOST_TEST(!decode(partition).has_value(), partition);
 }
+
+// Guards against other writers whose records take the memory of the VM, and against large records
+// that leave no room for the entries of servers.
+BOOST_AUTO_TEST_CASE(values_of_a_topic_are_bounded)
+{
+    constexpr size_t maxBytes = 4U << 20;
+    TopicValues values(maxBytes);
+    const std::string large(100'000, 'x');
+    size_t stored = 0;
+    for (int i = 0; i < 100; ++i)
+        stored += values.set("odd-" + std::to_string(i), large) ? 1 : 0;
+    BOOST_TEST(stored > 10U);
+    BOOST_TEST(values.heldBytes() <= maxBytes / 2);
+    for (int i = 0; i < 2000; ++i)
+        BOOST_REQUIRE(values.set("server-" + std::to_string(i), std::string(600, 'x')));
+    BOOST_TEST(!values.set("odd-0", large + large)); // the earlier value is gone too
+    BOOST_TEST(!values.values().contains("odd-0"));
+    while (values.set("small-" + std::to_string(stored++), "x"))
+        BOOST_REQUIRE(values.heldBytes() <= maxBytes);
+    while (!values.values().empty())
+        values.erase(std::string(values.values().begin()->first));
+    BOOST_TEST(values.heldBytes() == 0U);
+}
