Make budgets of connections in one place

The reserve of a quarter and the size of an ordinary request were written in main.cpp of the users' platform and in the sockets for peers, and lovaged needs them too. makeBudget() and returnFreedMemory() are now part of the libraries. No change of behaviour; the tests of the limits pass.

--- a/include/lovage/net.h
+++ b/include/lovage/net.h
@@ -195,6 +195,14 @@
     std::map<uint64_t, std::function<void()>> refuse_;
 };
 
+// Makes a budget of which a quarter is reserved for holders of up to `ordinaryBytes`.
+std::shared_ptr<ConnectionBudget> makeBudget(size_t maxBytes, size_t ordinaryBytes);
+
+// An ordinary request is a job with a spec of 4,000 bytes in a few steps, with a buffer that has
+// grown to twice its size.
+constexpr size_t ordinaryRequestBytes = 64U << 10;
+constexpr size_t ordinaryFrameBytes = 512U << 10;
+
 struct HttpLimits
 {
     size_t maxBodyBytes = 8U << 20;
--- a/include/lovage/program.h
+++ b/include/lovage/program.h
@@ -16,4 +16,9 @@
 std::vector<std::string> parseCommandLine(const std::string &name, const std::string &usage,
                                           int argc, char **argv);
 
+// Has the allocator return large blocks to the system when they are freed. By default, its
+// threshold rises to the size of the largest block that was freed, and the memory of a peak is
+// kept.
+void returnFreedMemory();
+
 } // namespace lovage
--- a/src/net/byte_budget.cpp
+++ b/src/net/byte_budget.cpp
@@ -51,6 +51,13 @@
     largeTotal_ -= isLarge(bytes) ? bytes : 0;
 }
 
+std::shared_ptr<ConnectionBudget> makeBudget(size_t maxBytes, size_t ordinaryBytes)
+{
+    constexpr size_t reservedShare = 4;
+    return std::make_shared<ConnectionBudget>(
+            ByteBudget::Limits {maxBytes, maxBytes / reservedShare, ordinaryBytes});
+}
+
 uint64_t ConnectionBudget::open(std::function<void()> refuse)
 {
     const std::lock_guard lock(mutex_);
--- a/src/node/peer_sockets.cpp
+++ b/src/node/peer_sockets.cpp
@@ -11,8 +11,6 @@
 // Connections of other VMs use at most an eighth of the descriptors.
 constexpr size_t peerShare = 8;
 // A quarter of the bytes held for frames is reserved for ordinary frames.
-constexpr size_t reservedShare = 4;
-constexpr size_t ordinaryFrameBytes = 512U << 10;
 
 } // namespace
 
@@ -33,8 +31,7 @@
     options.maxTotalQueuedBytes = limits.heldBytes();
     options.readTimeout = limits.readTimeout;
     options.maxConnections = std::min(limits.maxConnections, descriptorLimit() / peerShare);
-    options.budget = std::make_shared<ConnectionBudget>(ByteBudget::Limits {
-            limits.heldBytes(), limits.heldBytes() / reservedShare, ordinaryFrameBytes});
+    options.budget = makeBudget(limits.heldBytes(), ordinaryFrameBytes);
     // Frames have the same source address as datagrams, so that a firewall needs one rule for both.
     options.localAddress = endpoint.address;
     frameClient_ = std::make_unique<FrameClient>(threads, 0, options, std::move(onLost));
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -4,6 +4,8 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 
+#include <malloc.h>
+
 namespace lovage {
 
 std::vector<std::string> parseCommandLine(const std::string &name, const std::string &usage,
@@ -22,4 +24,10 @@
     return {arguments.begin() + 1, arguments.end()};
 }
 
+void returnFreedMemory()
+{
+    constexpr int smallestReturnedBlock = 128 << 10;
+    mallopt(M_MMAP_THRESHOLD, smallestReturnedBlock);
+}
+
 } // namespace lovage
