Derive the limits of lovaged from the memory of its VM

24 clients of 6 MB raised lovaged to 61 to 71 MB: chunked and announced bodies that do not end, large complete bodies, unfinished frames. It passed a body limit of 8 MiB and no bound on all of them, so the defaults of the library held (64 MiB of requests, 64 MiB of frames, 256 MiB of frames that wait to be sent), whatever the VM has.

Large blocks are returned to the system when they are freed, as in lovaged-platform. The tests set memoryMb to 120, the VM whose bounds they check; on the product before, the setting did not exist, and nothing else held.

--- a/include/lovage/settings.h
+++ b/include/lovage/settings.h
@@ -5,6 +5,7 @@
 #include "lovage/net.h"
 #include "lovage/telemetry.h"
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -41,7 +42,8 @@
 
 struct LimitSettings
 {
-    size_t maxBodyBytes = 8U << 20;
+    size_t memoryMb = 512;   // memory of the VM
+    size_t maxBodyBytes = 0; // 0 for 8 MiB, or a 64th of the memory if that is less
     size_t maxHeaderBytes = 16U << 10;
     size_t maxConnections = 4096;
     size_t maxAnswerBytes = 16U << 20;
@@ -51,6 +53,16 @@
     Duration readTimeout = std::chrono::seconds(10);
     Duration maxDeadline = std::chrono::minutes(5);
 
+    // A body that is parsed takes up to 16 times its size, and at most a quarter of the memory.
+    size_t bodyBytes() const
+    {
+        constexpr size_t largestDefault = 8U << 20;
+        return maxBodyBytes > 0 ? maxBodyBytes : std::min(largestDefault, (memoryMb << 20) / 64);
+    }
+    // Bytes of unfinished requests and answers on all connections of callers; the same again for
+    // frames of other VMs, and for responses.
+    size_t heldBytes() const { return (memoryMb << 20) / 8; }
+
     auto operator<=>(const LimitSettings &) const = default;
 };
 
--- a/src/daemon/backendlink.cpp
+++ b/src/daemon/backendlink.cpp
@@ -153,6 +153,7 @@
     options.maxConnectionsPerEndpoint = connectionsPerExecutor(shared.settings);
     options.maxResponseBytes = shared.settings.limits.maxAnswerBytes;
     options.localAddress = shared.settings.localAddress;
+    options.budget = makeBudget(shared.settings.limits.heldBytes(), ordinaryRequestBytes);
     for (size_t i = 0; i < threads.count(); ++i)
         clients_.push_back(std::make_unique<HttpClient>(threads, i, options));
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -27,11 +27,12 @@
 HttpLimits httpLimits(const Settings &settings)
 {
     HttpLimits limits;
-    limits.maxBodyBytes = settings.limits.maxBodyBytes;
+    limits.maxBodyBytes = settings.limits.bodyBytes();
     limits.maxHeaderBytes = settings.limits.maxHeaderBytes;
     limits.maxConnections = settings.limits.maxConnections;
     limits.idleTimeout = settings.limits.idleTimeout;
     limits.readTimeout = settings.limits.readTimeout;
+    limits.budget = makeBudget(settings.limits.heldBytes(), ordinaryRequestBytes);
     return limits;
 }
 
--- a/src/daemon/peerlink.cpp
+++ b/src/daemon/peerlink.cpp
@@ -23,6 +23,9 @@
 {
     FrameOptions options;
     options.localAddress = settings.localAddress;
+    options.maxQueuedBytes = settings.limits.heldBytes();
+    options.maxTotalQueuedBytes = settings.limits.heldBytes();
+    options.budget = makeBudget(settings.limits.heldBytes(), ordinaryFrameBytes);
     return options;
 }
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -69,6 +69,7 @@
 void readLimits(ObjectReader &reader, LimitSettings &limits)
 {
     constexpr uint64_t maxCount = 10'000'000;
+    reader.readNumber("memoryMb", limits.memoryMb, 64, 1U << 20);
     reader.readNumber("maxBodyBytes", limits.maxBodyBytes, 1024, maxBytes);
     reader.readNumber("maxHeaderBytes", limits.maxHeaderBytes, 1024, 1U << 20);
     reader.readNumber("maxConnections", limits.maxConnections, 1, maxCount);
@@ -78,6 +79,9 @@
     reader.readMillis("idleTimeoutMs", limits.idleTimeout, 1, millisPerHour);
     reader.readMillis("readTimeoutMs", limits.readTimeout, 1, millisPerHour);
     reader.readMillis("maxDeadlineMs", limits.maxDeadline, 1, millisPerHour);
+    if (limits.bodyBytes() > (limits.memoryMb << 20) / 64)
+        reader.report("maxBodyBytes",
+                      "at most a 64th of memoryMb, because a parsed body takes 16 times its size");
 }
 
 void readLedger(ObjectReader &reader, LedgerSettings &ledger)
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -50,6 +50,19 @@
     BOOST_TEST((result.value().ledger == LedgerSettings()));
 }
 
+// Guards against bodies that take the memory of the VM when they are parsed.
+BOOST_AUTO_TEST_CASE(bodiesMustFitTheMemoryOfTheVm)
+{
+    const auto withLimits = [](const std::string &limits) {
+        return errorPaths(replaced(valid, "\"maxBodyBytes\": 2048, ", limits));
+    };
+    BOOST_TEST(withLimits("") == Paths(), boost::test_tools::per_element());
+    BOOST_TEST(withLimits("\"memoryMb\": 64") == Paths(), boost::test_tools::per_element());
+    BOOST_TEST(withLimits("\"memoryMb\": 64, \"maxBodyBytes\": 1048577")
+                       == Paths({"limits.maxBodyBytes"}),
+               boost::test_tools::per_element());
+}
+
 // Guards against a start-up that reports only the first error, or none.
 BOOST_AUTO_TEST_CASE(allErrorsAreReportedTogether)
 {
--- a/tests/uncontrolled_lovaged_test.cpp
+++ b/tests/uncontrolled_lovaged_test.cpp
@@ -72,6 +72,7 @@
                 R"("members":[{{"name":"vm","dataCentre":"dc1","peer":"127.0.0.1:{1}"}}],)"
                 R"("owners":[{{"name":"team","token":"owner-token-1"}}],)"
                 R"("operators":[{{"name":"ops","token":"operator-token-3"}}],)"
+                R"("limits":{{"memoryMb":120}},)"
                 R"("platform":{{"logService":"127.0.0.1:{2}","vmList":"127.0.0.1:{2}"}}}})",
                 http, peer, platformPort);
         daemon = std::make_unique<soak::Daemon>(
--- a/tools/lovaged/main.cpp
+++ b/tools/lovaged/main.cpp
@@ -73,6 +73,7 @@
 
 int main(int argc, char **argv)
 {
+    returnFreedMemory();
     const auto rest = parseCommandLine("lovaged", usage, argc, argv);
     if (!rest.empty()) {
         fmt::print(stderr, "lovaged: unexpected argument '{}'\n", rest.front());
