Add clients that keep to no limit to the soak

--uncontrolled lets up to 60 such clients send to the callers', the readiness and the peer port of random VMs beside the callers, with endless trailers, chunks, headers and frames, unread answers and connections that stay idle, while processes are killed, paused and drained and the store is cut off. A VM above 60 MB breaks the run. The clients no longer need Boost.Test.

--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -38,6 +38,8 @@
     Proxy &callerProxy(size_t vm) { return *callerProxies_[vm]; }
     // The address at which callers reach the VM.
     Endpoint callerEndpoint(size_t vm) const { return {addresses_.proxy(vm), httpPort}; }
+    // The address of the VM itself, without a proxy.
+    std::string addressOf(size_t vm) const { return addresses_.vm(vm); }
     static std::string nameOf(size_t vm) { return "vm" + std::to_string(vm + 1); }
     size_t dataCentreOf(size_t vm) const { return vm % dataCentreCount(options_); }
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -8,6 +8,7 @@
 #include "callers.h"
 #include "faults.h"
 #include "trace.h"
+#include "uncontrolled.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -24,6 +25,7 @@
         bool, server_faults, false,
         "also inject late calls, restarts in quick succession and odd entries of backend servers");
 ABSL_FLAG(bool, evacuations, false, "also evacuate data centres");
+ABSL_FLAG(bool, uncontrolled, false, "also run clients that keep to no limit");
 ABSL_FLAG(std::vector<std::string>, except, {}, "names of faults that are not injected");
 ABSL_FLAG(std::string, folder, "/tmp/lovage-soak",
           "folder for the settings and logs of the daemons");
@@ -45,7 +47,7 @@
         : options_(std::move(options)), platform_(options_, proxyContext_, ledger_),
           fleet_(options_, proxyContext_, platform_.storePort()),
           callers_(options_, fleet_, ledger_), faults_(options_, fleet_, platform_),
-          proxyThread_([this] { proxyContext_.run(); })
+          uncontrolled_(options_, fleet_, ledger_), proxyThread_([this] { proxyContext_.run(); })
     { }
     ~Soak()
     {
@@ -63,8 +65,11 @@
             return 2;
         }
         callers_.start();
+        if (options_.hasUncontrolledClients)
+            uncontrolled_.start();
         faults_.run();
         faults_.undoAll();
+        uncontrolled_.stop();
         if (options_.hasEvacuations)
             evacuateUndisturbed(options_, platform_, ledger_);
         callers_.stop();
@@ -140,6 +145,9 @@
                    options_.seed, faults_.faultCount(), callers_.jobCount(), responses.served,
                    responses.refused, responses.unanswered, ledger_.starts(), unconfirmedCancels_,
                    violations.size());
+        if (options_.hasUncontrolledClients)
+            fmt::print("uncontrolled_clients={} largest_vm_kb={}\n", uncontrolled_.clientCount(),
+                       uncontrolled_.largestKb());
         return violations.empty() ? 0 : 1;
     }
 
@@ -150,6 +158,7 @@
     Fleet fleet_;
     Callers callers_;
     FaultInjector faults_;
+    UncontrolledClients uncontrolled_;
     std::thread proxyThread_;
     uint64_t unconfirmedCancels_ = 0;
 };
@@ -168,6 +177,7 @@
     options.hasNetworkFaults = absl::GetFlag(FLAGS_network);
     options.hasServerFaults = absl::GetFlag(FLAGS_server_faults);
     options.hasEvacuations = absl::GetFlag(FLAGS_evacuations);
+    options.hasUncontrolledClients = absl::GetFlag(FLAGS_uncontrolled);
     const auto excluded = absl::GetFlag(FLAGS_except);
     options.excludedFaults = {excluded.begin(), excluded.end()};
     return options;
--- a/tests/soak/options.h
+++ b/tests/soak/options.h
@@ -20,6 +20,7 @@
     bool hasNetworkFaults = false;
     bool hasServerFaults = false;
     bool hasEvacuations = false;
+    bool hasUncontrolledClients = false;
     std::set<std::string> excludedFaults; // names of faults that are not injected
 
     auto operator<=>(const Options &) const = default;
--- a/tests/support/uncontrolled_clients.h
+++ b/tests/support/uncontrolled_clients.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "lovage/core.h"
+#include "lovage/net.h"
 
-#include <boost/test/unit_test.hpp>
-
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,7 +16,9 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -57,14 +59,16 @@
 class Client
 {
 public:
-    Client(uint16_t port, const Stream &stream)
+    Client(uint16_t port, const Stream &stream) : Client({"127.0.0.1", port}, stream) { }
+    // The stream must outlive the client.
+    Client(const Endpoint &to, const Stream &stream)
         : stream_(stream), socket_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
     {
         sockaddr_in address {};
         address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        BOOST_REQUIRE(socket_ >= 0);
+        address.sin_port = htons(to.port);
+        if (socket_ < 0 || inet_pton(AF_INET, to.address.c_str(), &address.sin_addr) != 1)
+            throw std::runtime_error("cannot open a socket for " + toString(to));
         // The socket does not block; a failure shows at the first write.
         static_cast<void>(
                 connect(socket_, reinterpret_cast<const sockaddr *>(&address), sizeof(address)));
@@ -153,7 +157,8 @@
                 bind(listener, reinterpret_cast<const sockaddr *>(&address), size) == 0
                 && listen(listener, SOMAXCONN) == 0
                 && getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size) == 0;
-        BOOST_REQUIRE(isListening);
+        if (!isListening)
+            throw std::runtime_error("cannot listen on loopback");
         port = ntohs(address.sin_port);
         return listener;
     }
--- a/tests/uncontrolled_lovaged_test.cpp
+++ b/tests/uncontrolled_lovaged_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
 using namespace lovage;
