Let all bounds together fit the smallest VM

Each bound fits a VM of 120 MB, but their sum did not (arithmetic, MiB): 9 for the process without load, 8 for a parsed document, 60 for requests, frames in and out and responses, 26 for topics (twice while they are loaded, the entries of servers three times), 36 for stored jobs with a take-over and one partition more: 139.

A partition now has half of the memory for accepted jobs (6), frames that wait to be sent a sixteenth of the VM (7.5), and the topics of the operator and of the VMs half of the servers' topic. The sum is 118.25. platform_records_test/limits_fit_the_smallest_vm_together checks it; it could not be run on the code before, which had no such figures to add.

--- a/include/lovage/keeper.h
+++ b/include/lovage/keeper.h
@@ -135,7 +135,7 @@
     // refused. As much again is used for partitions that this VM takes over.
     size_t maxBytes = 12U << 20;
     // Memory for the jobs of one partition, which must fit into that of every VM.
-    size_t maxPartitionBytes = 12U << 20;
+    size_t maxPartitionBytes = 6U << 20;
 };
 
 // Schedules the stored jobs of the partitions that this VM holds. Single-threaded.
--- a/include/lovage/node.h
+++ b/include/lovage/node.h
@@ -50,7 +50,16 @@
     Duration readTimeout = std::chrono::seconds(10);
     Duration writeTimeout = std::chrono::seconds(10);
 
-    size_t storedJobBytes() const
+    // Frames that wait to be sent to other VMs.
+    size_t queuedFrameBytes() const { return heldBytes() / 2; }
+    // Unfinished responses of backend servers and of the store.
+    size_t responseBytes() const { return heldBytes(); }
+    // Values of the servers' topic in the store, and of each other topic.
+    size_t serverValueBytes() const { return heldBytes() / 4; }
+    size_t topicValueBytes() const { return heldBytes() / 8; }
+    // Jobs of one partition, which must fit into the memory of every VM that may take it over.
+    constexpr size_t partitionBytes() const { return storedJobBytes() / 2; }
+    constexpr size_t storedJobBytes() const
     {
         return maxStoredJobBytes > 0 ? maxStoredJobBytes : (memoryMb << 20) / 10;
     }
--- a/src/node/peer_sockets.cpp
+++ b/src/node/peer_sockets.cpp
@@ -27,8 +27,8 @@
     FrameOptions options;
     options.ackTimeout = ackTimeout;
     options.maxFrameBytes = limits.maxFrameBytes;
-    options.maxQueuedBytes = limits.heldBytes();
-    options.maxTotalQueuedBytes = limits.heldBytes();
+    options.maxQueuedBytes = limits.queuedFrameBytes();
+    options.maxTotalQueuedBytes = limits.queuedFrameBytes();
     options.readTimeout = limits.readTimeout;
     options.maxConnections = std::min(limits.maxConnections, descriptorLimit() / peerShare);
     options.budget = makeBudget(limits.heldBytes(), ordinaryFrameBytes);
--- a/src/node/stored_jobs.cpp
+++ b/src/node/stored_jobs.cpp
@@ -24,6 +24,9 @@
 // Interval at which this VM announces that stored jobs exist, until the store reports it.
 constexpr Duration announceInterval = std::chrono::seconds(1);
 
+// Memory for the jobs of one partition on the smallest VM.
+constexpr size_t smallestPartitionBytes = NodeLimits {}.partitionBytes();
+
 // The group of keepers needs no settle time, because the holders of shards have settled before the
 // first request about a stored job.
 HolderOptions keeperGroupOptions(const NodeSettings &settings)
@@ -40,7 +43,7 @@
     options.jobRetention = settings.jobRetention;
     options.journalHistory = settings.journalHistory;
     options.maxBytes = settings.limits.storedJobBytes();
-    options.maxPartitionBytes = std::min(options.maxBytes, options.maxPartitionBytes);
+    options.maxPartitionBytes = std::min(settings.limits.partitionBytes(), smallestPartitionBytes);
     return options;
 }
 
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -220,6 +220,21 @@
     BOOST_TEST(!parse(R"("maxBodyBytes": 10)")); // a job of the widest form has more
 }
 
+// Guards against limits that each fit the smallest VM and together exceed it. A topic is held twice
+// while it is loaded, and the entries of servers once more by their list.
+BOOST_AUTO_TEST_CASE(limits_fit_the_smallest_vm_together)
+{
+    constexpr size_t processBytes = 9U << 20; // without jobs, clients and peers
+    constexpr size_t parsedDocumentBytes = 8U << 20;
+    const NodeLimits limits;
+    const size_t topics = 3 * limits.serverValueBytes() + 2 * 2 * limits.topicValueBytes();
+    const size_t storedJobs = 2 * limits.storedJobBytes() + limits.partitionBytes();
+    const size_t connections =
+            2 * limits.heldBytes() + limits.queuedFrameBytes() + limits.responseBytes();
+    BOOST_TEST(processBytes + parsedDocumentBytes + topics + storedJobs + connections
+               <= limits.memoryMb << 20);
+}
+
 // Guards against peers that cannot reach a VM behind address translation.
 BOOST_AUTO_TEST_CASE(advertised_peer_address_is_optional)
 {
