--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -409,7 +409,9 @@
     const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     const std::string lastChunk = "0\r\n\r\n";
     for (const std::string &chunk : {std::string("2\r\nok\r\n"), std::string()}) {
-        const std::string whole = head + chunk + lastChunk;
+        std::string whole = head;
+        whole += chunk;
+        whole += lastChunk;
         for (size_t cut = head.size(); cut < whole.size(); ++cut) {
             ScriptedServer server([&](tcp::socket &socket, int) {
                 readTarget(socket);
--- a/tests/platform_records_test.cpp
+++ b/tests/platform_records_test.cpp
@@ -227,7 +227,7 @@
     constexpr size_t processBytes = 9U << 20; // without jobs, clients and peers
     constexpr size_t parsedDocumentBytes = 8U << 20;
     const NodeLimits limits;
-    const size_t topics = 3 * limits.serverValueBytes() + 2 * 2 * limits.topicValueBytes();
+    const size_t topics = 3 * limits.serverValueBytes() + 4 * limits.topicValueBytes();
     const size_t storedJobs = 2 * limits.storedJobBytes() + limits.partitionBytes();
     const size_t connections =
             2 * limits.heldBytes() + limits.queuedFrameBytes() + limits.responseBytes();
