Read partitions beyond the memory one after another

Callers would have waited for ever: a keeper that took over more jobs than it has memory for paused all partitions that it had read in part, and these hold memory that never becomes free. With one empty partition in service nothing was read on.

Beyond the memory for accepted jobs, partitions are now read one after another, and beyond twice of it only while those in service hold less than the share, since there is then little to wait for.

keeper_takeover_test/partitions_beyond_the_memory_are_read_later failed before (one partition served in place of two after 200 s); it passes, as do the other tests of keepers. An accessor without a caller goes away.

--- a/src/keeper/keeper.cpp
+++ b/src/keeper/keeper.cpp
@@ -138,19 +138,21 @@
 }
 
 // Whether the partition may be read on. A VM that takes over more jobs than it has memory for reads
-// the rest when others have ended. One partition is always served, since no job could end
-// otherwise.
+// one partition after another, and waits while those that are served have jobs that will end.
 bool JobKeeper::mayRead(const Partition &partition) const
 {
-    if (heldBytes() < takeoverFactor * options_.maxBytes)
+    const size_t bytes = heldBytes();
+    if (bytes < options_.maxBytes)
         return true;
-    const auto isServing = [](const auto &entry) { return entry.second->isServing(); };
-    if (std::any_of(partitions_.begin(), partitions_.end(), isServing))
-        return false;
-    const auto first = std::find_if(partitions_.begin(), partitions_.end(), [](const auto &entry) {
-        return entry.second->stage() == Partition::Stage::Reading;
-    });
-    return first != partitions_.end() && first->second.get() == &partition;
+    size_t servedBytes = 0;
+    const Partition *first = nullptr; // of those that are not read to their end
+    for (const auto &[number, other] : partitions_) {
+        servedBytes += other->isServing() ? other->heldBytes() : 0;
+        if (!first && other->stage() == Partition::Stage::Reading)
+            first = other.get();
+    }
+    const bool hasMemory = bytes < takeoverFactor * options_.maxBytes;
+    return first == &partition && (hasMemory || servedBytes < options_.maxBytes);
 }
 
 // A partition that is released and taken again within one generation needs a new epoch, because the
--- a/src/keeper/memory_charge.h
+++ b/src/keeper/memory_charge.h
@@ -26,7 +26,6 @@
         bytes_ -= bytes;
         total_ -= bytes;
     }
-    size_t bytes() const { return bytes_; }
 
 private:
     size_t &total_;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <fmt/format.h>
+
 #include <sys/socket.h>
 
 #include <atomic>
--- a/tests/keeper_takeover_test.cpp
+++ b/tests/keeper_takeover_test.cpp
@@ -40,6 +40,38 @@
 
 } // namespace
 
+// Guards against a VM that takes over more jobs than it has memory for. The rest is served when
+// jobs have ended.
+BOOST_FIXTURE_TEST_CASE(partitions_beyond_the_memory_are_read_later, TakeoverFixture)
+{
+    makeTask = [](const std::string &) {
+        return SimulatedTask {0, Time(std::chrono::seconds(20)), RunEnd::Succeeded};
+    };
+    JobSpec job = makeJob("", {1});
+    job.payload = std::string(4000, 'p');
+    for (int i = 0; i < 40; ++i) {
+        job.id = "job" + std::to_string(i);
+        store(job);
+        run(milliseconds(20));
+    }
+    BOOST_REQUIRE(count(KeeperAnswer::Kind::Stored) == 40U);
+    options.maxBytes = options.maxPartitionBytes = 60'000;
+    takeOver();
+    run(takeoverTime);
+    const auto servedPartitions = [&] {
+        const auto claims = keeper->claims();
+        return std::count_if(claims.begin(), claims.end(),
+                             [](const PartitionClaim &claim) { return claim.isServing; });
+    };
+    BOOST_TEST(servedPartitions() == 1);
+    run(std::chrono::seconds(200));
+    BOOST_TEST(servedPartitions() == 2);
+    for (int i = 0; i < 40; ++i) {
+        const auto runs = starts.find("job" + std::to_string(i) + ".0.0.0");
+        BOOST_TEST((runs != starts.end() && !running.contains(runs->first)));
+    }
+}
+
 // Guards against counting the success of a run although the previous keeper had started a later
 // run, the end of which no keeper has stored.
 BOOST_FIXTURE_TEST_CASE(success_does_not_count_after_a_start_by_the_previous_keeper,
